--- /dev/null
+++ b/ledgehitch/__init__.py
@@ -0,0 +1,1 @@
+"""ledgehitch: admits viewers to media hosts and sets the rate at which they play."""
--- /dev/null
+++ b/ledgehitch/brain.py
@@ -0,0 +1,602 @@
+"""Every decision of a gateway: where a viewing is set up, at which rung it plays, what is blocked or aborted.
+
+How to call it: make a `Gateway(seed, now, ladder, packages, fleet, terms)`. Hand it what happens through
+`listed`, `asked`, `handed_over`, `opened`, `told`, `ended`, `left` and `probed`; these only update what is known.
+Then pull `decide(now)` until it gives None, carrying out each decision as it comes (pulled is done), and again
+after the next event or when the clock reaches `wake_at()`. The interface is `ledgehitch/interface.py`; the
+reasons, the mechanism's source and each departure from it are in `docs/design.md`.
+"""
+
+import random
+import zlib
+from collections import deque
+from collections.abc import Iterator, Sequence
+from statistics import median
+
+from ledgehitch.interface import (
+    Abort,
+    Block,
+    CallOff,
+    Decision,
+    Fleet,
+    Ladder,
+    Move,
+    Outcome,
+    Package,
+    Row,
+    SetRung,
+    Subscribe,
+    Terms,
+    TuneIn,
+)
+
+NEW, OLD = 3, 8  # weights of the estimate, as in the paper: a lower NEW climbs slower after pressure
+TICK = 1.0  # seconds between looks at a media host's viewings: shorter reacts faster, on fewer readings
+HOLD = 4.0  # a viewing that stepped keeps its rung so long: shorter follows the room, dearer in changes
+MARK = 0.90  # share of link and uplink that admission and climbs may fill: higher earns more, jams more
+PRESSED = 0.98  # above this the room counts as negative and viewings step down before delivery is short
+SHORT = 0.98  # a delivered share under this is short
+CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
+FULL_ENOUGH = 1.0  # lowest-rung admissions may fill link and uplink up to this
+WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
+TRUST = 3.0  # a reading older than so many telling intervals weighs half against what is guessed
+BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
+LATE = 0.99, 2.0  # a tune-in is given up at this quantile of set-ups, times this: lower wastes slow set-ups
+SHORTEST, UNKNOWN = 0.25, 0.45  # shortest time-out, and the one used before set-ups were seen
+MIN_SEEN = 8  # outcomes after which a histogram is believed
+HALVE_AT = 40  # outcomes after which a media host's tally is halved
+ILL = 0.25  # a media host whose failures exceed the fleet median by this share is set aside
+IN_A_ROW = 2  # so many failures in a row set aside too, whatever the share
+ASIDE, ASIDE_MORE = 4.0, 3.0  # a media host set aside stays so for the first, plus up to the second by chance
+MOST_ASIDE = 0.5  # with more of the holders than this set aside, the ones back soonest are used all the same
+COLD_SAFE = 0.8  # part of the budget for cold media hosts that all gateways together plan to use
+ASK_AGAIN = 0.5, 6.0  # first and longest wait before a lost list is asked for again
+LOOK = 0.05  # seconds between looks for a holder while viewings wait
+EDGE = 0.03  # seconds kept free before patience ends
+
+
+class Use:
+    """What is asked of a link or uplink over what it gives: the last reading, and own changes since."""
+
+    def __init__(self, cap_kb: float) -> None:
+        self.cap_kb = max(cap_kb, 1e-9)
+        self.value: float | None = None
+        self.at = 0.0
+        self.changes: deque[tuple[float, float]] = deque()
+
+    def read(self, now: float, at: float, value: float) -> None:
+        if value >= 0.0 and at >= self.at:
+            self.value, self.at = min(value, 20.0), at
+            while self.changes and self.changes[0][0] <= at:
+                self.changes.popleft()
+
+    def change(self, now: float, kb: float) -> None:
+        self.changes.append((now, kb))
+        if self.value is None and len(self.changes) > 64:
+            self.changes.popleft()
+
+    def predicted(self, now: float, guess: float, stale: float) -> float:
+        """The reading and what this gateway changed since; an old reading fades into the guess."""
+        if self.value is None:
+            return guess
+        known = max(0.0, self.value + sum(kb for _, kb in self.changes) / self.cap_kb)
+        age = max(0.0, now - self.at - stale)
+        return known if age <= 0 else known + (guess - known) * age / (age + stale)
+
+
+class MediaHost:
+    def __init__(self, row: Row, link_kb: float) -> None:
+        self.row = row
+        self.link = Use(link_kb)
+        self.listed = True
+        self.share_at = -1e9  # when delivery was last told to be short
+        self.short = False
+        self.active: float | None = None
+        self.viewings: dict[int, Viewing] = {}
+        self.good = self.bad = 0.0
+        self.in_a_row = 0
+        self.aside_until = -1e9
+        self.aside_count = 0
+        self.cold_until = -1e9
+        self.sent: deque[float] = deque()
+        self.tick_at = 0.0
+
+    def failing(self) -> float:
+        return self.bad / (self.good + self.bad + 2.0)
+
+
+class Viewing:
+    def __init__(self, vw: int, package: Package, title: str, cells: tuple[int, int], top: int) -> None:
+        self.vw, self.package, self.title, self.cells, self.top = vw, package, title, cells, top
+        self.patience = self.asked_at = 0.0
+        self.host: MediaHost | None = None
+        self.rung = package.floor
+        self.tune_ins = 0
+        self.out = self.playing = self.first_note = self.may_have_run = False
+        self.first_at = 0.0
+        self.anchor: Row | None = None  # where a tune-in may have run
+        self.tried: list[str] = []
+        self.kb = 0.0  # what it counts for on link and uplink
+        self.estimate = self.last = 0.0
+        self.low = self.high = package.floor
+        self.hold_until = 0.0
+
+
+class Gateway:
+    def __init__(
+        self, seed: int, now: float, ladder: Ladder, packages: Sequence[Package], fleet: Fleet, terms: Terms
+    ) -> None:
+        self.chance = random.Random(seed)
+        self.started = now
+        self.rates = ladder.kb or (1.0,)
+        self.earns = ladder.earns or (1.0,)
+        self.packages = {p.name: p for p in packages}
+        self.fleet, self.terms = fleet, terms
+        self.hosts: dict[str, MediaHost] = {}
+        self.uplinks: dict[int, Use] = {}
+        self.viewings: dict[int, Viewing] = {}
+        self.waiting: dict[int, Viewing] = {}
+        self.took = [0.0] * (len(BINS) + 1)
+        self.asked_times: deque[float] = deque()
+        self.extra_times: deque[float] = deque()
+        self.stale = max(1.0, TRUST * (fleet.told_every or 2.0))
+        self.plan: Iterator[Decision] | None = None
+        self.list_due = now if terms.on_request else None
+        self.list_wait = ASK_AGAIN[0]
+        budget = terms.fall_multiple * terms.cold_share * terms.fall_after / max(terms.warm_up, 1e-9)
+        self.cold_budget = budget * COLD_SAFE  # set-ups of all gateways in a window, for each place
+
+    # ---- what is known -------------------------------------------------------------------------------------
+
+    def listed(self, now: float, how: str, rows: Sequence[Row]) -> None:
+        self.plan = None
+        if how == "lost":
+            self.list_due = now + self.list_wait * (1 + self.chance.random())
+            self.list_wait = min(self.list_wait * 2, ASK_AGAIN[1])
+            return
+        if how != "warm_copy" and self.terms.on_request:
+            self.list_due, self.list_wait = None, ASK_AGAIN[0]
+        if how in ("total", "warm_copy"):
+            named = {row.host for row in rows}
+            for name, host in self.hosts.items():
+                host.listed = host.listed and name in named
+        for row in rows:
+            host = self.hosts.get(row.host)  # type: ignore[assignment]
+            if host is None:
+                host = self.hosts[row.host] = MediaHost(row, self._link_kb(row, len(rows)))
+                host.tick_at = now + self.chance.random() * TICK
+                # Guards against set-ups sent to a media host that started while this gateway was away.
+                host.cold_until = self.started + self.terms.warm_up
+            if row.started > host.row.started:
+                host.cold_until = max(host.cold_until, row.started + self.terms.warm_up)
+                host.in_a_row, host.aside_until = 0, -1e9
+            host.row, host.listed = row, row.state == "in_service"
+
+    def asked(
+        self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
+        patience: float, length: float | None = None, tenant: str | None = None, returning: bool = False,
+    ) -> None:  # fmt: skip
+        self.plan = None
+        v = self._viewing(vw, package, title, (first, spread), top)
+        v.patience, v.asked_at = patience, now
+        self.asked_times.append(now)
+        self.waiting[vw] = v
+
+    def handed_over(
+        self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
+        host: str, left: float | None = None,
+    ) -> None:  # fmt: skip
+        self.plan = None
+        v = self._viewing(vw, package, title, (first, spread), top)
+        v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
+        if v.host:
+            v.host.viewings[vw] = v
+        self._begin(now, v)
+
+    def opened(self, now: float, vw: int, host: str, tune_in: int, latency: float) -> None:
+        self.plan = None
+        v = self.viewings.get(vw)
+        if v is None or v.playing or v.host is None:
+            return
+        self._tally(now, v.host, True)
+        self.took[sum(latency > edge for edge in BINS)] += 1
+        if sum(self.took) > 10 * HALVE_AT:
+            self.took = [n / 2 for n in self.took]
+        v.out, v.playing, v.first_note = False, True, True
+        self._begin(now, v)
+
+    def told(self, now: float, vw: int, host: str, kind: int, value: float) -> None:
+        """News on a viewing: 1 the share delivered, 2 its rung, 3 and 4 the use of link and uplink."""
+        self.plan = None
+        v, h = self.viewings.get(vw), self.hosts.get(host)
+        if kind == 2 and v is not None:
+            rung = min(max(int(value), v.package.floor), len(self.rates) - 1)
+            self._load(now, v, rung)
+            self._begin(now, v)
+        if h is None or value != value or value < 0:
+            return
+        at = now - self.fleet.told_late
+        if kind == 1:
+            h.short = value < SHORT
+            if h.short:
+                h.share_at = now
+                self._ran_short(now, at, h, max(value, 0.05))
+        elif kind == 3:
+            if v is not None and v.first_note:
+                at, v.first_note = now, False
+            h.link.read(now, at, value)
+        elif kind == 4:
+            if v is not None and self._recent_open(v, now):
+                at = now
+            self._uplink(h).read(now, at, value)
+
+    def ended(
+        self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
+        loads: Sequence[float] = (),
+    ) -> None:  # fmt: skip
+        self.plan = None
+        h = self.hosts.get(host)
+        if h is not None and loads:
+            self._reported(now, h, loads)
+        v = self.viewings.get(vw)
+        if v is None:
+            return
+        was_playing, v.out, v.playing = v.playing, False, False
+        self._load(now, v, None)
+        if h is not None:
+            self._judge(now, h, code, was_playing)
+        if v.host is not None:
+            v.host.viewings.pop(vw, None)
+        if closed or was_playing:
+            del self.viewings[vw]
+            return
+        v.host = None
+        if code in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT):
+            if not v.may_have_run:
+                v.anchor = None
+        else:
+            v.may_have_run = True
+        self.waiting[vw] = v
+
+    def left(self, now: float, vw: int) -> None:
+        self.plan = None
+        v = self.viewings.get(vw)
+        if v is not None:
+            self.waiting.pop(vw, None)
+            if v.out or v.playing:
+                return  # its outcome still comes, and frees its seat and load
+            del self.viewings[vw]
+
+    def probed(self, now: float, host: str, code: int, latency: float, loads: Sequence[float] = ()) -> None:
+        self.plan = None
+        h = self.hosts.get(host)
+        if h is not None and loads:
+            self._reported(now, h, loads)
+
+    def wake_at(self) -> float | None:
+        due = [h.tick_at for h in self.hosts.values() if h.viewings]
+        if self.waiting:
+            due.append(self.now + LOOK)
+        if self.list_due is not None:
+            due.append(self.list_due)
+        return min(due) if due else None
+
+    # ---- bookkeeping ---------------------------------------------------------------------------------------
+
+    def _viewing(self, vw: int, package: str, title: str, cells: tuple[int, int], top: int) -> Viewing:
+        p = self.packages.get(package) or Package(package, 1.0, 3.0)
+        v = Viewing(vw, p, title, cells, max(p.floor, min(top, p.top, len(self.rates) - 1)))
+        self.viewings[vw] = v
+        return v
+
+    def _link_kb(self, row: Row, listed: int) -> float:
+        return row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / max(1, listed)
+
+    def _uplink(self, h: MediaHost) -> Use:
+        rack = h.row.cell % max(1, self.fleet.racks)
+        return self.uplinks.setdefault(rack, Use(self.fleet.uplink_kb or 1e12))
+
+    def _begin(self, now: float, v: Viewing) -> None:
+        v.low = v.high = v.rung
+        v.estimate = v.last = self._rate(v, v.rung)
+        v.hold_until = now + HOLD
+        self._load(now, v, v.rung)
+
+    def _rate(self, v: Viewing, rung: int) -> float:
+        return self.rates[min(rung, len(self.rates) - 1)] * v.package.scale
+
+    def _load(self, now: float, v: Viewing, rung: int | None) -> None:
+        """Books what a viewing asks of link and uplink; None: nothing any more."""
+        kb = 0.0 if rung is None else self._rate(v, rung)
+        if rung is not None:
+            v.rung = rung
+        if v.host is not None and kb != v.kb:
+            v.host.link.change(now, kb - v.kb)
+            self._uplink(v.host).change(now, kb - v.kb)
+        v.kb = kb
+
+    def _recent_open(self, v: Viewing, now: float) -> bool:
+        return v.playing and now <= v.first_at
+
+    def _reported(self, now: float, h: MediaHost, loads: Sequence[float]) -> None:
+        for field, value in zip(self.fleet.load_fields, loads, strict=False):
+            if value != value or value < 0:
+                continue
+            if field == "active":
+                h.active = value
+            elif field == "x0" or (field == "cpu" and value < 1):
+                h.link.read(now, now - 0.3, value)
+            elif field == "x1":
+                self._uplink(h).read(now, now - 0.3, value)
+
+    def _ran_short(self, now: float, at: float, h: MediaHost, share: float) -> None:
+        """A short share tells the use of whichever of link and uplink binds."""
+        asked = 1 / share
+        if self.use_link(now, h) >= asked - 0.1 or not self.fleet.racks:
+            h.link.read(now, at, max(asked, h.link.value or 0.0))
+        else:
+            up = self._uplink(h)
+            if "x1" not in self.fleet.load_fields:
+                up.cap_kb = max(0.2 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
+            up.read(now, at, asked)
+
+    def _tally(self, now: float, h: MediaHost, good: bool) -> None:
+        if good:
+            h.good, h.in_a_row, h.aside_count = h.good + 1, 0, 0
+        else:
+            h.bad, h.in_a_row = h.bad + 1, h.in_a_row + 1
+        if h.good + h.bad > HALVE_AT:
+            h.good, h.bad = h.good / 2, h.bad / 2
+
+    def _judge(self, now: float, h: MediaHost, code: int, was_playing: bool) -> None:
+        if code in (Outcome.RESET, Outcome.CONNECT_FAILED):
+            # Guards against pushing over a media host that was lost and comes back before the list says so.
+            h.cold_until = max(h.cold_until, now + self.terms.warm_up)
+        if code == Outcome.RESET and was_playing:
+            h.aside_until = max(h.aside_until, now + ASIDE / 2 + ASIDE_MORE * self.chance.random())
+        if was_playing or code not in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
+            return
+        self._tally(now, h, False)
+        usual = median(x.failing() for x in self.hosts.values())
+        if h.in_a_row >= IN_A_ROW or (h.good + h.bad >= 4 and h.failing() > usual + ILL):
+            h.aside_until = now + ASIDE + ASIDE_MORE * self.chance.random()
+
+    # ---- what link and uplink carry ------------------------------------------------------------------------
+
+    def _usual_use(self, now: float) -> float:
+        links = [h.link for h in self.hosts.values()]
+        fresh = [link.value for link in links if link.value is not None and now - link.at < self.stale]
+        return sum(fresh) / len(fresh) if fresh else 0.0
+
+    def use_link(self, now: float, h: MediaHost) -> float:
+        own = sum(v.kb for v in h.viewings.values()) / h.link.cap_kb
+        guess = max(own, self._usual_use(now)) if h.link.value is not None else own * self.terms.gateways
+        return h.link.predicted(now, guess, self.stale)
+
+    def _rack_kb(self, now: float, h: MediaHost) -> float:
+        rack, racks = h.row.cell % max(1, self.fleet.racks), max(1, self.fleet.racks)
+        return sum(
+            min(self.use_link(now, x), 1.5) * x.link.cap_kb
+            for x in self.hosts.values()
+            if x.listed and x.row.cell % racks == rack
+        )
+
+    def use_uplink(self, now: float, h: MediaHost) -> float:
+        if not self.fleet.uplink_kb:
+            return 0.0
+        up = self._uplink(h)
+        guess = self._rack_kb(now, h) / up.cap_kb
+        return up.predicted(now, guess, self.stale if "x1" in self.fleet.load_fields else 1.0)
+
+    def own_part(self, now: float, h: MediaHost) -> float:
+        """This gateway's part of what is asked of a media host's link."""
+        own = sum(v.kb for v in h.viewings.values())
+        asked = max(1.0, self.use_link(now, h) * h.link.cap_kb)
+        return min(1.0, max(1 / max(1, self.terms.gateways), own / asked))
+
+    # ---- decisions -----------------------------------------------------------------------------------------
+
+    now = 0.0
+
+    def decide(self, now: float) -> Decision | None:
+        """The next decision, already booked, or None when there is nothing to do now."""
+        self.now = now
+        if self.plan is None:
+            self.plan = self._decisions(now)
+        decision = next(self.plan, None)
+        if decision is None:
+            self.plan = None
+        return decision
+
+    def _decisions(self, now: float) -> Iterator[Decision]:
+        if self.list_due is not None and now >= self.list_due:
+            self.list_due = now + (0.5 * self.terms.ask_within or ASK_AGAIN[1])
+            yield Subscribe()
+        for v in sorted(self.waiting.values(), key=lambda v: (-v.package.value, v.asked_at)):
+            yield from self._place(now, v)
+        for h in self.hosts.values():
+            if h.viewings and now >= h.tick_at:
+                h.tick_at = now + TICK
+                yield from self._step_host(now, h)
+
+    def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
+        """Admission: the least used holder, at the highest rung under the mark, else the lowest, else wait."""
+        if now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins and self._may_try_again(now, v):
+            best: tuple[float, str] | None = None
+            for name, h in self.hosts.items():
+                if self._may_take(now, v, h):
+                    use = max(self.use_link(now, h), self.use_uplink(now, h))
+                    use += CROSS_BIAS * self.terms.cross_price * (h.row.zone != self.terms.zone)
+                    use += 0.5 * (name in v.tried)
+                    if best is None or (use, name) < best:
+                        best = use, name
+            if best is not None:
+                h = self.hosts[best[1]]
+                rung = self._fitting(now, v, h)
+                if rung is not None:
+                    yield from self._send(now, v, h, rung)
+                    return
+            if now < min(v.asked_at + WAIT_PART * v.package.join_target, v.patience - EDGE):
+                return
+        del self.waiting[v.vw]
+        del self.viewings[v.vw]
+        if v.may_have_run and v.package.effect != "repeatable" and not (
+            v.package.effect == "by_key" and v.package.key_scope == "all"
+        ):
+            yield Abort(v.vw)
+        else:
+            yield Block(v.vw, min(1.0, self.terms.longest_advice) if self.terms.may_advise else 0.0)
+
+    def _fitting(self, now: float, v: Viewing, h: MediaHost) -> int | None:
+        link, up = self.use_link(now, h), self.use_uplink(now, h)
+        for rung in range(v.top, v.package.floor - 1, -1):
+            mark = MARK if rung > v.package.floor else FULL_ENOUGH
+            kb = self._rate(v, rung)
+            if link + kb / h.link.cap_kb <= mark and up + kb / self._uplink(h).cap_kb <= mark:
+                return rung
+        return None
+
+    def _may_take(self, now: float, v: Viewing, h: MediaHost) -> bool:
+        first, spread = v.cells
+        places = self.fleet.cells or 1 << 30
+        return (
+            h.listed
+            and (spread <= 0 or (h.row.cell - first) % places < spread)
+            and now >= h.aside_until
+            and not self._too_cold(now, h)
+            and self._within_key(v, h)
+        )
+
+    def _within_key(self, v: Viewing, h: MediaHost) -> bool:
+        """Rule 2: what may have run is sent again only where its package lets it."""
+        p, a = v.package, v.anchor
+        if p.effect == "repeatable" or a is None or not v.may_have_run:
+            return True
+        if p.effect != "by_key" or self.now > v.first_at + p.key_window - EDGE:
+            return False
+        return (
+            p.key_scope == "all"
+            or (p.key_scope == "zone" and h.row.zone == a.zone)
+            or (p.key_scope == "cell" and h.row.cell == a.cell)
+        )
+
+    def _may_try_again(self, now: float, v: Viewing) -> bool:
+        """Rules 5 and 6: a seat is free, and a further tune-in is within the budget."""
+        p, t = v.package, self.terms
+        if p.seats > 0:
+            held = sum(
+                1 for x in self.viewings.values()
+                if (x.out or x.playing) and x.title == v.title and x.package.name == p.name
+            )  # fmt: skip
+            if held >= p.seats:
+                return False
+        if v.tune_ins and t.extra_free is not None:
+            for times in (self.asked_times, self.extra_times):
+                while times and times[0] <= now - t.extra_window:
+                    times.popleft()
+            return len(self.extra_times) + 1 <= t.extra_free + t.extra_ratio * len(self.asked_times)
+        return True
+
+    def _too_cold(self, now: float, h: MediaHost) -> bool:
+        """Rule 4: a cold media host gets this gateway's part of its budget, as if all others sent theirs."""
+        if now >= h.cold_until:
+            return False
+        slots = (self.fleet.slots or {}).get(h.row.kind) or min((self.fleet.slots or {"": 1}).values())
+        budget, n = int(self.cold_budget * slots), max(1, self.terms.gateways)
+        mine = budget // n + ((self.terms.ordinal - zlib.crc32(h.row.host.encode())) % n < budget % n)
+        while h.sent and h.sent[0] < now - self.terms.fall_after - 0.1:
+            h.sent.popleft()
+        return len(h.sent) >= mine
+
+    def _send(self, now: float, v: Viewing, h: MediaHost, rung: int) -> Iterator[Decision]:
+        """The one gate that every tune-in passes."""
+        if v.out or v.playing or not self._may_take(now, v, h) or not self._may_try_again(now, v):
+            return
+        if rung != v.rung or v.tune_ins == 0:
+            v.rung = rung
+            yield SetRung(v.vw, rung)
+        if v.tune_ins:
+            self.extra_times.append(now)
+        else:
+            v.first_at = now
+        within = min(self._time_out(v), v.patience - EDGE - now)
+        if v.package.effect == "once":
+            within = v.patience - EDGE - now
+        self.waiting.pop(v.vw, None)
+        v.out, v.host = True, h
+        v.tune_ins += 1
+        v.tried.append(h.row.host)
+        v.anchor = v.anchor or h.row
+        h.viewings[v.vw] = v
+        h.sent.append(now)
+        if now >= h.cold_until and len(h.sent) > 32:
+            h.sent.popleft()
+        self._load(now, v, rung)
+        yield TuneIn(v.vw, h.row.host, max(within, 0.001))
+
+    def _time_out(self, v: Viewing) -> float:
+        total = sum(self.took)
+        if total < MIN_SEEN:
+            return UNKNOWN
+        seen = 0.0
+        for edge, n in zip(BINS, self.took, strict=False):
+            seen += n
+            if seen >= LATE[0] * total:
+                return min(max(SHORTEST, edge * LATE[1]), 0.6 * v.package.join_target)
+        return 0.6 * v.package.join_target
+
+    def _step_host(self, now: float, h: MediaHost) -> Iterator[Decision]:
+        """The mechanism, one viewing after the other, so that a short note does not step them all at once."""
+        playing = [v for v in h.viewings.values() if v.playing]
+        pressed = max(self.use_link(now, h), self.use_uplink(now, h)) > MARK
+        playing.sort(key=lambda v: (self._worth(v, v.rung - 1) if pressed else -self._worth(v, v.rung), v.vw))
+        for v in playing:
+            rung = self._step(now, v, h)
+            if rung != v.rung:
+                self._load(now, v, rung)
+                v.hold_until = now + HOLD
+                yield SetRung(v.vw, rung)
+
+    def _worth(self, v: Viewing, rung: int) -> float:
+        """What the step from this rung to the next earns for each kB."""
+        if rung < 0:
+            return 1e9
+        if rung + 1 >= min(len(self.rates), len(self.earns)):
+            return 0.0
+        gain = self.earns[rung + 1] - self.earns[rung]
+        return v.package.value * gain / max(1e-9, self._rate(v, rung + 1) - self._rate(v, rung))
+
+    def _step(self, now: float, v: Viewing, h: MediaHost) -> int:
+        """EDRA for one viewing: measure, estimate, bounds, then one rung at most (to the measure if short)."""
+        link, up = self.use_link(now, h), self.use_uplink(now, h)
+        rate, part = self._rate(v, v.rung), self.own_part(now, h)
+        share = 1 / max(link, up, 1e-9)
+        if share < SHORT:
+            measure = rate * share
+        else:
+            room = min(
+                (MARK - use) * cap if use < MARK else min(0.0, PRESSED - use) * cap
+                for use, cap in ((link, h.link.cap_kb), (up, self._uplink(h).cap_kb))
+            )
+            measure = max(0.0, rate + room * part)
+        v.estimate = (NEW * measure + OLD * v.estimate) / (NEW + OLD)
+        below = self._below(v, measure)
+        if measure > v.last:
+            if measure >= self._rate(v, v.high):
+                v.high, v.low = below, min(v.low + 1, below)
+        elif measure < self._rate(v, v.low):
+            v.high, v.low = below, max(below - 2, v.package.floor)
+        v.last = measure
+        if share < SHORT:
+            return min(v.rung, below)
+        if now < v.hold_until:
+            return v.rung
+        aim = max(v.low, min(v.high, self._below(v, v.estimate)))
+        return max(v.package.floor, min(v.top, v.rung + (aim > v.rung) - (aim < v.rung)))
+
+    def _below(self, v: Viewing, kb: float) -> int:
+        rungs = range(v.package.floor, v.top + 1)
+        return max((r for r in rungs if self._rate(v, r) <= kb), default=v.package.floor)
+
+
+_ = (CallOff, Move)
--- /dev/null
+++ b/ledgehitch/simhost/wire.py
@@ -0,0 +1,337 @@
+"""Frames and units of the simulator's wire; one `Gateway` for each instance, nothing shared between them.
+
+Values are parsed where they are read and handed straight to the gateway: milliseconds become seconds, `-`
+becomes nothing, ids go through as they came. What is malformed ends the program with one line on standard error.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import BinaryIO, TextIO
+
+from ledgehitch.brain import Gateway
+from ledgehitch.interface import (
+    Abort,
+    Block,
+    CallOff,
+    Decision,
+    Fleet,
+    Ladder,
+    Move,
+    Package,
+    Probe,
+    Row,
+    SetRung,
+    Subscribe,
+    Terms,
+    TuneIn,
+)
+
+
+class WireError(Exception):
+    """A line that is not what the wire's description says."""
+
+
+Conf = Mapping[str, str]
+
+
+def _number(conf: Conf, path: str, default: float = 0.0) -> float:
+    return float(conf[path]) if conf.get(path, "-") not in ("-", "") else default
+
+
+def _whole(conf: Conf, path: str, default: int = 0) -> int:
+    return int(_number(conf, path, default))
+
+
+def _seconds(conf: Conf, path: str) -> float:
+    return _number(conf, path) / 1000
+
+
+def _flag(conf: Conf, path: str) -> bool:
+    return conf.get(path, "false") in ("true", "1")
+
+
+def _parts(conf: Conf, path: str) -> list[str]:
+    return [part for part in conf.get(path, "").split(",") if part not in ("", "-")]
+
+
+def _nth(parts: list[str], i: int, default: str) -> str:
+    return parts[i] if i < len(parts) else default
+
+
+def packages_of(conf: Conf) -> tuple[Package, ...]:
+    by_class = ("classScale", "floorByClass", "classTop", "seats", "live")
+    fam = {k: _parts(conf, "familyInfo." + k) for k in by_class}
+    found = []
+    for i in range(_whole(conf, "categories.count")):
+        at = f"categories.{i}."
+        found.append(
+            Package(
+                name=conf.get(at + "name", ""),
+                join_target=_seconds(conf, at + "onTime"),
+                patience=_seconds(conf, at + "deadline"),
+                value=_number(conf, at + "worth", 1.0),
+                effect=conf.get(at + "effect", "repeatable"),
+                key_scope=conf.get(at + "keyScope", "all"),
+                key_window=_seconds(conf, at + "dedupWindow"),
+                scale=float(_nth(fam["classScale"], i, "1")),
+                floor=int(_nth(fam["floorByClass"], i, "0")),
+                top=int(_nth(fam["classTop"], i, "99")),
+                seats=int(_nth(fam["seats"], i, "0")),
+                live=_nth(fam["live"], i, "false") in ("true", "1"),
+            )
+        )
+    return tuple(found)
+
+
+def fleet_of(conf: Conf) -> Fleet:
+    slots = [int(float(part)) for part in _parts(conf, "familyInfo.kindSlots")]
+    return Fleet(
+        cells=_whole(conf, "familyInfo.places"),
+        racks=_whole(conf, "familyInfo.racks"),
+        link_unit_kb=_number(conf, "familyInfo.linkUnitKb"),
+        links_kb=_number(conf, "familyInfo.linksKb"),
+        uplink_kb=_number(conf, "familyInfo.uplinkKb"),
+        slots=dict(zip(_parts(conf, "kinds"), slots, strict=False)),
+        full_from=_number(conf, "familyInfo.fullFrom"),
+        join_part=_number(conf, "familyInfo.join", 1.0),
+        told_late=_seconds(conf, "familyInfo.toldLate"),
+        told_every=_seconds(conf, "familyInfo.toldEvery"),
+        load_fields=tuple(_parts(conf, "telemetry.fields")),
+        reports=conf.get("telemetry.how", "silent"),
+    )
+
+
+def terms_of(conf: Conf) -> Terms:
+    tenants: dict[str, float] = {}
+    for i in range(_whole(conf, "tenants.count")):
+        tenants[conf.get(f"tenants.{i}.name", "")] = _number(conf, f"tenants.{i}.allowancePerS")
+    return Terms(
+        zone=conf.get("locality", ""),
+        ordinal=_whole(conf, "ordinal"),
+        gateways=_whole(conf, "peersTotal", 1),
+        tune_ins=_whole(conf, "ceilings.tryLimit", 1),
+        answer_slack=_seconds(conf, "rules.answerSlack"),
+        drain_grace=_seconds(conf, "rules.stopSendingWithin"),
+        ask_within=_seconds(conf, "rules.askWithin"),
+        on_request=conf.get("discovery", "pushed") == "on_request",
+        cold_share=_number(conf, "rules.coldShare", 1.0),
+        warm_up=_seconds(conf, "rules.warmUp"),
+        fall_multiple=_number(conf, "rules.fallMultiple", 1.0),
+        fall_after=_seconds(conf, "rules.tipAfter"),
+        extra_free=_number(conf, "rules.extraFree") if "rules.extraWindow" in conf else None,
+        extra_ratio=_number(conf, "rules.resendRatio"),
+        extra_window=_seconds(conf, "rules.extraWindow"),
+        may_cancel=_flag(conf, "ceilings.mayCancel"),
+        may_probe=_flag(conf, "ceilings.probes"),
+        may_tell=_flag(conf, "ceilings.peerMessages"),
+        may_advise=_flag(conf, "ceilings.retryAfter"),
+        longest_advice=_seconds(conf, "ceilings.maxRetryAfter"),
+        cross_price=_number(conf, "prices.crossZone"),
+        move_price=_number(conf, "prices.moves"),
+        change_cost=_number(conf, "familyInfo.changeCostsS"),
+        tenants=tenants,
+        over_share_value=_number(conf, "overShareWorth", 1.0),
+    )
+
+
+def ladder_of(conf: Conf) -> Ladder:
+    kb = tuple(float(part) for part in _parts(conf, "familyInfo.levelKb"))
+    return Ladder(kb, tuple(float(part) for part in _parts(conf, "familyInfo.rungWorth")))
+
+
+def written(decision: Decision) -> str:
+    """The line that carries a decision out."""
+    match decision:
+        case TuneIn(vw, host, within):
+            return f"forward\t{vw}\t{host}\t{within * 1000:.3f}"
+        case SetRung(vw, rung):
+            return f"step_to\t{vw}\t{rung}"
+        case CallOff(vw, tune_in):
+            return f"drop_attempt\t{vw}\t{tune_in}"
+        case Block(vw, stay_away):
+            return f"busy\t{vw}\t{stay_away * 1000:.3f}"
+        case Abort(vw):
+            return f"give_up\t{vw}"
+        case Move(vw):
+            return f"shift\t{vw}"
+        case Probe(host):
+            return f"poll\t{host}"
+        case Subscribe():
+            return "watch\t1"
+
+
+class Instance:
+    """One gateway and its pending timer."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.timers: dict[int, float] = {}
+        self.next_cookie = 1
+
+    def replies(self, now: float) -> list[str]:
+        lines = []
+        while (decision := self.gateway.decide(now)) is not None:
+            lines.append(written(decision))
+        due = self.gateway.wake_at()
+        if due is not None and not any(at <= due for at in self.timers.values()):
+            self.timers[self.next_cookie] = due
+            lines.append(f"notify_me\t{self.next_cookie}\t{due * 1000:.3f}")
+            self.next_cookie += 1
+        return lines
+
+
+def _opt(text: str) -> str | None:
+    return None if text == "-" else text
+
+
+def _num(text: str) -> float:
+    return 0.0 if text == "-" else float(text)
+
+
+def _ms(text: str) -> float:
+    return _num(text) / 1000
+
+
+# How many parts each message has after its name; None: any number.
+PARTS: dict[str, int | None] = {
+    "at": 1, "create": None, "down": 0, "snapshot_rows": 2, "row": 7, "view": 3, "query": 11, "existing": 12,
+    "opened": 4, "note": 5, "answer": 7, "withdrawn": 1, "wakeup": 1, "probe_done": 4, "from_peer": 2,
+}  # fmt: skip
+
+
+class Host:
+    """All the instances of one process, and the lists they share by number."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.lists: dict[int, list[Row]] = {}
+
+    def batch(self, lines: list[list[str]], now: float) -> list[str]:
+        """Passes a batch's events on, then pulls the decisions of each instance that had one."""
+        at = -1
+        broken: dict[int, str] = {}
+        touched: dict[int, None] = {}
+        rows: list[Row] = []
+        wanted = 0
+        for line in lines:
+            name, parts = line[0], line[1:]
+            if name not in PARTS:
+                raise WireError(f"unknown message {name!r}")
+            if PARTS[name] is not None and len(parts) != PARTS[name]:
+                raise WireError(f"{name} has {len(parts)} values, not {PARTS[name]}")
+            if wanted and name != "row":
+                raise WireError(f"{name} where {wanted} more row lines were due")
+            try:
+                if name == "at":
+                    at = int(parts[0])
+                elif name == "snapshot_rows":
+                    rows = self.lists[int(parts[0])] = []
+                    wanted = int(parts[1])
+                elif name == "row":
+                    if not wanted:
+                        raise WireError("row outside a list")
+                    wanted -= 1
+                    cell, weight, kind, host, zone, state, started = parts
+                    rows.append(Row(host, int(cell), _num(weight), kind, zone, state, _ms(started)))
+                elif name == "create":
+                    conf = dict(part.partition("=")[::2] for part in parts[1:])
+                    facts = (ladder_of(conf), packages_of(conf), fleet_of(conf), terms_of(conf))
+                    self.instances[at] = Instance(Gateway(int(parts[0]), now, *facts))
+                    broken.pop(at, None)
+                    touched[at] = None
+                elif name == "down":
+                    self.instances.pop(at, None)
+                    touched.pop(at, None)
+                elif at in self.instances:
+                    touched[at] = None
+                    call = self.event(self.instances[at], now, name, parts)
+                    if call is not None and at not in broken:
+                        try:
+                            call()
+                        except Exception as problem:  # a fault of the module is that instance's alone
+                            broken[at] = f"{type(problem).__name__}: {problem}"
+            except (ValueError, KeyError, IndexError) as problem:
+                raise WireError(f"{name}: {problem}") from None
+        if wanted:
+            raise WireError(f"{wanted} more row lines were due")
+        out = []
+        for at in touched:
+            out.append(f"source\t{at}")
+            if at not in broken:
+                try:
+                    out += self.instances[at].replies(now)
+                    continue
+                except Exception as problem:
+                    broken[at] = f"{type(problem).__name__}: {problem}"
+            out.append("internal_error\t" + broken[at].replace("\n", " ").replace("\t", " "))
+        return out
+
+    def event(self, instance: Instance, now: float, name: str, p: list[str]) -> Callable[[], None] | None:
+        """One event as the call it stands for; every value is parsed before the call is made."""
+        gw = instance.gateway
+        if name == "wakeup":
+            instance.timers.pop(int(p[0]), None)
+            return None
+        if name == "view":
+            rows = [] if p[0] == "lost" else self.lists[int(p[2])]
+            return lambda n=now, h=p[0]: gw.listed(n, h, rows)  # type: ignore[misc]
+        if name == "query":
+            vw, patience, key, marks, spread, hint, title, first, top, tenant, package = p
+            asked = (int(vw), package, title, int(_num(first)), int(_num(spread)), int(_num(top)))
+            length = _ms(hint) if int(_num(marks)) & 1 and hint != "-" else None
+            returning, until, owner = bool(int(_num(marks)) & 16), _ms(patience), _opt(tenant)
+            return lambda: gw.asked(now, *asked, until, length, owner, returning)
+        if name == "existing":
+            vw, key, first, package, hint, spread, title, _tenant, _patience, host, marks, top = p
+            held = (int(vw), package, title, int(_num(first)), int(_num(spread)), int(_num(top)), host)
+            left = _ms(hint) if int(_num(marks)) & 1 and hint != "-" else None
+            return lambda: gw.handed_over(now, *held, left)
+        if name == "opened":
+            opened = (int(p[0]), p[1], int(p[2]), _ms(p[3]))
+            return lambda: gw.opened(now, *opened)
+        if name == "note":
+            note = (int(p[0]), p[2], int(p[3]), _num(p[4]))
+            return lambda: gw.told(now, *note)
+        if name == "answer":
+            loads = [] if p[6] == "-" else [_num(part) for part in p[6].split(",")]
+            answer = (int(p[0]), bool(int(p[1])), int(p[2]), p[3], _ms(p[4]), int(p[5]), loads)
+            return lambda: gw.ended(now, *answer)
+        if name == "withdrawn":
+            gone = int(p[0])
+            return lambda: gw.left(now, gone)
+        if name == "probe_done":
+            loads = [] if p[3] == "-" else [_num(part) for part in p[3].split(",")]
+            probed = (p[2], int(p[1]), _ms(p[0]), loads)
+            return lambda: gw.probed(now, *probed)
+        return None  # messages between gateways are not used
+
+
+def main(source: BinaryIO, sink: BinaryIO, complaints: TextIO) -> int:
+    host = Host()
+    lines: list[list[str]] = []
+    opened: tuple[float, str] | None = None
+    count = 0
+    try:
+        for raw in source:
+            count += 1
+            line = raw.decode("utf-8").rstrip("\r\n").split("\t")
+            if line[0] == "batch":
+                if opened or len(line) != 3:
+                    raise WireError("a batch line inside a batch, or without clock and number")
+                opened, lines = (float(line[1]) / 1000, str(int(line[2]))), []
+            elif line == [""]:
+                continue
+            elif opened is None:
+                raise WireError(f"{line[0]!r} outside a batch")
+            elif line[0] == "end":
+                out = host.batch(lines, opened[0])
+                sink.write(("\n".join([*out, f"ack\t{opened[1]}"]) + "\n").encode())
+                sink.flush()
+                opened = None
+            else:
+                lines.append(line)
+        if opened:
+            raise WireError("input ended inside a batch")
+    except (WireError, ValueError) as problem:
+        print(f"ledgehitch.simhost: line {count}: {problem}", file=complaints)
+        return 2
+    return 0
