--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -1,10 +1,10 @@
 """Every decision of a gateway: where a viewing is set up, at which rung it plays, what is blocked or aborted.
 
 How to call it: make a `Gateway(seed, now, ladder, packages, fleet, terms)`. Hand it what happens through
-`listed`, `asked`, `handed_over`, `opened`, `told`, `ended`, `left` and `probed`; these only update what is known.
-Then pull `decide(now)` until it gives None, carrying out each decision as it comes (pulled is done), and again
-after the next event or when the clock reaches `wake_at()`. The interface is `ledgehitch/interface.py`; the
-reasons, the mechanism's source and each departure from it are in `docs/design.md`.
+`listed`, `asked`, `handed_over`, `opened`, `told`, `ended`, `left` and `probed`; these only update what is
+known. Then pull `decide(now)` until it gives None, carrying out each decision as it comes (pulled is done), and
+again after the next event or when the clock reaches `wake_at()`. The interface is `ledgehitch/interface.py`;
+the reasons, the mechanism's source and each departure from it are in `docs/design.md`.
 """
 
 import random
@@ -41,6 +41,7 @@
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
 TRUST = 3.0  # a reading older than so many telling intervals weighs half against what is guessed
 BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
+FORGET = 20.0  # seconds until an uplink told to be short is taken for a usual one again
 LATE = 0.99, 2.0  # a tune-in is given up at this quantile of set-ups, times this: lower wastes slow set-ups
 SHORTEST, UNKNOWN = 0.25, 0.45  # shortest time-out, and the one used before set-ups were seen
 MIN_SEEN = 8  # outcomes after which a histogram is believed
@@ -330,15 +331,21 @@
                 self._uplink(h).read(now, now - 0.3, value)
 
     def _ran_short(self, now: float, at: float, h: MediaHost, share: float) -> None:
-        """A short share tells the use of whichever of link and uplink binds."""
-        asked = 1 / share
-        if self.use_link(now, h) >= asked - 0.1 or not self.fleet.racks:
-            h.link.read(now, at, max(asked, h.link.value or 0.0))
-        else:
-            up = self._uplink(h)
-            if "x1" not in self.fleet.load_fields:
-                up.cap_kb = max(0.2 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
+        """A short share tells the use of whichever of link and uplink binds.
+
+        Guards against one media host that stands still being taken for a shrunken uplink: a rack is blamed only
+        when its uplink is told to be full or two of its media hosts are short while their links have room.
+        """
+        asked, up = 1 / share, self._uplink(h)
+        rack = [x for x in self.hosts.values() if x.listed and self._uplink(x) is up]
+        short = [x for x in rack if now - x.share_at < 1.5 and (x.link.value or 0.0) < PRESSED]
+        if up.value is not None and "x1" in self.fleet.load_fields:
+            (up if up.value > PRESSED and up.value > (h.link.value or 0.0) else h.link).read(now, at, asked)
+        elif len(short) > 1 and h in short:
+            up.cap_kb = max(0.3 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
             up.read(now, at, asked)
+        else:
+            h.link.read(now, at, asked)
 
     def _tally(self, now: float, h: MediaHost, good: bool) -> None:
         if good:
@@ -385,9 +392,13 @@
         if not self.fleet.uplink_kb:
             return 0.0
         up = self._uplink(h)
-        guess = self._rack_kb(now, h) / up.cap_kb
+        guess = self._rack_kb(now, h) / (up.cap_kb + (self.fleet.uplink_kb - up.cap_kb) * self._faded(now - up.at))
         return up.predicted(now, guess, self.stale if "x1" in self.fleet.load_fields else 1.0)
 
+    def _faded(self, age: float) -> float:
+        """How far what a short note taught of an uplink is forgotten."""
+        return min(1.0, max(0.0, age / FORGET))
+
     def own_part(self, now: float, h: MediaHost) -> float:
         """This gateway's part of what is asked of a media host's link."""
         own = sum(v.kb for v in h.viewings.values())
@@ -420,7 +431,7 @@
                 yield from self._step_host(now, h)
 
     def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
-        """Admission: the least used holder, at the highest rung under the mark, else the lowest, else wait."""
+        """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting."""
         if now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins and self._may_try_again(now, v):
             best: tuple[float, str] | None = None
             for name, h in self.hosts.items():
@@ -567,7 +578,7 @@
         return v.package.value * gain / max(1e-9, self._rate(v, rung + 1) - self._rate(v, rung))
 
     def _step(self, now: float, v: Viewing, h: MediaHost) -> int:
-        """EDRA for one viewing: measure, estimate, bounds, then one rung at most (to the measure if short)."""
+        """EDRA for one viewing: measure, estimate, bounds, then a rung at most (to the measure if short)."""
         link, up = self.use_link(now, h), self.use_uplink(now, h)
         rate, part = self._rate(v, v.rung), self.own_part(now, h)
         share = 1 / max(link, up, 1e-9)
--- a/ledgehitch/simhost/wire.py
+++ b/ledgehitch/simhost/wire.py
@@ -1,7 +1,7 @@
 """Frames and units of the simulator's wire; one `Gateway` for each instance, nothing shared between them.
 
 Values are parsed where they are read and handed straight to the gateway: milliseconds become seconds, `-`
-becomes nothing, ids go through as they came. What is malformed ends the program with one line on standard error.
+becomes nothing, ids go through as they came. What is malformed ends the program with a line on standard error.
 """
 
 from collections.abc import Callable, Mapping
