--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -89,7 +89,7 @@
     def __init__(self, row: Row, link_kb: float) -> None:
         self.row = row
         self.link = Use(link_kb)
-        self.listed = True
+        self.listed = False
         self.share_at = -1e9  # when delivery was last told to be short
         self.short = False
         self.active: float | None = None
@@ -168,8 +168,8 @@
                 host.tick_at = now + self.chance.random() * TICK
                 # Guards against set-ups sent to a media host that started while this gateway was away.
                 host.cold_until = self.started + self.terms.warm_up
-            if row.started > host.row.started:
-                host.cold_until = max(host.cold_until, row.started + self.terms.warm_up)
+            if row.started > host.row.started or row.state == "in_service" and not host.listed:
+                host.cold_until = max(host.cold_until, (row.started or self.started) + self.terms.warm_up)
                 host.in_a_row, host.aside_until = 0, -1e9
             host.row, host.listed = row, row.state == "in_service"
 
