--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -39,6 +39,8 @@
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
 FULL_ENOUGH = 1.0  # lowest-rung admissions may fill link and uplink up to this
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
+SHORT_FOR = 2.5  # seconds that a short note counts when no further one comes
+NEWS = 0.5  # weight of a use that is reported against the one that was predicted: reports are noisy
 TRUST = 3.0  # a reading older than so many telling intervals weighs half against what is guessed
 BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
 FORGET = 20.0  # seconds until an uplink told to be short is taken for a usual one again
@@ -65,8 +67,11 @@
         self.at = 0.0
         self.changes: deque[tuple[float, float]] = deque()
 
-    def read(self, now: float, at: float, value: float) -> None:
+    def read(self, now: float, at: float, value: float, weight: float = 1.0) -> None:
         if value >= 0.0 and at >= self.at:
+            if self.value is not None and now - self.at < 10:
+                done = sum(kb for t, kb in self.changes if t <= at) / self.cap_kb
+                value = weight * value + (1 - weight) * max(0.0, self.value + done)
             self.value, self.at = min(value, 20.0), at
             while self.changes and self.changes[0][0] <= at:
                 self.changes.popleft()
@@ -225,11 +230,11 @@
         elif kind == 3:
             if v is not None and v.first_note:
                 at, v.first_note = now, False
-            h.link.read(now, at, value)
+            h.link.read(now, at, value, NEWS)
         elif kind == 4:
             if v is not None and self._recent_open(v, now):
                 at = now
-            self._uplink(h).read(now, at, value)
+            self._uplink(h).read(now, at, value, NEWS)
 
     def ended(
         self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
@@ -326,9 +331,9 @@
             if field == "active":
                 h.active = value
             elif field == "x0" or (field == "cpu" and value < 1):
-                h.link.read(now, now - 0.3, value)
+                h.link.read(now, now - 0.3, value, NEWS)
             elif field == "x1":
-                self._uplink(h).read(now, now - 0.3, value)
+                self._uplink(h).read(now, now - 0.3, value, NEWS)
 
     def _ran_short(self, now: float, at: float, h: MediaHost, share: float) -> None:
         """A short share tells the use of whichever of link and uplink binds.
@@ -581,7 +586,7 @@
         """EDRA for one viewing: measure, estimate, bounds, then a rung at most (to the measure if short)."""
         link, up = self.use_link(now, h), self.use_uplink(now, h)
         rate, part = self._rate(v, v.rung), self.own_part(now, h)
-        share = 1 / max(link, up, 1e-9)
+        share = 1 / max(link, up, 1e-9) if h.short and now - h.share_at < SHORT_FOR else 1.0
         if share < SHORT:
             measure = rate * share
         else:
