--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -98,6 +98,7 @@
         self.share_at = -1e9  # when delivery was last told to be short
         self.short = False
         self.active: float | None = None
+        self.told_link = 1.0  # use of its link as last reported, whatever short notes say
         self.viewings: dict[int, Viewing] = {}
         self.good = self.bad = 0.0
         self.in_a_row = 0
@@ -230,6 +231,7 @@
         elif kind == 3:
             if v is not None and v.first_note:
                 at, v.first_note = now, False
+            h.told_link = value
             h.link.read(now, at, value, NEWS)
         elif kind == 4:
             if v is not None and self._recent_open(v, now):
@@ -331,6 +333,7 @@
             if field == "active":
                 h.active = value
             elif field == "x0" or (field == "cpu" and value < 1):
+                h.told_link = value
                 h.link.read(now, now - 0.3, value, NEWS)
             elif field == "x1":
                 self._uplink(h).read(now, now - 0.3, value, NEWS)
@@ -339,14 +342,15 @@
         """A short share tells the use of whichever of link and uplink binds.
 
         Guards against one media host that stands still being taken for a shrunken uplink: a rack is blamed only
-        when its uplink is told to be full or two of its media hosts are short while their links have room.
+        when its uplink is told to be full, or when all its media hosts that play for this gateway and whose links
+        have room by their own report are short, or two of them.
         """
         asked, up = 1 / share, self._uplink(h)
-        rack = [x for x in self.hosts.values() if x.listed and self._uplink(x) is up]
-        short = [x for x in rack if now - x.share_at < 1.5 and (x.link.value or 0.0) < PRESSED]
+        rack = [x for x in self.hosts.values() if x.viewings and self._uplink(x) is up and x.told_link < PRESSED]
+        short = [x for x in rack if now - x.share_at < 1.5]
         if up.value is not None and "x1" in self.fleet.load_fields:
             (up if up.value > PRESSED and up.value > (h.link.value or 0.0) else h.link).read(now, at, asked)
-        elif len(short) > 1 and h in short:
+        elif h in short and (len(short) > 1 or len(rack) == 1 and share > 0.5):
             up.cap_kb = max(0.3 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
             up.read(now, at, asked)
         else:
