--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -41,7 +41,7 @@
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
 SHORT_FOR = 2.5  # seconds that a short note counts when no further one comes
 NEWS = 0.5  # weight of a use that is reported against the one that was predicted: reports are noisy
-TRUST = 3.0  # a reading older than so many telling intervals weighs half against what is guessed
+TRUST = 1.5  # a reading older than so many telling intervals fades into what is guessed
 BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
 FORGET = 20.0  # seconds until an uplink told to be short is taken for a usual one again
 LATE = 0.99, 2.0  # a tune-in is given up at this quantile of set-ups, times this: lower wastes slow set-ups
@@ -98,7 +98,7 @@
         self.share_at = -1e9  # when delivery was last told to be short
         self.short = False
         self.active: float | None = None
-        self.told_link = 1.0  # use of its link as last reported, whatever short notes say
+        self.told_link = 0.0  # use of its link as last reported, whatever short notes say
         self.viewings: dict[int, Viewing] = {}
         self.good = self.bad = 0.0
         self.in_a_row = 0
@@ -224,7 +224,10 @@
             return
         at = now - self.fleet.told_late
         if kind == 1:
-            h.short = value < SHORT
+            was_short, h.short = h.short, value < SHORT
+            if was_short and not h.short:
+                for use in (h.link, self._uplink(h)):
+                    use.read(now, at, min(use.value or 0.0, 1.0))
             if h.short:
                 h.share_at = now
                 self._ran_short(now, at, h, max(value, 0.05))
@@ -379,15 +382,14 @@
 
     # ---- what link and uplink carry ------------------------------------------------------------------------
 
-    def _usual_use(self, now: float) -> float:
-        links = [h.link for h in self.hosts.values()]
-        fresh = [link.value for link in links if link.value is not None and now - link.at < self.stale]
-        return sum(fresh) / len(fresh) if fresh else 0.0
-
     def use_link(self, now: float, h: MediaHost) -> float:
+        """What is asked of a link over what it gives.
+
+        Guards against reports that stay out: an old reading fades into what this gateway's own viewings ask, times
+        the gateways, so that a media host once thought full is tried again and tells its use.
+        """
         own = sum(v.kb for v in h.viewings.values()) / h.link.cap_kb
-        guess = max(own, self._usual_use(now)) if h.link.value is not None else own * self.terms.gateways
-        return h.link.predicted(now, guess, self.stale)
+        return h.link.predicted(now, min(own * self.terms.gateways, MARK), self.stale)
 
     def _rack_kb(self, now: float, h: MediaHost) -> float:
         rack, racks = h.row.cell % max(1, self.fleet.racks), max(1, self.fleet.racks)
