--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -13,22 +13,8 @@
 from collections.abc import Iterator, Sequence
 from statistics import median
 
-from ledgehitch.interface import (
-    Abort,
-    Block,
-    CallOff,
-    Decision,
-    Fleet,
-    Ladder,
-    Move,
-    Outcome,
-    Package,
-    Row,
-    SetRung,
-    Subscribe,
-    Terms,
-    TuneIn,
-)
+from ledgehitch import interface as say
+from ledgehitch.interface import Decision, Fleet, Ladder, Outcome, Package, Row, Terms
 
 NEW, OLD = 3, 8  # weights of the estimate, as in the paper: a lower NEW climbs slower after pressure
 TICK = 1.0  # seconds between looks at a media host's viewings: shorter reacts faster, on fewer readings
@@ -345,19 +331,20 @@
         """A short share tells the use of whichever of link and uplink binds.
 
         Guards against one media host that stands still being taken for a shrunken uplink: a rack is blamed only
-        when its uplink is told to be full, or when all its media hosts that play for this gateway and whose links
-        have room by their own report are short, or two of them.
+        when two of its media hosts are short whose links have room by their own report, or the only one that plays
+        for this gateway, or when the uplink is reported fuller than the link.
         """
-        asked, up = 1 / share, self._uplink(h)
+        up, x1 = self._uplink(h), "x1" in self.fleet.load_fields
         rack = [x for x in self.hosts.values() if x.viewings and self._uplink(x) is up and x.told_link < PRESSED]
-        short = [x for x in rack if now - x.share_at < 1.5]
-        if up.value is not None and "x1" in self.fleet.load_fields:
-            (up if up.value > PRESSED and up.value > (h.link.value or 0.0) else h.link).read(now, at, asked)
-        elif h in short and (len(short) > 1 or len(rack) == 1 and share > 0.5):
-            up.cap_kb = max(0.3 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
-            up.read(now, at, asked)
+        short = sum(now - x.share_at < 1.5 for x in rack)
+        if (x1 and (up.value or 0.0) > max(MARK, h.told_link)) or (
+            h in rack and (short > 1 or len(rack) == 1 and share > 0.5)
+        ):
+            if not x1:
+                up.cap_kb = max(0.3 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
+            up.read(now, at, 1 / share)
         else:
-            h.link.read(now, at, asked)
+            h.link.read(now, at, 1 / share)
 
     def _tally(self, now: float, h: MediaHost, good: bool) -> None:
         if good:
@@ -433,7 +420,7 @@
     def _decisions(self, now: float) -> Iterator[Decision]:
         if self.list_due is not None and now >= self.list_due:
             self.list_due = now + (0.5 * self.terms.ask_within or ASK_AGAIN[1])
-            yield Subscribe()
+            yield say.Subscribe()
         for v in sorted(self.waiting.values(), key=lambda v: (-v.package.value, v.asked_at)):
             yield from self._place(now, v)
         for h in self.hosts.values():
@@ -465,9 +452,9 @@
         if v.may_have_run and v.package.effect != "repeatable" and not (
             v.package.effect == "by_key" and v.package.key_scope == "all"
         ):
-            yield Abort(v.vw)
+            yield say.Abort(v.vw)
         else:
-            yield Block(v.vw, min(1.0, self.terms.longest_advice) if self.terms.may_advise else 0.0)
+            yield say.Block(v.vw, min(1.0, self.terms.longest_advice) if self.terms.may_advise else 0.0)
 
     def _fitting(self, now: float, v: Viewing, h: MediaHost) -> int | None:
         link, up = self.use_link(now, h), self.use_uplink(now, h)
@@ -536,7 +523,7 @@
             return
         if rung != v.rung or v.tune_ins == 0:
             v.rung = rung
-            yield SetRung(v.vw, rung)
+            yield say.SetRung(v.vw, rung)
         if v.tune_ins:
             self.extra_times.append(now)
         else:
@@ -554,7 +541,7 @@
         if now >= h.cold_until and len(h.sent) > 32:
             h.sent.popleft()
         self._load(now, v, rung)
-        yield TuneIn(v.vw, h.row.host, max(within, 0.001))
+        yield say.TuneIn(v.vw, h.row.host, max(within, 0.001))
 
     def _time_out(self, v: Viewing) -> float:
         total = sum(self.took)
@@ -577,7 +564,7 @@
             if rung != v.rung:
                 self._load(now, v, rung)
                 v.hold_until = now + HOLD
-                yield SetRung(v.vw, rung)
+                yield say.SetRung(v.vw, rung)
 
     def _worth(self, v: Viewing, rung: int) -> float:
         """What the step from this rung to the next earns for each kB."""
@@ -620,5 +607,3 @@
         rungs = range(v.package.floor, v.top + 1)
         return max((r for r in rungs if self._rate(v, r) <= kb), default=v.package.floor)
 
-
-_ = (CallOff, Move)
