--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -8,6 +8,7 @@
 """
 
 import random
+import struct
 import zlib
 from collections import deque
 from collections.abc import Iterator, Sequence
@@ -41,6 +42,7 @@
 COLD_SAFE = 0.8  # part of the budget for cold media hosts that all gateways together plan to use
 ASK_AGAIN = 0.5, 6.0  # first and longest wait before a lost list is asked for again
 LOOK = 0.05  # seconds between looks for a holder while viewings wait
+CHANGE = struct.Struct(">Hh")  # a change told to other gateways: which media host, kB a second
 EDGE = 0.03  # seconds kept free before patience ends
 
 
@@ -133,6 +135,7 @@
         self.asked_times: deque[float] = deque()
         self.extra_times: deque[float] = deque()
         self.stale = max(1.0, TRUST * (fleet.told_every or 2.0))
+        self.untold = b""  # changes of own viewings' rates that the other gateways have not heard of
         self.plan: Iterator[Decision] | None = None
         self.list_due = now if terms.on_request else None
         self.list_wait = ASK_AGAIN[0]
@@ -270,6 +273,16 @@
         if h is not None and loads:
             self._reported(now, h, loads)
 
+    def peer_said(self, now: float, words: bytes) -> None:
+        """Changes on media hosts that another gateway booked; what does not parse or name a host is passed over."""
+        self.plan = None
+        if len(words) % CHANGE.size == 0:
+            most = 2 * self.rates[-1]
+            for name, kb in CHANGE.iter_unpack(words):
+                for h in self.hosts.values():
+                    if zlib.crc32(h.row.host.encode()) & 0xFFFF == name and abs(kb) <= most:
+                        self._changed(now, h, kb)
+
     def wake_at(self) -> float | None:
         due = [h.tick_at for h in self.hosts.values() if h.viewings]
         if self.waiting:
@@ -308,10 +321,15 @@
         if rung is not None:
             v.rung = rung
         if v.host is not None and kb != v.kb:
-            v.host.link.change(now, kb - v.kb)
-            self._uplink(v.host).change(now, kb - v.kb)
+            self._changed(now, v.host, kb - v.kb)
+            if self.terms.may_tell and self.terms.gateways > 1:
+                self.untold += CHANGE.pack(zlib.crc32(v.host.row.host.encode()) & 0xFFFF, max(-32767, min(32767, round(kb - v.kb))))
         v.kb = kb
 
+    def _changed(self, now: float, h: MediaHost, kb: float) -> None:
+        h.link.change(now, kb)
+        self._uplink(h).change(now, kb)
+
     def _recent_open(self, v: Viewing, now: float) -> bool:
         return v.playing and now <= v.first_at
 
@@ -427,6 +445,9 @@
             if h.viewings and now >= h.tick_at:
                 h.tick_at = now + TICK
                 yield from self._step_host(now, h)
+        if self.untold:
+            words, self.untold = self.untold[: CHANGE.size * 60], b""
+            yield say.Tell(words)
 
     def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
         """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting."""
--- a/ledgehitch/interface.py
+++ b/ledgehitch/interface.py
@@ -164,4 +164,11 @@
     """Ask for changes of the list of media hosts from now on."""
 
 
-Decision = TuneIn | SetRung | CallOff | Block | Abort | Move | Probe | Subscribe
+@dataclass(frozen=True)
+class Tell:
+    """Words for all the other gateways."""
+
+    words: bytes
+
+
+Decision = TuneIn | SetRung | CallOff | Block | Abort | Move | Probe | Subscribe | Tell
--- a/ledgehitch/simhost/wire.py
+++ b/ledgehitch/simhost/wire.py
@@ -21,6 +21,7 @@
     Row,
     SetRung,
     Subscribe,
+    Tell,
     Terms,
     TuneIn,
 )
@@ -157,6 +158,8 @@
             return f"poll\t{host}"
         case Subscribe():
             return "watch\t1"
+        case Tell(words):
+            return f"post\tall\t{words.hex()}"
 
 
 class Instance:
@@ -302,7 +305,10 @@
             loads = [] if p[3] == "-" else [_num(part) for part in p[3].split(",")]
             probed = (p[2], int(p[1]), _ms(p[0]), loads)
             return lambda: gw.probed(now, *probed)
-        return None  # messages between gateways are not used
+        if name == "from_peer":
+            words = bytes.fromhex(p[1]) if p[1] != "-" else b""
+            return lambda: gw.peer_said(now, words)
+        return None
 
 
 def main(source: BinaryIO, sink: BinaryIO, complaints: TextIO) -> int:
