--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -376,6 +376,9 @@
         if code in (Outcome.RESET, Outcome.CONNECT_FAILED):
             # Guards against pushing over a media host that was lost and comes back before the list says so.
             h.cold_until = max(h.cold_until, now + self.terms.warm_up)
+        if code == Outcome.FULL:
+            # Guards against asking a full media host again and again; it holds for links and for places alike.
+            h.link.read(now, now, max(h.told_link, self.fleet.full_from, 1.0))
         if code == Outcome.RESET and was_playing:
             h.aside_until = max(h.aside_until, now + ASIDE / 2 + ASIDE_MORE * self.chance.random())
         if was_playing or code not in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
