--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -26,6 +26,7 @@
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
 FULL_ENOUGH = 1.0  # lowest-rung admissions may fill link and uplink up to this
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
+WORST = 3.0  # a use read as more counts as this, so that one that stands still is forgotten in time
 SHORT_FOR = 2.5  # seconds that a short note counts when no further one comes
 NEWS = 0.5  # weight of a use that is reported against the one that was predicted: reports are noisy
 TRUST = 1.5  # a reading older than so many telling intervals fades into what is guessed
@@ -60,7 +61,7 @@
             if self.value is not None and now - self.at < 10:
                 done = sum(kb for t, kb in self.changes if t <= at) / self.cap_kb
                 value = weight * value + (1 - weight) * max(0.0, self.value + done)
-            self.value, self.at = min(value, 20.0), at
+            self.value, self.at = min(value, WORST), at
             while self.changes and self.changes[0][0] <= at:
                 self.changes.popleft()
 
@@ -75,7 +76,7 @@
             return guess
         known = max(0.0, self.value + sum(kb for _, kb in self.changes) / self.cap_kb)
         age = max(0.0, now - self.at - stale)
-        return known if age <= 0 else known + (guess - known) * age / (age + stale)
+        return known + (guess - known) * min(1.0, age / stale)
 
 
 class MediaHost:
@@ -216,7 +217,8 @@
             was_short, h.short = h.short, value < SHORT
             if was_short and not h.short:
                 for use in (h.link, self._uplink(h)):
-                    use.read(now, at, min(use.value or 0.0, 1.0))
+                    if use.value is not None and use.value > 1.0:
+                        use.read(now, at, 1.0)
             if h.short:
                 h.share_at = now
                 self._ran_short(now, at, h, max(value, 0.05))
@@ -402,7 +404,7 @@
     def _rack_kb(self, now: float, h: MediaHost) -> float:
         rack, racks = h.row.cell % max(1, self.fleet.racks), max(1, self.fleet.racks)
         return sum(
-            min(self.use_link(now, x), 1.5) * x.link.cap_kb
+            min(use := self.use_link(now, x), 1 / max(use, 1.0)) * x.link.cap_kb
             for x in self.hosts.values()
             if x.listed and x.row.cell % racks == rack
         )
