--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -24,6 +24,7 @@
 PRESSED = 0.98  # above this the room counts as negative and viewings step down before delivery is short
 SHORT = 0.98  # a delivered share under this is short
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
+SECOND = 0.25  # weight of the emptier of link and uplink when the least used holder is sought
 FULL_ENOUGH = 1.0  # lowest-rung admissions may fill link and uplink up to this
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
 WORST = 3.0  # a use read as more counts as this, so that one that stands still is forgotten in time
@@ -460,7 +461,8 @@
             best: tuple[float, str] | None = None
             for name, h in self.hosts.items():
                 if self._may_take(now, v, h):
-                    use = max(self.use_link(now, h), self.use_uplink(now, h))
+                    link, up = self.use_link(now, h), self.use_uplink(now, h)
+                    use = max(link, up) + SECOND * min(link, up)
                     use += CROSS_BIAS * self.terms.cross_price * (h.row.zone != self.terms.zone)
                     use += 0.5 * (name in v.tried)
                     if best is None or (use, name) < best:
