--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -7,6 +7,7 @@
 the reasons, the mechanism's source and each departure from it are in `docs/design.md`.
 """
 
+import math
 import random
 import struct
 import zlib
@@ -207,11 +208,12 @@
         """News on a viewing: 1 the share delivered, 2 its rung, 3 and 4 the use of link and uplink."""
         self.plan = None
         v, h = self.viewings.get(vw), self.hosts.get(host)
-        if kind == 2 and v is not None:
-            rung = min(max(int(value), v.package.floor), len(self.rates) - 1)
-            self._load(now, v, rung)
+        if not 0 <= value < math.inf:
+            return
+        if kind == 2 and v is not None and v.playing:
+            self._load(now, v, int(min(max(value, v.package.floor), len(self.rates) - 1)))
             self._begin(now, v)
-        if h is None or value != value or value < 0:
+        if h is None:
             return
         at = now - self.fleet.told_late
         if kind == 1:
@@ -338,7 +340,7 @@
 
     def _reported(self, now: float, h: MediaHost, loads: Sequence[float]) -> None:
         for field, value in zip(self.fleet.load_fields, loads, strict=False):
-            if value != value or value < 0:
+            if not 0 <= value < math.inf:
                 continue
             if field == "active":
                 h.active = value
