With every holder set aside all are used; a viewer who left is never tried again

Found by reading: a fleet that looks ill blocked everything. Also covers a restart into an outage; could spend tune-ins on dead hosts.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -2,8 +2,8 @@
 
 How to call it: make a `Gateway(seed, now, ladder, packages, fleet, terms)`. Hand it what happens through
 `listed`, `asked`, `handed_over`, `opened`, `told`, `ended`, `left` and `probed`; these only update what is
-known. Then pull `decide(now)` until it gives None, carrying out each decision as it comes (pulled is done), and
-again after the next event or when the clock reaches `wake_at()`. The interface is `ledgehitch/interface.py`;
+known. Then pull `decide(now)` until it gives None, carrying out each decision as it comes (pulled is done),
+and again after the next event or when the clock reaches `wake_at()`. The interface is `ledgehitch/interface.py`;
 the reasons, the mechanism's source and each departure from it are in `docs/design.md`.
 """
 
@@ -25,6 +25,7 @@
 PRESSED = 0.98  # above this the room counts as negative and viewings step down before delivery is short
 SHORT = 0.98  # a delivered share under this is short
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
+TRIED = 0.5  # use that a holder counts as extra for a viewing that it failed
 SECOND = 0.25  # weight of the emptier of link and uplink when the least used holder is sought
 FULL_ENOUGH = 1.0  # lowest-rung admissions may fill link and uplink up to this
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
@@ -41,7 +42,6 @@
 ILL = 0.25  # a media host whose failures exceed the fleet median by this share is set aside
 IN_A_ROW = 2  # so many failures in a row set aside too, whatever the share
 ASIDE, ASIDE_MORE = 4.0, 3.0  # a media host set aside stays so for the first, plus up to the second by chance
-MOST_ASIDE = 0.5  # with more of the holders than this set aside, the ones back soonest are used all the same
 COLD_SAFE = 0.8  # part of the budget for cold media hosts that all gateways together plan to use
 ASK_AGAIN = 0.5, 6.0  # first and longest wait before a lost list is asked for again
 LOOK = 0.05  # seconds between looks for a holder while viewings wait
@@ -88,13 +88,11 @@
         self.listed = False
         self.share_at = -1e9  # when delivery was last told to be short
         self.short = False
-        self.active: float | None = None
         self.told_link = 0.0  # use of its link as last reported, whatever short notes say
         self.viewings: dict[int, Viewing] = {}
         self.good = self.bad = 0.0
         self.in_a_row = 0
         self.aside_until = -1e9
-        self.aside_count = 0
         self.cold_until = -1e9
         self.sent: deque[float] = deque()
         self.tick_at = 0.0
@@ -110,8 +108,8 @@
         self.host: MediaHost | None = None
         self.rung = package.floor
         self.tune_ins = 0
-        self.out = self.playing = self.first_note = self.may_have_run = False
-        self.first_at = 0.0
+        self.out = self.playing = self.gone = self.may_have_run = False
+        self.first_at, self.news_at = 0.0, -1.0  # of its first tune-in, and of the first report after its set-up
         self.anchor: Row | None = None  # where a tune-in may have run
         self.tried: list[str] = []
         self.kb = 0.0  # what it counts for on link and uplink
@@ -201,7 +199,7 @@
         self.took[sum(latency > edge for edge in BINS)] += 1
         if sum(self.took) > 10 * HALVE_AT:
             self.took = [n / 2 for n in self.took]
-        v.out, v.playing, v.first_note = False, True, True
+        v.out, v.playing = False, True
         self._begin(now, v)
 
     def told(self, now: float, vw: int, host: str, kind: int, value: float) -> None:
@@ -225,15 +223,12 @@
             if h.short:
                 h.share_at = now
                 self._ran_short(now, at, h, max(value, 0.05))
-        elif kind == 3:
-            if v is not None and v.first_note:
-                at, v.first_note = now, False
-            h.told_link = value
-            h.link.read(now, at, value, NEWS)
-        elif kind == 4:
-            if v is not None and self._recent_open(v, now):
-                at = now
-            self._uplink(h).read(now, at, value, NEWS)
+        elif kind in (3, 4):
+            if kind == 3:
+                h.told_link = value
+                if v is not None and v.news_at < 0:
+                    at = v.news_at = now  # what comes with a set-up is fresh
+            (h.link if kind == 3 else self._uplink(h)).read(now, at, value, NEWS)
 
     def ended(
         self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
@@ -252,7 +247,7 @@
             self._judge(now, h, code, was_playing)
         if v.host is not None:
             v.host.viewings.pop(vw, None)
-        if closed or was_playing:
+        if closed or was_playing or v.gone:
             del self.viewings[vw]
             return
         v.host = None
@@ -266,11 +261,10 @@
     def left(self, now: float, vw: int) -> None:
         self.plan = None
         v = self.viewings.get(vw)
-        if v is not None:
-            self.waiting.pop(vw, None)
-            if v.out or v.playing:
-                return  # its outcome still comes, and frees its seat and load
+        if v is not None and self.waiting.pop(vw, None) is not None:
             del self.viewings[vw]
+        elif v is not None:
+            v.gone = True  # its outcome still comes, and frees its seat and load
 
     def probed(self, now: float, host: str, code: int, latency: float, loads: Sequence[float] = ()) -> None:
         self.plan = None
@@ -335,16 +329,11 @@
         h.link.change(now, kb)
         self._uplink(h).change(now, kb)
 
-    def _recent_open(self, v: Viewing, now: float) -> bool:
-        return v.playing and now <= v.first_at
-
     def _reported(self, now: float, h: MediaHost, loads: Sequence[float]) -> None:
         for field, value in zip(self.fleet.load_fields, loads, strict=False):
             if not 0 <= value < math.inf:
                 continue
-            if field == "active":
-                h.active = value
-            elif field == "x0" or (field == "cpu" and value < 1):
+            if field == "x0" or (field == "cpu" and value < 1):
                 h.told_link = value
                 h.link.read(now, now - 0.3, value, NEWS)
             elif field == "x1":
@@ -371,7 +360,7 @@
 
     def _tally(self, now: float, h: MediaHost, good: bool) -> None:
         if good:
-            h.good, h.in_a_row, h.aside_count = h.good + 1, 0, 0
+            h.good, h.in_a_row = h.good + 1, 0
         else:
             h.bad, h.in_a_row = h.bad + 1, h.in_a_row + 1
         if h.good + h.bad > HALVE_AT:
@@ -460,17 +449,11 @@
     def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
         """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting."""
         if now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins and self._may_try_again(now, v):
-            best: tuple[float, str] | None = None
-            for name, h in self.hosts.items():
-                if self._may_take(now, v, h):
-                    link, up = self.use_link(now, h), self.use_uplink(now, h)
-                    use = max(link, up) + SECOND * min(link, up)
-                    use += CROSS_BIAS * self.terms.cross_price * (h.row.zone != self.terms.zone)
-                    use += 0.5 * (name in v.tried)
-                    if best is None or (use, name) < best:
-                        best = use, name
-            if best is not None:
-                h = self.hosts[best[1]]
+            holders = [h for h in self.hosts.values() if self._may_take(now, v, h)]
+            # Guards against a fleet that looks ill as a whole: with every holder set aside, all are used.
+            holders = [h for h in holders if now >= h.aside_until] or holders
+            if holders:
+                h = min(holders, key=lambda h: (self._least_used(now, v, h), h.row.host))
                 rung = self._fitting(now, v, h)
                 if rung is not None:
                     yield from self._send(now, v, h, rung)
@@ -486,6 +469,11 @@
         else:
             yield say.Block(v.vw, min(1.0, self.terms.longest_advice) if self.terms.may_advise else 0.0)
 
+    def _least_used(self, now: float, v: Viewing, h: MediaHost) -> float:
+        link, up = self.use_link(now, h), self.use_uplink(now, h)
+        crossing = CROSS_BIAS * self.terms.cross_price * (h.row.zone != self.terms.zone)
+        return max(link, up) + SECOND * min(link, up) + crossing + TRIED * (h.row.host in v.tried)
+
     def _fitting(self, now: float, v: Viewing, h: MediaHost) -> int | None:
         link, up = self.use_link(now, h), self.use_uplink(now, h)
         for rung in range(v.top, v.package.floor - 1, -1):
@@ -497,11 +485,10 @@
 
     def _may_take(self, now: float, v: Viewing, h: MediaHost) -> bool:
         first, spread = v.cells
-        places = self.fleet.cells or 1 << 30
+        places = self.fleet.cells
         return (
             h.listed
-            and (spread <= 0 or (h.row.cell - first) % places < spread)
-            and now >= h.aside_until
+            and (places <= 0 or (h.row.cell - first) % places < spread)
             and not self._too_cold(now, h)
             and self._within_key(v, h)
         )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -56,7 +56,7 @@
                 if code == Outcome.OK:
                     gw.opened(now, held, host, number, 0.1)
                     book.playing[held] = host
-                    del book.open[held]
+                    book.open.pop(held, None)
                 else:
                     if code in (20, 40, 60):
                         book.ran.setdefault(held, (host, now))
@@ -87,6 +87,5 @@
         elif event == 8 and book.open:
             gone = chance.choice(sorted(book.open))
             gw.left(now, gone)
-            if gone not in book.out:
-                del book.open[gone]
+            del book.open[gone]
         book.step(now)
