--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -43,6 +43,8 @@
 IN_A_ROW = 2  # so many failures in a row set aside too, whatever the share
 ASIDE, ASIDE_MORE = 4.0, 3.0  # a media host set aside stays so for the first, plus up to the second by chance
 COLD_SAFE = 0.8  # part of the budget for cold media hosts that all gateways together plan to use
+LIST_LATE = 7.0  # seconds by which a list may lag: a restarted gateway doubts what it does not know so long
+OTHERS = 0.3  # with so much of a link asked by others, a media host did not just start
 ASK_AGAIN = 0.5, 6.0  # first and longest wait before a lost list is asked for again
 LOOK = 0.05  # seconds between looks for a holder while viewings wait
 CHANGE = struct.Struct(">Hh")  # a change told to other gateways: which media host, kB a second
@@ -94,7 +96,7 @@
         self.good = self.bad = 0.0
         self.in_a_row = 0
         self.aside_until = -1e9
-        self.cold_until = -1e9
+        self.cold_until = self.doubted_until = -1e9
         self.sent: deque[float] = deque()
         self.tick_at = 0.0
 
@@ -164,10 +166,12 @@
             if host is None:
                 host = self.hosts[row.host] = MediaHost(row, self._link_kb(row, len(rows)))
                 host.tick_at = now + self.chance.random() * TICK
-                # Guards against set-ups sent to a media host that started while this gateway was away.
-                host.cold_until = self.started + self.terms.warm_up
+                # Guards against a media host that started while this gateway was away or its list was late.
+                if how == "warm_copy":
+                    host.doubted_until = self.started + min(self.terms.warm_up, LIST_LATE)
             if row.started > host.row.started or row.state == "in_service" and not host.listed:
-                host.cold_until = max(host.cold_until, (row.started or self.started) + self.terms.warm_up)
+                began = row.started or (now if how == "incr" else -1e9)
+                host.cold_until = max(host.cold_until, began + self.terms.warm_up)
                 host.in_a_row, host.aside_until = 0, -1e9
             host.row, host.listed = row, row.state == "in_service"
 
@@ -190,6 +194,7 @@
         v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
         if v.host:
             v.host.viewings[vw] = v
+            v.host.doubted_until = -1e9  # it has been playing, so it did not just start
         self._begin(now, v)
 
     def opened(self, now: float, vw: int, host: str, tune_in: int, latency: float) -> None:
@@ -228,6 +233,8 @@
         elif kind in (3, 4):
             if kind == 3:
                 h.told_link = value
+                if value - sum(x.kb for x in h.viewings.values()) / h.link.cap_kb > OTHERS:
+                    h.doubted_until = -1e9  # others play there, so it did not just start
                 if v is not None and v.news_at < 0:
                     at = v.news_at = now  # what comes with a set-up is fresh
             (h.link if kind == 3 else self._uplink(h)).read(now, at, value, NEWS)
@@ -519,7 +526,7 @@
 
     def _too_cold(self, now: float, h: MediaHost) -> bool:
         """Rule 4: a cold media host gets this gateway's part of its budget, as if all others sent theirs."""
-        if now >= h.cold_until:
+        if now >= max(h.cold_until, h.doubted_until):
             return False
         slots = (self.fleet.slots or {}).get(h.row.kind) or min((self.fleet.slots or {"": 1}).values())
         budget, n = int(self.cold_budget * slots), max(1, self.terms.gateways)
