--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -122,9 +122,8 @@
 
 
 class Gateway:
-    def __init__(
-        self, seed: int, now: float, ladder: Ladder, packages: Sequence[Package], fleet: Fleet, terms: Terms
-    ) -> None:
+    def __init__(self, seed: int, now: float, ladder: Ladder, packages: Sequence[Package], fleet: Fleet,
+                 terms: Terms) -> None:  # fmt: skip
         self.chance = random.Random(seed)
         self.started = now
         self.rates = ladder.kb or (1.0,)
@@ -175,20 +174,17 @@
                 host.in_a_row, host.aside_until = 0, -1e9
             host.row, host.listed = row, row.state == "in_service"
 
-    def asked(
-        self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
-        patience: float, length: float | None = None, tenant: str | None = None, returning: bool = False,
-    ) -> None:  # fmt: skip
+    def asked(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
+              patience: float, length: float | None = None, tenant: str | None = None,
+              returning: bool = False) -> None:  # fmt: skip
         self.plan = None
         v = self._viewing(vw, package, title, (first, spread), top)
         v.patience, v.asked_at = patience, now
         self.asked_times.append(now)
         self.waiting[vw] = v
 
-    def handed_over(
-        self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
-        host: str, left: float | None = None,
-    ) -> None:  # fmt: skip
+    def handed_over(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
+                    host: str, left: float | None = None) -> None:  # fmt: skip
         self.plan = None
         v = self._viewing(vw, package, title, (first, spread), top)
         v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
@@ -239,10 +235,8 @@
                     at = v.news_at = now  # what comes with a set-up is fresh
             (h.link if kind == 3 else self._uplink(h)).read(now, at, value, NEWS)
 
-    def ended(
-        self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
-        loads: Sequence[float] = (),
-    ) -> None:  # fmt: skip
+    def ended(self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
+              loads: Sequence[float] = ()) -> None:  # fmt: skip
         self.plan = None
         h = self.hosts.get(host)
         self._reported(now, h, loads)
@@ -289,9 +283,8 @@
         due = [h.tick_at for h in self.hosts.values() if h.viewings or self.must_probe]
         if self.waiting:
             due.append(self.now + LOOK)
-        if self.list_due is not None:
-            due.append(self.list_due)
-        return min(due) if due else None
+        due += [] if self.list_due is None else [self.list_due]
+        return min(due, default=None)
 
     # ---- bookkeeping ---------------------------------------------------------------------------------------
 
