--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -19,7 +19,7 @@
 from ledgehitch.interface import Decision, Fleet, Ladder, Outcome, Package, Row, Terms
 
 NEW, OLD = 3, 8  # weights of the estimate, as in the paper: a lower NEW climbs slower after pressure
-TICK = 1.0  # seconds between looks at a media host's viewings: shorter reacts faster, on fewer readings
+TICK = 3.0  # seconds between looks at a media host's viewings: shorter reacts faster, on fewer readings
 HOLD = 8.0  # a viewing that stepped keeps its rung so long: shorter follows the room, dearer in changes
 MARK = 0.80  # share of link and uplink that admission and climbs may fill: higher earns more, jams more
 PRESSED = 0.98  # above this the room counts as negative and viewings step down before delivery is short
