--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -214,6 +214,8 @@
         if kind == 2 and v is not None and v.playing:
             self._load(now, v, int(min(max(value, v.package.floor), len(self.rates) - 1)))
             self._begin(now, v)
+            if "x1" in self.fleet.load_fields:
+                v.hold_until = now  # it did not step: only until the first reports of both does it hold
         if h is None:
             return
         at = now - self.fleet.told_late
@@ -609,7 +611,7 @@
         v.last = measure
         if share < SHORT:
             return min(v.rung, below)
-        if now < v.hold_until:
+        if now < v.hold_until or h.link.value is None and now < self.started + self.stale:
             return v.rung
         aim = max(v.low, min(v.high, self._below(v, v.estimate)))
         return max(v.package.floor, min(v.top, v.rung + (aim > v.rung) - (aim < v.rung)))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -200,3 +200,14 @@
     gw = gateway(terms=say.Terms(may_probe=True), fleet=fleet)
     assert [type(d) for d in pulled(gw, NOW)] == [say.Probe] * 6
     assert FLEET.reports != "pull" and not TERMS.may_probe
+
+
+def test_handed_over_viewing_climbs_once_its_host_has_reported() -> None:
+    both = ("x0", "x1")
+    fleet = say.Fleet(cells=6, racks=2, link_unit_kb=1000, uplink_kb=4500, load_fields=both, told_every=3.0)
+    gw = gateway(fleet=fleet)
+    gw.handed_over(100.0, 1, "plain", "t1", 0, 6, 3, "h0")
+    gw.told(100.0, 1, "h0", 2, 0)
+    assert not any(isinstance(d, say.SetRung) for d in pulled(gw, 103.0))
+    gw.told(103.0, 1, "h0", 3, 0.1)
+    assert [d for d in pulled(gw, 106.1) if isinstance(d, say.SetRung)] == [say.SetRung(1, 1)]
