--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -58,7 +58,7 @@
         self.cap_kb = max(cap_kb, 1e-9)
         self.value: float | None = None
         self.at = 0.0
-        self.changes: deque[tuple[float, float]] = deque()
+        self.changes: deque[tuple[float, float]] = deque(maxlen=64)
 
     def read(self, now: float, at: float, value: float, weight: float = 1.0) -> None:
         if value >= 0.0 and at >= self.at:
@@ -71,8 +71,6 @@
 
     def change(self, now: float, kb: float) -> None:
         self.changes.append((now, kb))
-        if len(self.changes) > 64:
-            self.changes.popleft()
 
     def predicted(self, now: float, guess: float, stale: float) -> float:
         """The reading and what this gateway changed since; an old reading fades into the guess."""
@@ -97,7 +95,7 @@
         self.in_a_row = 0
         self.aside_until = -1e9
         self.cold_until = self.doubted_until = -1e9
-        self.sent: deque[float] = deque()
+        self.sent: deque[float] = deque(maxlen=512)  # when it was last sent set-ups
         self.tick_at = 0.0
 
     def failing(self) -> float:
@@ -143,8 +141,8 @@
         self.plan: Iterator[Decision] | None = None
         self.list_due = now if terms.on_request else None
         self.list_wait = ASK_AGAIN[0]
-        budget = terms.fall_multiple * terms.cold_share * terms.fall_after / max(terms.warm_up, 1e-9)
-        self.cold_budget = budget * COLD_SAFE  # set-ups of all gateways in a window, for each place
+        budget = COLD_SAFE * terms.fall_multiple * terms.cold_share * terms.fall_after
+        self.cold_budget = budget / max(terms.warm_up, 1e-9)  # of all gateways in a window, for each place
 
     # ---- what is known -------------------------------------------------------------------------------------
 
@@ -175,8 +173,7 @@
             host.row, host.listed = row, row.state == "in_service"
 
     def asked(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
-              patience: float, length: float | None = None, tenant: str | None = None,
-              returning: bool = False) -> None:  # fmt: skip
+              patience: float) -> None:  # fmt: skip
         self.plan = None
         v = self._viewing(vw, package, title, (first, spread), top)
         v.patience, v.asked_at = patience, now
@@ -184,7 +181,7 @@
         self.waiting[vw] = v
 
     def handed_over(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
-                    host: str, left: float | None = None) -> None:  # fmt: skip
+                    host: str) -> None:  # fmt: skip
         self.plan = None
         v = self._viewing(vw, package, title, (first, spread), top)
         v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
@@ -212,7 +209,7 @@
         if not 0 <= value < math.inf:
             return
         if kind == 2 and v is not None and v.playing:
-            self._load(now, v, int(min(max(value, v.package.floor), len(self.rates) - 1)))
+            self._load(now, v, int(min(value, len(self.rates) - 1)))
             self._begin(now, v)
             if "x1" in self.fleet.load_fields:
                 v.hold_until = now  # it did not step: only until the first reports of both does it hold
@@ -292,9 +289,8 @@
 
     def _viewing(self, vw: int, package: str, title: str, cells: tuple[int, int], top: int) -> Viewing:
         p = self.packages.get(package) or Package(package, 1.0, 3.0)
-        v = Viewing(vw, p, title, cells, max(p.floor, min(top, p.top, len(self.rates) - 1)))
-        self.viewings[vw] = v
-        return v
+        self.viewings[vw] = Viewing(vw, p, title, cells, min(top, p.top, len(self.rates) - 1))
+        return self.viewings[vw]
 
     def _link_kb(self, row: Row, listed: int) -> float:
         return row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / max(1, listed)
@@ -541,9 +537,8 @@
             self.extra_times.append(now)
         else:
             v.first_at = now
-        within = min(self._time_out(v), v.patience - EDGE - now)
-        if v.package.effect == "once":
-            within = v.patience - EDGE - now
+        left = v.patience - EDGE - now
+        within = left if v.package.effect == "once" else min(self._time_out(v), left)
         self.waiting.pop(v.vw, None)
         v.out, v.host = True, h
         v.tune_ins += 1
@@ -551,8 +546,6 @@
         v.anchor = v.anchor or h.row
         h.viewings[v.vw] = v
         h.sent.append(now)
-        if now >= h.cold_until and len(h.sent) > 32:
-            h.sent.popleft()
         self._load(now, v, rung)
         yield say.TuneIn(v.vw, h.row.host, max(within, 0.001))
 
@@ -614,7 +607,8 @@
         if now < v.hold_until or h.link.value is None and now < self.started + self.stale:
             return v.rung
         aim = max(v.low, min(v.high, self._below(v, v.estimate)))
-        return max(v.package.floor, min(v.top, v.rung + (aim > v.rung) - (aim < v.rung)))
+        step = v.rung + (aim > v.rung) - (aim < v.rung)
+        return max(v.package.floor, min(v.top, step)) if v.package.floor <= v.top else v.rung
 
     def _below(self, v: Viewing, kb: float) -> int:
         rungs = range(v.package.floor, v.top + 1)
--- a/ledgehitch/interface.py
+++ b/ledgehitch/interface.py
@@ -84,16 +84,11 @@
     extra_free: float | None = None
     extra_ratio: float = 0.0
     extra_window: float = 0.0
-    may_cancel: bool = False
     may_probe: bool = False
     may_tell: bool = False
     may_advise: bool = False
     longest_advice: float = 0.0
     cross_price: float = 0.0
-    move_price: float = 0.0
-    change_cost: float = 0.0
-    tenants: Mapping[str, float] | None = None  # viewings a second inside each tenant's share
-    over_share_value: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -124,14 +119,6 @@
     rung: int
 
 
-@dataclass(frozen=True)
-class CallOff:
-    """Stop waiting for a tune-in that is out."""
-
-    vw: int
-    tune_in: int
-
-
 @dataclass(frozen=True)
 class Block:
     """Turn the viewer away; `stay_away` of 0 gives no advice."""
@@ -147,13 +134,6 @@
     vw: int
 
 
-@dataclass(frozen=True)
-class Move:
-    """Take a playing viewing off its media host; it comes back to this gateway as a new one."""
-
-    vw: int
-
-
 @dataclass(frozen=True)
 class Probe:
     host: str
@@ -171,4 +151,4 @@
     words: bytes
 
 
-Decision = TuneIn | SetRung | CallOff | Block | Abort | Move | Probe | Subscribe | Tell
+Decision = TuneIn | SetRung | Block | Abort | Probe | Subscribe | Tell
