--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -21,8 +21,9 @@
 NEW, OLD = 3, 8  # weights of the estimate, as in the paper: a lower NEW climbs slower after pressure
 TICK = 3.0  # seconds between looks at a media host's viewings: shorter reacts faster, on fewer readings
 HOLD = 8.0  # a viewing that stepped keeps its rung so long: shorter follows the room, dearer in changes
-MARK = 0.80  # share of link and uplink that admission and climbs may fill: higher earns more, jams more
+MARK = 0.90  # share of link and uplink that admission and climbs may fill: higher earns more, jams more
 PRESSED = 0.98  # above this the room counts as negative and viewings step down before delivery is short
+GRADE = 0.28  # by how much the mark is lower for a step that earns next to nothing a kB
 SHORT = 0.98  # a delivered share under this is short
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
 TRIED = 0.5  # use that a holder counts as extra for a viewing that it failed
@@ -135,6 +136,9 @@
         self.took = [0.0] * (len(BINS) + 1)
         self.asked_times: deque[float] = deque()
         self.extra_times: deque[float] = deque()
+        steps = zip(self.rates, self.rates[1:], self.earns, self.earns[1:], strict=False)
+        self.gains = [(w2 - w1) / max(1e-9, kb2 - kb1) for kb1, kb2, w1, w2 in steps]  # of a step up, for each kB
+        self.best = max((p.value * g / max(1e-9, p.scale) for p in packages for g in self.gains), default=1.0)
         self.stale = max(1.0, TRUST * (fleet.told_every or 2.0))
         self.must_probe = fleet.reports == "pull" and terms.may_probe
         self.untold = b""  # changes of own viewings' rates that the other gateways have not heard of
@@ -469,7 +473,7 @@
     def _fitting(self, now: float, v: Viewing, h: MediaHost) -> int | None:
         link, up = self.use_link(now, h), self.use_uplink(now, h)
         for rung in range(v.top, v.package.floor - 1, -1):
-            mark = MARK if rung > v.package.floor else FULL_ENOUGH
+            mark = self._mark(v, rung) if rung > v.package.floor else FULL_ENOUGH
             kb = self._rate(v, rung)
             if link + kb / h.link.cap_kb <= mark and up + kb / self._uplink(h).cap_kb <= mark:
                 return rung
@@ -572,14 +576,19 @@
                 v.hold_until = now + HOLD
                 yield say.SetRung(v.vw, rung)
 
+    def _mark(self, v: Viewing, rung: int) -> float:
+        """Up to where link and uplink may fill for a step to this rung: less for steps that earn less a kB.
+
+        Guards against early viewings at high rungs keeping later ones at the lowest.
+        """
+        return MARK - GRADE * max(0.0, 1 - self._worth(v, rung - 1) / max(1e-9, self.best))
+
     def _worth(self, v: Viewing, rung: int) -> float:
         """What the step from this rung to the next earns for each kB."""
         if rung < 0:
             return 1e9
-        if rung + 1 >= min(len(self.rates), len(self.earns)):
-            return 0.0
-        gain = self.earns[rung + 1] - self.earns[rung]
-        return v.package.value * gain / max(1e-9, self._rate(v, rung + 1) - self._rate(v, rung))
+        gain = self.gains[rung] if rung < len(self.gains) else 0.0
+        return v.package.value * gain / max(1e-9, v.package.scale)
 
     def _step(self, now: float, v: Viewing, h: MediaHost) -> int:
         """EDRA for one viewing: measure, estimate, bounds, then a rung at most (to the measure if short)."""
@@ -589,8 +598,9 @@
         if share < SHORT:
             measure = rate * share
         else:
+            mark = self._mark(v, min(v.rung + 1, v.top))
             room = min(
-                (MARK - use) * cap if use < MARK else min(0.0, PRESSED - use) * cap
+                (mark - use) * cap if use < mark else min(0.0, PRESSED - use) * cap
                 for use, cap in ((link, h.link.cap_kb), (up, self._uplink(h).cap_kb))
             )
             measure = max(0.0, rate + room * part)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -211,3 +211,10 @@
     assert not any(isinstance(d, say.SetRung) for d in pulled(gw, 103.0))
     gw.told(103.0, 1, "h0", 3, 0.1)
     assert [d for d in pulled(gw, 106.1) if isinstance(d, say.SetRung)] == [say.SetRung(1, 1)]
+
+
+def test_marks_are_lower_for_steps_that_earn_less_for_each_kb() -> None:
+    gw = gateway()
+    ask(gw, NOW, 1)
+    marks = [gw._mark(gw.viewings[1], rung) for rung in (1, 2, 3)]
+    assert marks[0] == brain.MARK > marks[1] > marks[2] >= brain.MARK - brain.GRADE
