--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -137,7 +137,7 @@
         self.asked_times: deque[float] = deque()
         self.extra_times: deque[float] = deque()
         steps = zip(self.rates, self.rates[1:], self.earns, self.earns[1:], strict=False)
-        self.gains = [(w2 - w1) / max(1e-9, kb2 - kb1) for kb1, kb2, w1, w2 in steps]  # of a step up, for each kB
+        self.gains = [(w2 - w1) / max(1e-9, kb2 - kb1) for kb1, kb2, w1, w2 in steps]
         self.best = max((p.value * g / max(1e-9, p.scale) for p in packages for g in self.gains), default=1.0)
         self.stale = max(1.0, TRUST * (fleet.told_every or 2.0))
         self.must_probe = fleet.reports == "pull" and terms.may_probe
