--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -21,9 +21,9 @@
 NEW, OLD = 3, 8  # weights of the estimate, as in the paper: a lower NEW climbs slower after pressure
 TICK = 3.0  # seconds between looks at a media host's viewings: shorter reacts faster, on fewer readings
 HOLD = 8.0  # a viewing that stepped keeps its rung so long: shorter follows the room, dearer in changes
-MARK = 0.90  # share of link and uplink that admission and climbs may fill: higher earns more, jams more
+MARK = 0.95  # share of link and uplink that admission and climbs may fill: higher earns more, jams more
 PRESSED = 0.98  # above this the room counts as negative and viewings step down before delivery is short
-GRADE = 0.28  # by how much the mark is lower for a step that earns next to nothing a kB
+GRADE = 0.33  # by how much the mark is lower for a step that earns next to nothing a kB
 SHORT = 0.98  # a delivered share under this is short
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
 TRIED = 0.5  # use that a holder counts as extra for a viewing that it failed
