--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -23,7 +23,7 @@
 HOLD = 8.0  # a viewing that stepped keeps its rung so long: shorter follows the room, dearer in changes
 MARK = 0.95  # share of link and uplink that admission and climbs may fill: higher earns more, jams more
 PRESSED = 0.98  # above this the room counts as negative and viewings step down before delivery is short
-GRADE = 0.33  # by how much the mark is lower for a step that earns next to nothing a kB
+GRADE = 0.45  # how much lower it is where a step earns next to nothing a kB: more leaves room to cheap steps
 SHORT = 0.98  # a delivered share under this is short
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
 TRIED = 0.5  # use that a holder counts as extra for a viewing that it failed
@@ -581,7 +581,7 @@
 
         Guards against early viewings at high rungs keeping later ones at the lowest.
         """
-        return MARK - GRADE * max(0.0, 1 - self._worth(v, rung - 1) / max(1e-9, self.best))
+        return MARK - GRADE * max(0.0, 1 - self._worth(v, rung - 1) / max(1e-9, self.best)) ** 2
 
     def _worth(self, v: Viewing, rung: int) -> float:
         """What the step from this rung to the next earns for each kB."""
