Own rates, racks and told uplinks each worked out in one place

Found by reading the whole change: the sum of own rates stood three times, the rack's arithmetic twice, the test for told uplinks four times, load reports were parsed twice in the adapter, and the test ledger held fields nobody read. Uplinks are made at start instead of at each look-up, and the guess behind a reading is worked out only where the reading is missing or old.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -12,7 +12,7 @@
 import struct
 import zlib
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from statistics import median
 
 from ledgehitch import interface as say
@@ -73,13 +73,13 @@
     def change(self, now: float, kb: float) -> None:
         self.changes.append((now, kb))
 
-    def predicted(self, now: float, guess: float, stale: float) -> float:
+    def predicted(self, now: float, guess: Callable[[], float], stale: float) -> float:
         """The reading and what this gateway changed since; an old reading fades into the guess."""
         if self.value is None:
-            return guess
+            return guess()
         known = max(0.0, self.value + sum(kb for _, kb in self.changes) / self.cap_kb)
         age = max(0.0, now - self.at - stale)
-        return known + (guess - known) * min(1.0, age / stale)
+        return known + (guess() - known) * min(1.0, age / stale) if age > 0 else known
 
 
 class MediaHost:
@@ -99,6 +99,9 @@
         self.sent: deque[float] = deque(maxlen=512)  # when it was last sent set-ups
         self.tick_at = 0.0
 
+    def own_kb(self) -> float:
+        return sum(v.kb for v in self.viewings.values())
+
     def failing(self) -> float:
         return self.bad / (self.good + self.bad + 2.0)
 
@@ -130,7 +133,7 @@
         self.packages = {p.name: p for p in packages}
         self.fleet, self.terms = fleet, terms
         self.hosts: dict[str, MediaHost] = {}
-        self.uplinks: dict[int, Use] = {}
+        self.uplinks = [Use(fleet.uplink_kb or 1e12) for _ in range(max(1, fleet.racks))]
         self.viewings: dict[int, Viewing] = {}
         self.waiting: dict[int, Viewing] = {}
         self.took = [0.0] * (len(BINS) + 1)
@@ -140,6 +143,7 @@
         self.gains = [(w2 - w1) / max(1e-9, kb2 - kb1) for kb1, kb2, w1, w2 in steps]
         self.best = max((p.value * g / max(1e-9, p.scale) for p in packages for g in self.gains), default=1.0)
         self.stale = max(1.0, TRUST * (fleet.told_every or 2.0))
+        self.x1 = "x1" in fleet.load_fields  # whether the use of uplinks is reported
         self.must_probe = fleet.reports == "pull" and terms.may_probe
         self.untold = b""  # changes of own viewings' rates that the other gateways have not heard of
         self.plan: Iterator[Decision] | None = None
@@ -160,10 +164,10 @@
             self.list_due, self.list_wait = None, ASK_AGAIN[0]
         if how in ("total", "warm_copy"):
             named = {row.host for row in rows}
-            for name, host in self.hosts.items():
-                host.listed = host.listed and name in named
+            for name, known in self.hosts.items():
+                known.listed = known.listed and name in named
         for row in rows:
-            host = self.hosts.get(row.host)  # type: ignore[assignment]
+            host = self.hosts.get(row.host)
             if host is None:
                 host = self.hosts[row.host] = MediaHost(row, self._link_kb(row, len(rows)))
                 host.tick_at = now + self.chance.random() * TICK
@@ -215,7 +219,7 @@
         if kind == 2 and v is not None and v.playing:
             self._load(now, v, int(min(value, len(self.rates) - 1)))
             self._begin(now, v)
-            if "x1" in self.fleet.load_fields:
+            if self.x1:
                 v.hold_until = now  # it did not step: only until the first reports of both does it hold
         if h is None:
             return
@@ -232,7 +236,7 @@
         elif kind in (3, 4):
             if kind == 3:
                 h.told_link = value
-                if value - sum(x.kb for x in h.viewings.values()) / h.link.cap_kb > OTHERS:
+                if value - h.own_kb() / h.link.cap_kb > OTHERS:
                     h.doubted_until = -1e9  # others play there, so it did not just start
                 if v is not None and v.news_at < 0:
                     at = v.news_at = now  # what comes with a set-up is fresh
@@ -300,8 +304,7 @@
         return row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / max(1, listed)
 
     def _uplink(self, h: MediaHost) -> Use:
-        rack = h.row.cell % max(1, self.fleet.racks)
-        return self.uplinks.setdefault(rack, Use(self.fleet.uplink_kb or 1e12))
+        return self.uplinks[h.row.cell % len(self.uplinks)]
 
     def _begin(self, now: float, v: Viewing) -> None:
         v.low = v.high = v.rung
@@ -345,14 +348,14 @@
         only when two of its media hosts are short whose links have room by their own report, or the only one
         that plays for this gateway, or when the uplink is reported fuller than the link.
         """
-        up, x1 = self._uplink(h), "x1" in self.fleet.load_fields
+        up = self._uplink(h)
         rack = [x for x in self.hosts.values() if x.viewings and self._uplink(x) is up]
         rack = [x for x in rack if x.told_link < PRESSED]
         short = sum(now - x.share_at < 1.5 for x in rack)
-        if (x1 and (up.value or 0.0) > max(MARK, h.told_link)) or (
+        if (self.x1 and (up.value or 0.0) > max(MARK, h.told_link)) or (
             h in rack and (short > 1 or len(rack) == 1 and share > 0.5)
         ):
-            if not x1:
+            if not self.x1:
                 up.cap_kb = max(0.3 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
             up.read(now, at, 1 / share)
         else:
@@ -387,15 +390,15 @@
         Guards against reports that stay out: an old reading fades into what this gateway's own viewings ask,
         times the gateways, so that a media host once thought full is tried again and tells its use.
         """
-        own = sum(v.kb for v in h.viewings.values()) / h.link.cap_kb
-        return h.link.predicted(now, min(own * self.terms.gateways, MARK), self.stale)
+        n = self.terms.gateways
+        return h.link.predicted(now, lambda: min(h.own_kb() / h.link.cap_kb * n, MARK), self.stale)
 
     def _rack_kb(self, now: float, h: MediaHost) -> float:
-        rack, racks = h.row.cell % max(1, self.fleet.racks), max(1, self.fleet.racks)
+        up = self._uplink(h)
         return sum(
             min(use := self.use_link(now, x), 1 / max(use, 1.0)) * x.link.cap_kb
             for x in self.hosts.values()
-            if x.listed and x.row.cell % racks == rack
+            if x.listed and self._uplink(x) is up
         )
 
     def use_uplink(self, now: float, h: MediaHost) -> float:
@@ -403,14 +406,13 @@
             return 0.0
         up = self._uplink(h)
         taught = max(0.0, 1 - max(0.0, now - up.at) / FORGET)  # of its size, by short notes
-        guess = self._rack_kb(now, h) / (self.fleet.uplink_kb + (up.cap_kb - self.fleet.uplink_kb) * taught)
-        return up.predicted(now, guess, self.stale if "x1" in self.fleet.load_fields else 1.0)
+        size = self.fleet.uplink_kb + (up.cap_kb - self.fleet.uplink_kb) * taught
+        return up.predicted(now, lambda: self._rack_kb(now, h) / size, self.stale if self.x1 else 1.0)
 
     def own_part(self, now: float, h: MediaHost) -> float:
         """This gateway's part of what is asked of a media host's link."""
-        own = sum(v.kb for v in h.viewings.values())
         asked = max(1.0, self.use_link(now, h) * h.link.cap_kb)
-        return min(1.0, max(1 / max(1, self.terms.gateways), own / asked))
+        return min(1.0, max(1 / max(1, self.terms.gateways), h.own_kb() / asked))
 
     # ---- decisions -----------------------------------------------------------------------------------------
 
@@ -593,7 +595,7 @@
     def _step(self, now: float, v: Viewing, h: MediaHost) -> int:
         """EDRA for one viewing: measure, estimate, bounds, then a rung at most (to the measure if short)."""
         link, up = self.use_link(now, h), self.use_uplink(now, h)
-        rate, part = self._rate(v, v.rung), self.own_part(now, h)
+        rate = self._rate(v, v.rung)
         share = 1 / max(link, up, 1e-9) if h.short and now - h.share_at < SHORT_FOR else 1.0
         if share < SHORT:
             measure = rate * share
@@ -603,7 +605,7 @@
                 (mark - use) * cap if use < mark else min(0.0, PRESSED - use) * cap
                 for use, cap in ((link, h.link.cap_kb), (up, self._uplink(h).cap_kb))
             )
-            measure = max(0.0, rate + room * part)
+            measure = max(0.0, rate + room * self.own_part(now, h))
         v.estimate = (NEW * measure + OLD * v.estimate) / (NEW + OLD)
         below = self._below(v, measure)
         if measure > v.last:
--- a/ledgehitch/simhost/wire.py
+++ b/ledgehitch/simhost/wire.py
@@ -177,6 +177,10 @@
     return _num(text) / 1000
 
 
+def _loads(text: str) -> list[float]:
+    return [] if text == "-" else [_num(part) for part in text.split(",")]
+
+
 # How many parts each message has after its name; None: any number.
 PARTS: dict[str, int | None] = {
     "at": 1, "create": None, "down": 0, "snapshot_rows": 2, "row": 7, "view": 3, "query": 11, "existing": 12,
@@ -259,7 +263,7 @@
             return None
         if name == "view":
             rows = [] if p[0] == "lost" else self.lists[int(p[2])]
-            return lambda n=now, h=p[0]: gw.listed(n, h, rows)  # type: ignore[misc]
+            return lambda: gw.listed(now, p[0], rows)
         if name == "query":
             vw, patience, _key, _marks, spread, _hint, title, first, top, _tenant, package = p
             asked = (int(vw), package, title, int(_num(first)), int(_num(spread)), int(_num(top)))
@@ -276,15 +280,13 @@
             note = (int(p[0]), p[2], int(p[3]), _num(p[4]))
             return lambda: gw.told(now, *note)
         if name == "answer":
-            loads = [] if p[6] == "-" else [_num(part) for part in p[6].split(",")]
-            answer = (int(p[0]), bool(int(p[1])), int(p[2]), p[3], _ms(p[4]), int(p[5]), loads)
+            answer = (int(p[0]), bool(int(p[1])), int(p[2]), p[3], _ms(p[4]), int(p[5]), _loads(p[6]))
             return lambda: gw.ended(now, *answer)
         if name == "withdrawn":
             gone = int(p[0])
             return lambda: gw.left(now, gone)
         if name == "probe_done":
-            loads = [] if p[3] == "-" else [_num(part) for part in p[3].split(",")]
-            probed = (p[2], int(p[1]), _ms(p[0]), loads)
+            probed = (p[2], int(p[1]), _ms(p[0]), _loads(p[3]))
             return lambda: gw.probed(now, *probed)
         if name == "from_peer":
             words = bytes.fromhex(p[1]) if p[1] != "-" else b""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -38,14 +38,14 @@
 class Ledger:
     """What the rules of the wire say, counted from the outside."""
 
-    def __init__(self, gw: Gateway, packages: dict[str, Package], terms: Terms, slots: int) -> None:
-        self.gw, self.packages, self.terms, self.slots = gw, packages, terms, slots
+    def __init__(self, gw: Gateway, terms: Terms, slots: int) -> None:
+        self.gw, self.terms, self.slots = gw, terms, slots
         self.open: dict[int, tuple[Package, str, float, int]] = {}  # package, title, patience, top
+        self.known: dict[int, tuple[Package, str, float, int]] = {}  # the same, of all ever asked
         self.out: dict[int, tuple[str, int, float]] = {}  # tune-in that is out: host, number, ends
         self.playing: dict[int, str] = {}
         self.ran: dict[int, tuple[str, float]] = {}  # where and when a tune-in may have run
         self.count: dict[int, int] = {}
-        self.first_at: dict[int, float] = {}
         self.told_gone: dict[str, float] = {}
         self.started: dict[str, float] = {}
         self.sent: list[tuple[float, str]] = []
@@ -77,8 +77,6 @@
                 del self.open[vw]
                 assert vw not in self.out
 
-    known: dict[int, tuple[Package, str, float, int]]
-
     def tune_in(self, now: float, vw: int, host: str, within: float) -> None:
         package, title, patience, _ = self.open[vw]
         assert vw not in self.out and vw not in self.playing, "rule 2: never two out"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -35,8 +35,7 @@
 def test_the_rules_hold_at_every_step(package: Package, terms: Terms, fleet: Fleet, seed: int) -> None:
     now, vw, chance = 50.0, 0, random.Random(seed)
     gw = Gateway(3, now, LADDER, (package,), fleet, terms)
-    book = Ledger(gw, {"p": package}, terms, (fleet.slots or {}).get("k", 1))
-    book.known = {}
+    book = Ledger(gw, terms, (fleet.slots or {}).get("k", 1))
     fresh = [Row(f"h{i}", i, 2.0, "k", "ab"[i % 2], "in_service", 0.0) for i in range(5)]
 
     def take(how: str, rows: list[Row]) -> None:
