--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -83,8 +83,8 @@
 
 
 class MediaHost:
-    def __init__(self, row: Row, link_kb: float) -> None:
-        self.row = row
+    def __init__(self, row: Row, link_kb: float, uplink: Use, rack: list["MediaHost"]) -> None:
+        self.row, self.uplink, self.rack = row, uplink, rack  # the uplink and the hosts it serves, itself too
         self.mark = zlib.crc32(row.host.encode()) & 0xFFFF  # the same at every gateway
         self.link = Use(link_kb)
         self.listed = False
@@ -133,7 +133,9 @@
         self.packages = {p.name: p for p in packages}
         self.fleet, self.terms = fleet, terms
         self.hosts: dict[str, MediaHost] = {}
-        self.uplinks = [Use(fleet.uplink_kb or 1e12) for _ in range(max(1, fleet.racks))]
+        self.racks: list[tuple[Use, list[MediaHost]]] = [
+            (Use(fleet.uplink_kb or 1e12), []) for _ in range(max(1, fleet.racks))
+        ]
         self.viewings: dict[int, Viewing] = {}
         self.waiting: dict[int, Viewing] = {}
         self.took = [0.0] * (len(BINS) + 1)
@@ -169,7 +171,10 @@
         for row in rows:
             host = self.hosts.get(row.host)
             if host is None:
-                host = self.hosts[row.host] = MediaHost(row, self._link_kb(row, len(rows)))
+                link_kb = row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / len(rows)
+                host = MediaHost(row, link_kb, *self.racks[row.cell % len(self.racks)])
+                host.rack.append(host)
+                self.hosts[row.host] = host
                 host.tick_at = now + self.chance.random() * TICK
                 # Guards against a media host that started while this gateway was away or its list was late.
                 if how == "warm_copy":
@@ -227,7 +232,7 @@
         if kind == 1:
             was_short, h.short = h.short, value < SHORT
             if was_short and not h.short:
-                for use in (h.link, self._uplink(h)):
+                for use in (h.link, h.uplink):
                     if use.value is not None and use.value > 1.0:
                         use.read(now, at, 1.0)
             if h.short:
@@ -240,7 +245,7 @@
                     h.doubted_until = -1e9  # others play there, so it did not just start
                 if v is not None and v.news_at < 0:
                     at = v.news_at = now  # what comes with a set-up is fresh
-            (h.link if kind == 3 else self._uplink(h)).read(now, at, value, NEWS)
+            (h.link if kind == 3 else h.uplink).read(now, at, value, NEWS)
 
     def ended(self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
               loads: Sequence[float] = ()) -> None:  # fmt: skip
@@ -300,12 +305,6 @@
         self.viewings[vw] = Viewing(vw, p, title, cells, min(top, p.top, len(self.rates) - 1))
         return self.viewings[vw]
 
-    def _link_kb(self, row: Row, listed: int) -> float:
-        return row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / max(1, listed)
-
-    def _uplink(self, h: MediaHost) -> Use:
-        return self.uplinks[h.row.cell % len(self.uplinks)]
-
     def _begin(self, now: float, v: Viewing) -> None:
         v.low = v.high = v.rung
         v.estimate = v.last = self._rate(v, v.rung)
@@ -329,7 +328,7 @@
 
     def _changed(self, now: float, h: MediaHost, kb: float) -> None:
         h.link.change(now, kb)
-        self._uplink(h).change(now, kb)
+        h.uplink.change(now, kb)
 
     def _reported(self, now: float, h: MediaHost | None, loads: Sequence[float]) -> None:
         for field, value in zip(self.fleet.load_fields, loads, strict=False):
@@ -339,7 +338,7 @@
                 h.told_link = value
                 h.link.read(now, now - 0.3, value, NEWS)
             elif field == "x1":
-                self._uplink(h).read(now, now - 0.3, value, NEWS)
+                h.uplink.read(now, now - 0.3, value, NEWS)
 
     def _ran_short(self, now: float, at: float, h: MediaHost, share: float) -> None:
         """A short share tells the use of whichever of link and uplink binds.
@@ -348,9 +347,8 @@
         only when two of its media hosts are short whose links have room by their own report, or the only one
         that plays for this gateway, or when the uplink is reported fuller than the link.
         """
-        up = self._uplink(h)
-        rack = [x for x in self.hosts.values() if x.viewings and self._uplink(x) is up]
-        rack = [x for x in rack if x.told_link < PRESSED]
+        up = h.uplink
+        rack = [x for x in h.rack if x.viewings and x.told_link < PRESSED]
         short = sum(now - x.share_at < 1.5 for x in rack)
         if (self.x1 and (up.value or 0.0) > max(MARK, h.told_link)) or (
             h in rack and (short > 1 or len(rack) == 1 and share > 0.5)
@@ -394,17 +392,13 @@
         return h.link.predicted(now, lambda: min(h.own_kb() / h.link.cap_kb * n, MARK), self.stale)
 
     def _rack_kb(self, now: float, h: MediaHost) -> float:
-        up = self._uplink(h)
-        return sum(
-            min(use := self.use_link(now, x), 1 / max(use, 1.0)) * x.link.cap_kb
-            for x in self.hosts.values()
-            if x.listed and self._uplink(x) is up
-        )
+        uses = [(self.use_link(now, x), x.link.cap_kb) for x in h.rack if x.listed]
+        return sum(min(use, 1 / max(use, 1.0)) * cap for use, cap in uses)
 
     def use_uplink(self, now: float, h: MediaHost) -> float:
         if not self.fleet.uplink_kb:
             return 0.0
-        up = self._uplink(h)
+        up = h.uplink
         taught = max(0.0, 1 - max(0.0, now - up.at) / FORGET)  # of its size, by short notes
         size = self.fleet.uplink_kb + (up.cap_kb - self.fleet.uplink_kb) * taught
         return up.predicted(now, lambda: self._rack_kb(now, h) / size, self.stale if self.x1 else 1.0)
@@ -477,7 +471,7 @@
         for rung in range(v.top, v.package.floor - 1, -1):
             mark = self._mark(v, rung) if rung > v.package.floor else FULL_ENOUGH
             kb = self._rate(v, rung)
-            if link + kb / h.link.cap_kb <= mark and up + kb / self._uplink(h).cap_kb <= mark:
+            if link + kb / h.link.cap_kb <= mark and up + kb / h.uplink.cap_kb <= mark:
                 return rung
         return None
 
@@ -603,7 +597,7 @@
             mark = self._mark(v, min(v.rung + 1, v.top))
             room = min(
                 (mark - use) * cap if use < mark else min(0.0, PRESSED - use) * cap
-                for use, cap in ((link, h.link.cap_kb), (up, self._uplink(h).cap_kb))
+                for use, cap in ((link, h.link.cap_kb), (up, h.uplink.cap_kb))
             )
             measure = max(0.0, rate + room * self.own_part(now, h))
         v.estimate = (NEW * measure + OLD * v.estimate) / (NEW + OLD)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -24,7 +24,7 @@
 def step(gw: Gateway, v: Viewing, link: float, uplink: float = 0.0) -> int:
     assert v.host is not None
     v.host.link.read(NOW, NOW, link)
-    gw._uplink(v.host).read(NOW, NOW, uplink)
+    v.host.uplink.read(NOW, NOW, uplink)
     return gw._step(NOW, v, v.host)
 
 
@@ -129,7 +129,7 @@
     before = gw.use_uplink(NOW, gw.hosts["h0"])
     gw.told(NOW, 1, "h0", 1, 0.9)
     gw.told(NOW, 1, "h0", 1, 1.0)
-    assert gw._uplink(gw.hosts["h0"]).value != 0.0 and gw.use_uplink(NOW, gw.hosts["h0"]) >= before
+    assert gw.hosts["h0"].uplink.value != 0.0 and gw.use_uplink(NOW, gw.hosts["h0"]) >= before
 
 
 def test_full_host_is_passed_over_and_all_holders_set_aside_are_used() -> None:
