--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -31,8 +31,12 @@
 FULL_ENOUGH = 1.0  # lowest-rung admissions may fill link and uplink up to this
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
 WORST = 3.0  # a use read as more counts as this, so that one that stands still is forgotten in time
+HASTE = 3.0  # so many times its part may a gateway step down on short delivery: more drops deeper, sooner
 SHORT_FOR = 2.5  # seconds that a short note counts when no further one comes
 NEWS = 0.5  # weight of a use that is reported against the one that was predicted: reports are noisy
+USUAL, USUAL_NEWS = 0.5, 0.1  # use of a link before any report, weight of each report in the usual one
+PRIOR = 0.3  # use by own viewings from which a guess goes by them rather than by the usual use
+DRAWN = 3  # holders without a late reading that a viewing looks at, drawn by chance: more herd, fewer miss
 TRUST = 1.5  # a reading older than so many telling intervals fades into what is guessed
 BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
 FORGET = 20.0  # seconds until an uplink told to be short is taken for a usual one again
@@ -48,7 +52,9 @@
 OTHERS = 0.3  # with so much of a link asked by others, a media host did not just start
 ASK_AGAIN = 0.5, 6.0  # first and longest wait before a lost list is asked for again
 LOOK = 0.05  # seconds between looks for a holder while viewings wait
-CHANGE = struct.Struct(">Hh")  # a change told to other gateways: which media host, kB a second
+WORD = struct.Struct(">HhBB")  # told to others: which media host, change in kB a second, uses in hundredths
+UNSAID = 255  # a use that a word leaves out
+RECEIVERS = 2  # gateways that a word goes to: more tell more, and cost as many times as much
 EDGE = 0.03  # seconds kept free before patience ends
 
 
@@ -147,7 +153,8 @@
         self.stale = max(1.0, TRUST * (fleet.told_every or 2.0))
         self.x1 = "x1" in fleet.load_fields  # whether the use of uplinks is reported
         self.must_probe = fleet.reports == "pull" and terms.may_probe
-        self.untold = b""  # changes of own viewings' rates that the other gateways have not heard of
+        self.usual = USUAL  # use of a link, as reports have it lately
+        self.untold = b""  # own changes of rates, and reports, that other gateways have not heard of
         self.plan: Iterator[Decision] | None = None
         self.list_due = now if terms.on_request else None
         self.list_wait = ASK_AGAIN[0]
@@ -188,10 +195,9 @@
     def asked(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
               patience: float) -> None:  # fmt: skip
         self.plan = None
-        v = self._viewing(vw, package, title, (first, spread), top)
+        v = self.waiting[vw] = self._viewing(vw, package, title, (first, spread), top)
         v.patience, v.asked_at = patience, now
         self.asked_times.append(now)
-        self.waiting[vw] = v
 
     def handed_over(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
                     host: str) -> None:  # fmt: skip
@@ -239,13 +245,9 @@
                 h.share_at = now
                 self._ran_short(now, at, h, max(value, 0.05))
         elif kind in (3, 4):
-            if kind == 3:
-                h.told_link = value
-                if value - h.own_kb() / h.link.cap_kb > OTHERS:
-                    h.doubted_until = -1e9  # others play there, so it did not just start
-                if v is not None and v.news_at < 0:
-                    at = v.news_at = now  # what comes with a set-up is fresh
-            (h.link if kind == 3 else h.uplink).read(now, at, value, NEWS)
+            if kind == 3 and v is not None and v.news_at < 0:
+                at = v.news_at = now  # what comes with a set-up is fresh
+            self._read(now, at, h, kind == 3, value)
 
     def ended(self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
               loads: Sequence[float] = ()) -> None:  # fmt: skip
@@ -282,14 +284,17 @@
         self._reported(now, self.hosts.get(host), loads)
 
     def peer_said(self, now: float, words: bytes) -> None:
-        """Changes that another gateway booked; what does not parse or names no media host is passed over."""
+        """What another gateway booked and was told; what does not parse or names no host is passed over."""
         self.plan = None
-        if len(words) % CHANGE.size == 0:
-            most = 2 * self.rates[-1]
-            for name, kb in CHANGE.iter_unpack(words):
+        if len(words) % WORD.size == 0:
+            at, most = now - self.fleet.told_late, 2 * self.rates[-1]
+            for name, kb, link, up in WORD.iter_unpack(words):
                 for h in self.hosts.values():
                     if h.mark == name and abs(kb) <= most:
                         self._changed(now, h, kb)
+                        for use, value in ((h.link, link), (h.uplink, up)):
+                            if value != UNSAID:
+                                use.read(now, at, value / 100, NEWS)
 
     def wake_at(self) -> float | None:
         due = [h.tick_at for h in self.hosts.values() if h.viewings or self.must_probe]
@@ -321,11 +326,13 @@
             v.rung = rung
         if v.host is not None and kb != v.kb:
             self._changed(now, v.host, kb - v.kb)
-            if self.terms.may_tell and self.terms.gateways > 1:
-                told = max(-32767, min(32767, round(kb - v.kb)))
-                self.untold += CHANGE.pack(v.host.mark, told)
+            self._tell(v.host, kb - v.kb)
         v.kb = kb
 
+    def _tell(self, h: MediaHost, kb: float, link: int = UNSAID, up: int = UNSAID) -> None:
+        if self.terms.may_tell and self.terms.gateways > 1:
+            self.untold += WORD.pack(h.mark, max(-32767, min(32767, round(kb))), link, up)
+
     def _changed(self, now: float, h: MediaHost, kb: float) -> None:
         h.link.change(now, kb)
         h.uplink.change(now, kb)
@@ -334,11 +341,19 @@
         for field, value in zip(self.fleet.load_fields, loads, strict=False):
             if h is None or not 0 <= value < math.inf:
                 continue
-            if field == "x0" or (field == "cpu" and value < 1):
-                h.told_link = value
-                h.link.read(now, now - 0.3, value, NEWS)
-            elif field == "x1":
-                h.uplink.read(now, now - 0.3, value, NEWS)
+            if field in ("x0", "x1") or (field == "cpu" and value < 1):
+                self._read(now, now - 0.3, h, field != "x1", value)
+
+    def _read(self, now: float, at: float, h: MediaHost, link: bool, value: float) -> None:
+        """A report, which others are told of: what is asked of a link (or uplink) over what it gives."""
+        if link:
+            h.told_link = value
+            self.usual += USUAL_NEWS * (min(value, 1.0) - self.usual)
+            if value - h.own_kb() / h.link.cap_kb > OTHERS:
+                h.doubted_until = -1e9  # others play there, so it did not just start
+        (h.link if link else h.uplink).read(now, at, value, NEWS)
+        use = min(UNSAID - 1, round(100 * value))
+        self._tell(h, 0.0, *((use, UNSAID) if link else (UNSAID, use)))
 
     def _ran_short(self, now: float, at: float, h: MediaHost, share: float) -> None:
         """A short share tells the use of whichever of link and uplink binds.
@@ -385,11 +400,11 @@
     def use_link(self, now: float, h: MediaHost) -> float:
         """What is asked of a link over what it gives.
 
-        Guards against reports that stay out: an old reading fades into what this gateway's own viewings ask,
-        times the gateways, so that a media host once thought full is tried again and tells its use.
+        Guards against reports that stay out, and a fleet of which a gateway sees little: an old reading fades
+        into the usual one, the more so the more this gateway has there, never more than the mark.
         """
-        n = self.terms.gateways
-        return h.link.predicted(now, lambda: min(h.own_kb() / h.link.cap_kb * n, MARK), self.stale)
+        more = (h.own_kb() / h.link.cap_kb + PRIOR) / (self.usual / self.terms.gateways + PRIOR)
+        return h.link.predicted(now, lambda: min(self.usual * more, MARK), self.stale)
 
     def _rack_kb(self, now: float, h: MediaHost) -> float:
         uses = [(self.use_link(now, x), x.link.cap_kb) for x in h.rack if x.listed]
@@ -403,11 +418,6 @@
         size = self.fleet.uplink_kb + (up.cap_kb - self.fleet.uplink_kb) * taught
         return up.predicted(now, lambda: self._rack_kb(now, h) / size, self.stale if self.x1 else 1.0)
 
-    def own_part(self, now: float, h: MediaHost) -> float:
-        """This gateway's part of what is asked of a media host's link."""
-        asked = max(1.0, self.use_link(now, h) * h.link.cap_kb)
-        return min(1.0, max(1 / max(1, self.terms.gateways), h.own_kb() / asked))
-
     # ---- decisions -----------------------------------------------------------------------------------------
 
     now = 0.0
@@ -435,8 +445,10 @@
                     yield say.Probe(h.row.host)  # where load is told to those who ask only
                 yield from self._step_host(now, h)
         if self.untold:
-            words, self.untold = self.untold[: CHANGE.size * 60], b""
-            yield say.Tell(words)
+            words, self.untold = self.untold[: WORD.size * 42], b""
+            others = [i for i in range(self.terms.gateways) if i != self.terms.ordinal]
+            for to in self.chance.sample(others, min(RECEIVERS, len(others))):
+                yield say.Tell(words, to)
 
     def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
         """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting."""
@@ -445,6 +457,10 @@
             # Guards against a fleet that looks ill as a whole: with every holder set aside, all are used.
             holders = [h for h in holders if now >= h.aside_until] or holders
             if holders:
+                # Guards against gateways that know little all going to the same media host.
+                unread = [h for h in holders if now - h.link.at > 2 * self.stale]
+                drawn = self.chance.sample(unread, min(DRAWN, len(unread)))
+                holders = drawn + [h for h in holders if now - h.link.at <= 2 * self.stale]
                 h = min(holders, key=lambda h: (self._least_used(now, v, h), h.row.host))
                 rung = self._fitting(now, v, h)
                 if rung is not None:
@@ -561,13 +577,22 @@
         return 0.6 * v.package.join_target
 
     def _step_host(self, now: float, h: MediaHost) -> Iterator[Decision]:
-        """The mechanism, one viewing after the other, so that a short note does not step them all at once."""
+        """The mechanism, one viewing after the other, and by chance no more than this gateway's part.
+
+        Guards against all gateways stepping at once on the same news: together they change the rates there by
+        what brings link and uplink to the mark, each by its part of it, which chance rounds to whole steps.
+        """
         playing = [v for v in h.viewings.values() if v.playing and not v.gone]
-        pressed = max(self.use_link(now, h), self.use_uplink(now, h)) > MARK
-        playing.sort(key=lambda v: (self._worth(v, v.rung - 1) if pressed else -self._worth(v, v.rung), v.vw))
+        use = max(self.use_link(now, h), self.use_uplink(now, h), 1e-9)
+        part, dice = h.own_kb() * abs(MARK / use - 1), self.chance.random()
+        if h.short and now - h.share_at < SHORT_FOR:
+            part *= HASTE
+        playing.sort(key=lambda v: (self._worth(v, v.rung - 1) if use > MARK else -self._worth(v, v.rung), v.vw))
         for v in playing:
             rung = self._step(now, v, h)
-            if rung != v.rung:
+            change = abs(self._rate(v, rung) - self._rate(v, v.rung))
+            if change and dice * change <= part:
+                part -= change
                 self._load(now, v, rung)
                 v.hold_until = now + HOLD
                 yield say.SetRung(v.vw, rung)
@@ -599,7 +624,7 @@
                 (mark - use) * cap if use < mark else min(0.0, PRESSED - use) * cap
                 for use, cap in ((link, h.link.cap_kb), (up, h.uplink.cap_kb))
             )
-            measure = max(0.0, rate + room * self.own_part(now, h))
+            measure = max(0.0, rate + room)
         v.estimate = (NEW * measure + OLD * v.estimate) / (NEW + OLD)
         below = self._below(v, measure)
         if measure > v.last:
--- a/ledgehitch/interface.py
+++ b/ledgehitch/interface.py
@@ -146,9 +146,10 @@
 
 @dataclass(frozen=True)
 class Tell:
-    """Words for all the other gateways."""
+    """Words for another gateway, named by its ordinal."""
 
     words: bytes
+    to: int
 
 
 Decision = TuneIn | SetRung | Block | Abort | Probe | Subscribe | Tell
--- a/ledgehitch/simhost/wire.py
+++ b/ledgehitch/simhost/wire.py
@@ -145,8 +145,8 @@
             return f"poll\t{host}"
         case Subscribe():
             return "watch\t1"
-        case Tell(words):
-            return f"post\tall\t{words.hex()}"
+        case Tell(words, to):
+            return f"post\t{to}\t{words.hex()}"
 
 
 class Instance:
