Choice, steps and words that hold at full size: usual use, chance, few words

Cause: with hundreds of gateways an unread media host looked empty to all, each gateway with one viewing stepped it on the same note, and every change of rate went to all gateways. The wait before a lost list is asked for again is fixed plus random now, without doubling.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -13,6 +13,7 @@
 import zlib
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
+from itertools import accumulate
 from statistics import median
 
 from ledgehitch import interface as say
@@ -36,24 +37,23 @@
 NEWS = 0.5  # weight of a use that is reported against the one that was predicted: reports are noisy
 USUAL, USUAL_NEWS = 0.5, 0.1  # use of a link before any report, weight of each report in the usual one
 PRIOR = 0.3  # use by own viewings from which a guess goes by them rather than by the usual use
-DRAWN = 3  # holders without a late reading that a viewing looks at, drawn by chance: more herd, fewer miss
+DRAWN = 3  # holders without a recent reading that are looked at, drawn by chance: more find an emptier one
 TRUST = 1.5  # a reading older than so many telling intervals fades into what is guessed
 BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
 FORGET = 20.0  # seconds until an uplink told to be short is taken for a usual one again
 LATE = 0.99, 2.0  # a tune-in is given up at this quantile of set-ups, times this: lower wastes slow set-ups
-SHORTEST, UNKNOWN = 0.25, 0.45  # shortest time-out, and the one used before set-ups were seen
-MIN_SEEN = 8  # outcomes after which a histogram is believed
-HALVE_AT = 40  # outcomes after which a media host's tally is halved
+SHORTEST, UNKNOWN, LONGEST = 0.25, 0.45, 0.6  # time-outs: shortest, at first, longest (in join targets)
+MIN_SEEN, HALVE_AT = 8, 40  # outcomes after which a histogram is believed, and a media host's tally halved
 ILL = 0.25  # a media host whose failures exceed the fleet median by this share is set aside
+FAILURES = Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET
 IN_A_ROW = 2  # so many failures in a row set aside too, whatever the share
 ASIDE, ASIDE_MORE = 4.0, 3.0  # a media host set aside stays so for the first, plus up to the second by chance
 COLD_SAFE = 0.8  # part of the budget for cold media hosts that all gateways together plan to use
 LIST_LATE = 7.0  # seconds by which a list may lag: a restarted gateway doubts what it does not know so long
 OTHERS = 0.3  # with so much of a link asked by others, a media host did not just start
-ASK_AGAIN = 0.5, 6.0  # first and longest wait before a lost list is asked for again
+ASK_AGAIN = 5.0  # seconds, by chance more or less, before a lost list is asked for again
 LOOK = 0.05  # seconds between looks for a holder while viewings wait
-WORD = struct.Struct(">HhBB")  # told to others: which media host, change in kB a second, uses in hundredths
-UNSAID = 255  # a use that a word leaves out
+CHANGE = struct.Struct(">Hh")  # a change told to other gateways: which media host, kB a second
 RECEIVERS = 2  # gateways that a word goes to: more tell more, and cost as many times as much
 EDGE = 0.03  # seconds kept free before patience ends
 
@@ -76,9 +76,6 @@
             while self.changes and self.changes[0][0] <= at:
                 self.changes.popleft()
 
-    def change(self, now: float, kb: float) -> None:
-        self.changes.append((now, kb))
-
     def predicted(self, now: float, guess: Callable[[], float], stale: float) -> float:
         """The reading and what this gateway changed since; an old reading fades into the guess."""
         if self.value is None:
@@ -154,10 +151,9 @@
         self.x1 = "x1" in fleet.load_fields  # whether the use of uplinks is reported
         self.must_probe = fleet.reports == "pull" and terms.may_probe
         self.usual = USUAL  # use of a link, as reports have it lately
-        self.untold = b""  # own changes of rates, and reports, that other gateways have not heard of
+        self.untold = b""  # changes of own viewings' rates that other gateways have not heard of
         self.plan: Iterator[Decision] | None = None
         self.list_due = now if terms.on_request else None
-        self.list_wait = ASK_AGAIN[0]
         budget = COLD_SAFE * terms.fall_multiple * terms.cold_share * terms.fall_after
         self.cold_budget = budget / max(terms.warm_up, 1e-9)  # of all gateways in a window, for each place
 
@@ -166,11 +162,10 @@
     def listed(self, now: float, how: str, rows: Sequence[Row]) -> None:
         self.plan = None
         if how == "lost":
-            self.list_due = now + self.list_wait * (1 + self.chance.random())
-            self.list_wait = min(self.list_wait * 2, ASK_AGAIN[1])
+            self.list_due = now + ASK_AGAIN * (0.2 + self.chance.random())
             return
-        if how != "warm_copy" and self.terms.on_request:
-            self.list_due, self.list_wait = None, ASK_AGAIN[0]
+        if how != "warm_copy":
+            self.list_due = None
         if how in ("total", "warm_copy"):
             named = {row.host for row in rows}
             for name, known in self.hosts.items():
@@ -214,7 +209,7 @@
         v = self.viewings.get(vw)
         if v is None or v.playing or v.host is None:
             return
-        self._tally(now, v.host, True)
+        self._tally(v.host, True)
         self.took[sum(latency > edge for edge in BINS)] += 1
         if sum(self.took) > 10 * HALVE_AT:
             self.took = [n / 2 for n in self.took]
@@ -225,25 +220,22 @@
         """News on a viewing: 1 the share delivered, 2 its rung, 3 and 4 the use of link and uplink."""
         self.plan = None
         v, h = self.viewings.get(vw), self.hosts.get(host)
-        if not 0 <= value < math.inf:
+        if not 0 <= value < math.inf or h is None:
             return
         if kind == 2 and v is not None and v.playing:
             self._load(now, v, int(min(value, len(self.rates) - 1)))
             self._begin(now, v)
-            if self.x1:
-                v.hold_until = now  # it did not step: only until the first reports of both does it hold
-        if h is None:
-            return
+            v.hold_until = now if self.x1 else v.hold_until  # it did not step: holds until both are reported
         at = now - self.fleet.told_late
         if kind == 1:
-            was_short, h.short = h.short, value < SHORT
-            if was_short and not h.short:
+            if value < SHORT:
+                h.short, h.share_at = True, now
+                self._ran_short(now, at, h, max(value, 0.05))
+            elif h.short:
+                h.short = False
                 for use in (h.link, h.uplink):
-                    if use.value is not None and use.value > 1.0:
+                    if (use.value or 0.0) > 1.0:
                         use.read(now, at, 1.0)
-            if h.short:
-                h.share_at = now
-                self._ran_short(now, at, h, max(value, 0.05))
         elif kind in (3, 4):
             if kind == 3 and v is not None and v.news_at < 0:
                 at = v.news_at = now  # what comes with a set-up is fresh
@@ -284,17 +276,13 @@
         self._reported(now, self.hosts.get(host), loads)
 
     def peer_said(self, now: float, words: bytes) -> None:
-        """What another gateway booked and was told; what does not parse or names no host is passed over."""
+        """Changes that another gateway booked; what does not parse or names no media host is passed over."""
         self.plan = None
-        if len(words) % WORD.size == 0:
-            at, most = now - self.fleet.told_late, 2 * self.rates[-1]
-            for name, kb, link, up in WORD.iter_unpack(words):
+        if len(words) % CHANGE.size == 0:
+            for name, kb in CHANGE.iter_unpack(words):
                 for h in self.hosts.values():
-                    if h.mark == name and abs(kb) <= most:
+                    if h.mark == name and abs(kb) <= 2 * self.rates[-1]:
                         self._changed(now, h, kb)
-                        for use, value in ((h.link, link), (h.uplink, up)):
-                            if value != UNSAID:
-                                use.read(now, at, value / 100, NEWS)
 
     def wake_at(self) -> float | None:
         due = [h.tick_at for h in self.hosts.values() if h.viewings or self.must_probe]
@@ -326,16 +314,13 @@
             v.rung = rung
         if v.host is not None and kb != v.kb:
             self._changed(now, v.host, kb - v.kb)
-            self._tell(v.host, kb - v.kb)
+            if self.terms.may_tell:
+                self.untold += CHANGE.pack(v.host.mark, max(-32767, min(32767, round(kb - v.kb))))
         v.kb = kb
 
-    def _tell(self, h: MediaHost, kb: float, link: int = UNSAID, up: int = UNSAID) -> None:
-        if self.terms.may_tell and self.terms.gateways > 1:
-            self.untold += WORD.pack(h.mark, max(-32767, min(32767, round(kb))), link, up)
-
     def _changed(self, now: float, h: MediaHost, kb: float) -> None:
-        h.link.change(now, kb)
-        h.uplink.change(now, kb)
+        h.link.changes.append((now, kb))
+        h.uplink.changes.append((now, kb))
 
     def _reported(self, now: float, h: MediaHost | None, loads: Sequence[float]) -> None:
         for field, value in zip(self.fleet.load_fields, loads, strict=False):
@@ -345,15 +330,13 @@
                 self._read(now, now - 0.3, h, field != "x1", value)
 
     def _read(self, now: float, at: float, h: MediaHost, link: bool, value: float) -> None:
-        """A report, which others are told of: what is asked of a link (or uplink) over what it gives."""
+        """A report: what is asked of a link (or uplink) over what it gives."""
         if link:
             h.told_link = value
             self.usual += USUAL_NEWS * (min(value, 1.0) - self.usual)
             if value - h.own_kb() / h.link.cap_kb > OTHERS:
                 h.doubted_until = -1e9  # others play there, so it did not just start
         (h.link if link else h.uplink).read(now, at, value, NEWS)
-        use = min(UNSAID - 1, round(100 * value))
-        self._tell(h, 0.0, *((use, UNSAID) if link else (UNSAID, use)))
 
     def _ran_short(self, now: float, at: float, h: MediaHost, share: float) -> None:
         """A short share tells the use of whichever of link and uplink binds.
@@ -374,7 +357,7 @@
         else:
             h.link.read(now, at, 1 / share)
 
-    def _tally(self, now: float, h: MediaHost, good: bool) -> None:
+    def _tally(self, h: MediaHost, good: bool) -> None:
         h.good, h.bad, h.in_a_row = h.good + good, h.bad + (not good), 0 if good else h.in_a_row + 1
         if h.good + h.bad > HALVE_AT:
             h.good, h.bad = h.good / 2, h.bad / 2
@@ -386,14 +369,13 @@
         if code == Outcome.FULL:
             # Guards against asking a full media host again and again; holds for links and for places.
             h.link.read(now, now, max(h.told_link, self.fleet.full_from, 1.0))
-        if code == Outcome.RESET and was_playing:
-            h.aside_until = max(h.aside_until, now + ASIDE / 2 + ASIDE_MORE * self.chance.random())
-        if was_playing or code not in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET):
-            return
-        self._tally(now, h, False)
-        usual = median(x.failing() for x in self.hosts.values())
-        if h.in_a_row >= IN_A_ROW or (h.good + h.bad >= 4 and h.failing() > usual + ILL):
-            h.aside_until = now + ASIDE + ASIDE_MORE * self.chance.random()
+        ill = was_playing and code == Outcome.RESET
+        if not was_playing and code in FAILURES:
+            self._tally(h, False)
+            usual = median(x.failing() for x in self.hosts.values())
+            ill = h.in_a_row >= IN_A_ROW or (h.good + h.bad >= 4 and h.failing() > usual + ILL)
+        if ill:
+            h.aside_until = max(h.aside_until, now + ASIDE + ASIDE_MORE * self.chance.random())
 
     # ---- what link and uplink carry ------------------------------------------------------------------------
 
@@ -434,7 +416,7 @@
 
     def _decisions(self, now: float) -> Iterator[Decision]:
         if self.list_due is not None and now >= self.list_due:
-            self.list_due = now + (0.5 * self.terms.ask_within or ASK_AGAIN[1])
+            self.list_due = now + (0.5 * self.terms.ask_within or ASK_AGAIN)
             yield say.Subscribe()
         for v in sorted(self.waiting.values(), key=lambda v: (-v.package.value, v.asked_at)):
             yield from self._place(now, v)
@@ -445,10 +427,12 @@
                     yield say.Probe(h.row.host)  # where load is told to those who ask only
                 yield from self._step_host(now, h)
         if self.untold:
-            words, self.untold = self.untold[: WORD.size * 42], b""
-            others = [i for i in range(self.terms.gateways) if i != self.terms.ordinal]
-            for to in self.chance.sample(others, min(RECEIVERS, len(others))):
-                yield say.Tell(words, to)
+            words, self.untold = self.untold[: CHANGE.size * 60], b""
+            # Guards against a price without use: the chance that others play there too is taken from its own.
+            if self.chance.random() * len(self.hosts) < sum(bool(h.viewings) for h in self.hosts.values()):
+                others = [i for i in range(self.terms.gateways) if i != self.terms.ordinal]
+                for to in self.chance.sample(others, min(RECEIVERS, len(others))):
+                    yield say.Tell(words, to)
 
     def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
         """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting."""
@@ -459,8 +443,8 @@
             if holders:
                 # Guards against gateways that know little all going to the same media host.
                 unread = [h for h in holders if now - h.link.at > 2 * self.stale]
-                drawn = self.chance.sample(unread, min(DRAWN, len(unread)))
-                holders = drawn + [h for h in holders if now - h.link.at <= 2 * self.stale]
+                holders = [h for h in holders if now - h.link.at <= 2 * self.stale]
+                holders += self.chance.sample(unread, min(DRAWN, len(unread)))
                 h = min(holders, key=lambda h: (self._least_used(now, v, h), h.row.host))
                 rung = self._fitting(now, v, h)
                 if rung is not None:
@@ -470,9 +454,8 @@
                 return
         del self.waiting[v.vw]
         del self.viewings[v.vw]
-        if v.may_have_run and v.package.effect != "repeatable" and not (
-            v.package.effect == "by_key" and v.package.key_scope == "all"
-        ):
+        effect, scope = v.package.effect, v.package.key_scope
+        if v.may_have_run and effect != "repeatable" and (effect, scope) != ("by_key", "all"):
             yield say.Abort(v.vw)
         else:
             yield say.Block(v.vw, min(1.0, self.terms.longest_advice) if self.terms.may_advise else 0.0)
@@ -567,28 +550,24 @@
 
     def _time_out(self, v: Viewing) -> float:
         total = sum(self.took)
-        if total < MIN_SEEN:
-            return UNKNOWN
-        seen = 0.0
-        for edge, n in zip(BINS, self.took, strict=False):
-            seen += n
-            if seen >= LATE[0] * total:
-                return min(max(SHORTEST, edge * LATE[1]), 0.6 * v.package.join_target)
-        return 0.6 * v.package.join_target
+        seen = zip((*BINS, math.inf), accumulate(self.took), strict=True)
+        edge = next(edge for edge, n in seen if n >= LATE[0] * total)
+        within = edge * LATE[1] if total >= MIN_SEEN else UNKNOWN
+        return min(max(SHORTEST, within), LONGEST * v.package.join_target)
 
     def _step_host(self, now: float, h: MediaHost) -> Iterator[Decision]:
         """The mechanism, one viewing after the other, and by chance no more than this gateway's part.
 
-        Guards against all gateways stepping at once on the same news: together they change the rates there by
-        what brings link and uplink to the mark, each by its part of it, which chance rounds to whole steps.
+        Guards against all gateways stepping at once on the same news: each changes rates by its part of what
+        brings link and uplink to the mark, which chance rounds to whole steps.
         """
         playing = [v for v in h.viewings.values() if v.playing and not v.gone]
         use = max(self.use_link(now, h), self.use_uplink(now, h), 1e-9)
         part, dice = h.own_kb() * abs(MARK / use - 1), self.chance.random()
         if h.short and now - h.share_at < SHORT_FOR:
             part *= HASTE
-        playing.sort(key=lambda v: (self._worth(v, v.rung - 1) if use > MARK else -self._worth(v, v.rung), v.vw))
-        for v in playing:
+        sign, down = (1, 1) if use > MARK else (-1, 0)  # the cheapest give way first
+        for v in sorted(playing, key=lambda v: (sign * self._worth(v, v.rung - down), v.vw)):
             rung = self._step(now, v, h)
             change = abs(self._rate(v, rung) - self._rate(v, v.rung))
             if change and dice * change <= part:
