Where gateways may ask, a holder without a reading is probed before a viewing is placed

Probing stops at six readings: each probe has a price. It also keeps viewings off hosts that stand still; it hurts where probes are dear or slow (0.1 s is waited at most).

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -2,9 +2,9 @@
 
 How to call it: make a `Gateway(seed, now, ladder, packages, fleet, terms)`. Hand it what happens through
 `listed`, `asked`, `handed_over`, `opened`, `told`, `ended`, `left` and `probed`; these only update what is
-known. Then pull `decide(now)` until it gives None, carrying out each decision as it comes (pulled is done),
-and again after the next event or when the clock reaches `wake_at()`. The interface is in
-`ledgehitch/interface.py`; the mechanism's source and each departure from it are in `docs/design.md`.
+known. Then pull `decide(now)` until it gives None, carrying out each decision as it comes (pulled is done)
+and handing in nothing meanwhile; again after the next events or when the clock reaches `wake_at()`. Types are
+in `ledgehitch/interface.py`; the mechanism's source and each departure from it are in `docs/design.md`.
 """
 
 import math
@@ -37,6 +37,7 @@
 NEWS = 0.5  # weight of a use that is reported against the one that was predicted: reports are noisy
 USUAL, USUAL_NEWS = 0.5, 0.1  # use of a link before any report, weight of each report in the usual one
 PRIOR = 0.3  # use by own viewings from which a guess goes by them rather than by the usual use
+ENOUGH, ANSWERS = 6, 0.1  # readings from which on none is asked for; seconds that an answer is waited for
 DRAWN = 3  # holders without a recent reading that are looked at, drawn by chance: more find an emptier one
 TRUST = 1.5  # a reading older than so many telling intervals fades into what is guessed
 BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
@@ -120,6 +121,8 @@
         self.first_at, self.news_at = 0.0, -1.0  # its first tune-in, the first report after set-up
         self.anchor: Row | None = None  # where a tune-in may have run
         self.tried: list[str] = []
+        self.asks: MediaHost | None = None  # the one probed for it
+        self.asks_until = -1e9
         self.kb = 0.0  # what it counts for on link and uplink
         self.estimate = self.last = 0.0
         self.low = self.high = package.floor
@@ -160,7 +163,6 @@
     # ---- what is known -------------------------------------------------------------------------------------
 
     def listed(self, now: float, how: str, rows: Sequence[Row]) -> None:
-        self.plan = None
         if how == "lost":
             self.list_due = now + ASK_AGAIN * (0.2 + self.chance.random())
             return
@@ -189,14 +191,12 @@
 
     def asked(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
               patience: float) -> None:  # fmt: skip
-        self.plan = None
         v = self.waiting[vw] = self._viewing(vw, package, title, (first, spread), top)
         v.patience, v.asked_at = patience, now
         self.asked_times.append(now)
 
     def handed_over(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
                     host: str) -> None:  # fmt: skip
-        self.plan = None
         v = self._viewing(vw, package, title, (first, spread), top)
         v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
         if v.host:
@@ -205,7 +205,6 @@
         self._begin(now, v)
 
     def opened(self, now: float, vw: int, host: str, tune_in: int, latency: float) -> None:
-        self.plan = None
         v = self.viewings.get(vw)
         if v is None or v.playing or v.host is None:
             return
@@ -218,7 +217,6 @@
 
     def told(self, now: float, vw: int, host: str, kind: int, value: float) -> None:
         """News on a viewing: 1 the share delivered, 2 its rung, 3 and 4 the use of link and uplink."""
-        self.plan = None
         v, h = self.viewings.get(vw), self.hosts.get(host)
         if not 0 <= value < math.inf or h is None:
             return
@@ -243,7 +241,6 @@
 
     def ended(self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
               loads: Sequence[float] = ()) -> None:  # fmt: skip
-        self.plan = None
         h = self.hosts.get(host)
         self._reported(now, h, loads)
         v = self.viewings.get(vw)
@@ -264,7 +261,6 @@
         self.waiting[vw] = v
 
     def left(self, now: float, vw: int) -> None:
-        self.plan = None
         v = self.viewings.get(vw)
         if v is not None and self.waiting.pop(vw, None) is not None:
             del self.viewings[vw]
@@ -272,12 +268,10 @@
             v.gone = True  # its outcome still comes, and frees its seat and load
 
     def probed(self, now: float, host: str, code: int, latency: float, loads: Sequence[float] = ()) -> None:
-        self.plan = None
         self._reported(now, self.hosts.get(host), loads)
 
     def peer_said(self, now: float, words: bytes) -> None:
         """Changes that another gateway booked; what does not parse or names no media host is passed over."""
-        self.plan = None
         if len(words) % CHANGE.size == 0:
             for name, kb in CHANGE.iter_unpack(words):
                 for h in self.hosts.values():
@@ -285,9 +279,8 @@
                         self._changed(now, h, kb)
 
     def wake_at(self) -> float | None:
-        due = [h.tick_at for h in self.hosts.values() if h.viewings or self.must_probe]
-        if self.waiting:
-            due.append(self.now + LOOK)
+        due = [h.tick_at for h in self.hosts.values() if h.viewings]
+        due += [self.now + LOOK] if self.waiting else []
         due += [] if self.list_due is None else [self.list_due]
         return min(due, default=None)
 
@@ -421,7 +414,7 @@
         for v in sorted(self.waiting.values(), key=lambda v: (-v.package.value, v.asked_at)):
             yield from self._place(now, v)
         for h in self.hosts.values():
-            if now >= h.tick_at and (h.viewings or self.must_probe):
+            if now >= h.tick_at and h.viewings:
                 h.tick_at = now + TICK
                 if self.must_probe and h.listed and now - h.link.at > self.stale:
                     yield say.Probe(h.row.host)  # where load is told to those who ask only
@@ -441,10 +434,17 @@
             # Guards against a fleet that looks ill as a whole: with every holder set aside, all are used.
             holders = [h for h in holders if now >= h.aside_until] or holders
             if holders:
-                # Guards against gateways that know little all going to the same media host.
+                # Guards against gateways that know little all going to the same media host, or to one that is
+                # full or stands still: where they may ask, one that they have no reading of is asked first.
                 unread = [h for h in holders if now - h.link.at > 2 * self.stale]
                 holders = [h for h in holders if now - h.link.at <= 2 * self.stale]
-                holders += self.chance.sample(unread, min(DRAWN, len(unread)))
+                if self.terms.may_probe and v.asks is None and unread and len(holders) < ENOUGH:
+                    v.asks, v.asks_until = self.chance.choice(unread), now + ANSWERS
+                    yield say.Probe(v.asks.row.host)
+                if v.asks in unread and now < v.asks_until:
+                    return
+                if v.asks is None or not holders:
+                    holders += self.chance.sample(unread, min(DRAWN, len(unread)))
                 h = min(holders, key=lambda h: (self._least_used(now, v, h), h.row.host))
                 rung = self._fitting(now, v, h)
                 if rung is not None:
