Doubts after a restart end by a probe or a hand-over; lowest-rung admissions stop at 90%

A gateway that is handed viewings was not away and doubts nothing. Known cold hosts are paced as before.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -29,7 +29,7 @@
 CROSS_BIAS = 3.0  # use that a holder in another zone counts as extra, for each unit of the crossing price
 TRIED = 0.5  # use that a holder counts as extra for a viewing that it failed
 SECOND = 0.25  # weight of the emptier of link and uplink when the least used holder is sought
-FULL_ENOUGH = 1.0  # lowest-rung admissions may fill link and uplink up to this
+FULL_ENOUGH = 0.9  # lowest-rung admissions may fill link and uplink up to this: more blocks less, jams more
 WAIT_PART = 0.4  # part of the join target that a viewing may wait for a holder before it is blocked
 WORST = 3.0  # a use read as more counts as this, so that one that stands still is forgotten in time
 HASTE = 1.5  # so many times its part may a gateway step down on short delivery: more drops deeper, sooner
@@ -201,7 +201,8 @@
         v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
         if v.host:
             v.host.viewings[vw] = v
-            v.host.doubted_until = -1e9  # it has been playing, so it did not just start
+        for h in self.hosts.values():
+            h.doubted_until = -1e9  # who is handed viewings was not away, so its list is as good as any
         self._begin(now, v)
 
     def opened(self, now: float, vw: int, host: str, tune_in: int, latency: float) -> None:
@@ -430,21 +431,24 @@
     def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
         """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting."""
         if now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins and self._may_try_again(now, v):
-            holders = [h for h in self.hosts.values() if self._may_take(now, v, h)]
+            held = [h for h in self.hosts.values() if self._holds(v, h)]
             # Guards against a fleet that looks ill as a whole: with every holder set aside, all are used.
-            holders = [h for h in holders if now >= h.aside_until] or holders
+            held = [h for h in held if now >= h.aside_until] or held
+            held = [h for h in held if now >= h.cold_until or not self._too_cold(now, h)]
+            unread = [h for h in held if now - h.link.at > 2 * self.stale]
+            holders = [h for h in held if now - h.link.at <= 2 * self.stale and not self._too_cold(now, h)]
+            # Guards against gateways that know little all going to one media host, or to one that is full, stands
+            # still or just started: where they may ask, one without a reading is asked first.
+            ask = now >= v.asks_until if not holders else v.asks is None and len(holders) < ENOUGH
+            if self.terms.may_probe and unread and ask:
+                v.asks, v.asks_until = self.chance.choice(unread), now + ANSWERS
+                yield say.Probe(v.asks.row.host)
+            if v.asks in unread and now < v.asks_until:
+                return
+            if v.asks is None or not holders:
+                unread = [h for h in unread if not self._too_cold(now, h)]
+                holders += self.chance.sample(unread, min(DRAWN, len(unread)))
             if holders:
-                # Guards against gateways that know little all going to the same media host, or to one that is
-                # full or stands still: where they may ask, one that they have no reading of is asked first.
-                unread = [h for h in holders if now - h.link.at > 2 * self.stale]
-                holders = [h for h in holders if now - h.link.at <= 2 * self.stale]
-                if self.terms.may_probe and v.asks is None and unread and len(holders) < ENOUGH:
-                    v.asks, v.asks_until = self.chance.choice(unread), now + ANSWERS
-                    yield say.Probe(v.asks.row.host)
-                if v.asks in unread and now < v.asks_until:
-                    return
-                if v.asks is None or not holders:
-                    holders += self.chance.sample(unread, min(DRAWN, len(unread)))
                 h = min(holders, key=lambda h: (self._least_used(now, v, h), h.row.host))
                 rung = self._fitting(now, v, h)
                 if rung is not None:
@@ -474,15 +478,10 @@
                 return rung
         return None
 
-    def _may_take(self, now: float, v: Viewing, h: MediaHost) -> bool:
-        first, spread = v.cells
-        places = self.fleet.cells
-        return (
-            h.listed
-            and (places <= 0 or (h.row.cell - first) % places < spread)
-            and not self._too_cold(now, h)
-            and self._within_key(v, h)
-        )
+    def _holds(self, v: Viewing, h: MediaHost) -> bool:
+        (first, spread), places = v.cells, self.fleet.cells
+        holds = places <= 0 or (h.row.cell - first) % places < spread
+        return h.listed and holds and self._within_key(v, h)
 
     def _within_key(self, v: Viewing, h: MediaHost) -> bool:
         """Rule 2: what may have run is sent again only where its package lets it."""
@@ -527,7 +526,8 @@
 
     def _send(self, now: float, v: Viewing, h: MediaHost, rung: int) -> Iterator[Decision]:
         """The one gate that every tune-in passes."""
-        if v.out or v.playing or not self._may_take(now, v, h) or not self._may_try_again(now, v):
+        may = self._holds(v, h) and not self._too_cold(now, h) and self._may_try_again(now, v)
+        if v.out or v.playing or not may:
             return
         if rung != v.rung or v.tune_ins == 0:
             v.rung = rung
