--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -570,7 +570,7 @@
                 yield say.SetRung(v.vw, rung)
 
     def _mark(self, v: Viewing, rung: int) -> float:
-        """Up to where a step to this rung may fill: less where it earns less a kB, as later ones want room."""
+        """Up to where a step to this rung may fill: less where it earns less a kB, to leave room."""
         return MARK - GRADE * max(0.0, 1 - self._worth(v, rung - 1) / max(1e-9, self.best)) ** 2
 
     def _worth(self, v: Viewing, rung: int) -> float:
