A shortage that has just begun is looked at at once, not at the next look

It also covers bursts, shrunken links and uplinks; it may hurt where a short spell ends by itself within a second.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -228,6 +228,8 @@
         at = now - self.fleet.told_late
         if kind == 1:
             if value < SHORT:
+                # Guards against seconds of a fresh shortage passing before the next look.
+                h.tick_at = h.tick_at if h.short else now
                 h.short, h.share_at = True, now
                 self._ran_short(now, at, h, max(value, 0.05))
             elif h.short:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -63,6 +63,17 @@
     assert step(gw, v, 1 / 0.3) == 1, "800 at 0.3 carries 240"
 
 
+def test_fresh_shortage_is_looked_at_at_once_and_a_lasting_one_at_the_next_look() -> None:
+    gw = gateway()
+    playing(gw, rung=3)
+    pulled(gw, NOW)
+    gw.hosts["h0"].tick_at = NOW + 9
+    gw.told(NOW, 1, "h0", 1, 0.2)
+    assert gw.wake_at() == NOW and any(isinstance(d, say.SetRung) for d in pulled(gw, NOW))
+    gw.told(NOW + 1, 1, "h0", 1, 0.2)
+    assert gw.wake_at() == NOW + brain.TICK
+
+
 def test_hold_keeps_the_rung() -> None:
     gw = gateway()
     v = playing(gw)
