Own rates kept as a sum; waits count from when the viewer asked; tests of odd events at full size

Cause: a drill batch of thousands of viewings at one gateway took over a minute, nearly all of it summing own rates again for each ranking.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -96,6 +96,7 @@
         self.short = False
         self.told_link = 0.0  # use of its link as last reported, whatever short notes say
         self.viewings: dict[int, Viewing] = {}
+        self.own_kb = 0.0  # what they count for
         self.good = self.bad = 0.0
         self.in_a_row = 0
         self.aside_until = -1e9
@@ -103,9 +104,6 @@
         self.sent: deque[float] = deque(maxlen=512)  # when it was last sent set-ups
         self.tick_at = 0.0
 
-    def own_kb(self) -> float:
-        return sum(v.kb for v in self.viewings.values())
-
     def failing(self) -> float:
         return self.bad / (self.good + self.bad + 2.0)
 
@@ -192,7 +190,7 @@
     def asked(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
               patience: float) -> None:  # fmt: skip
         v = self.waiting[vw] = self._viewing(vw, package, title, (first, spread), top)
-        v.patience, v.asked_at = patience, now
+        v.patience, v.asked_at = patience, min(now, patience - v.package.patience)
         self.asked_times.append(now)
 
     def handed_over(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
@@ -309,6 +307,7 @@
         if rung is not None:
             v.rung = rung
         if v.host is not None and kb != v.kb:
+            v.host.own_kb += kb - v.kb
             self._changed(now, v.host, kb - v.kb)
             if self.terms.may_tell:
                 self.untold += CHANGE.pack(v.host.mark, max(-32767, min(32767, round(kb - v.kb))))
@@ -330,7 +329,7 @@
         if link:
             h.told_link = value
             self.usual += USUAL_NEWS * (min(value, 1.0) - self.usual)
-            if value - h.own_kb() / h.link.cap_kb > OTHERS:
+            if value - h.own_kb / h.link.cap_kb > OTHERS:
                 h.doubted_until = -1e9  # others play there, so it did not just start
         (h.link if link else h.uplink).read(now, at, value, NEWS)
 
@@ -380,7 +379,7 @@
         Guards against reports that stay out, and a fleet of which a gateway sees little: an old reading fades
         into the usual one, the more so the more this gateway has there, never more than the mark.
         """
-        more = (h.own_kb() / h.link.cap_kb + PRIOR) / (self.usual / self.terms.gateways + PRIOR)
+        more = (h.own_kb / h.link.cap_kb + PRIOR) / (self.usual / self.terms.gateways + PRIOR)
         return h.link.predicted(now, lambda: min(self.usual * more, MARK), self.stale)
 
     def _rack_kb(self, now: float, h: MediaHost) -> float:
@@ -558,7 +557,7 @@
         """
         playing = [v for v in h.viewings.values() if v.playing and not v.gone]
         use = max(self.use_link(now, h), self.use_uplink(now, h), 1e-9)
-        part, dice = h.own_kb() * abs(MARK / use - 1), self.chance.random()
+        part, dice = h.own_kb * abs(MARK / use - 1), self.chance.random()
         if h.short and now - h.share_at < SHORT_FOR:
             part *= HASTE
         sign, down = (1, 1) if use > MARK else (-1, 0)  # the cheapest give way first
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -201,6 +201,37 @@
     assert len(taken) > 4
 
 
+def test_gateway_that_stood_still_answers_at_once_what_has_waited_too_long() -> None:
+    gw = gateway()
+    gw.asked(NOW, 1, "plain", "t1", 0, 6, 3, NOW - 0.5)  # its patience is over already
+    gw.asked(NOW, 2, "plain", "t1", 0, 0, 3, NOW + 1.9)  # no holder, and the viewer asked 1.1 s ago
+    assert pulled(gw, NOW) == [say.Block(1, 0.0), say.Block(2, 0.0)]
+    gw.handed_over(NOW, 3, "plain", "t1", 0, 6, 3, "h0")
+    assert len(pulled(gw, NOW + 30.0)) <= 2, "one look, however late the timer"
+
+
+def test_events_of_viewings_long_ended_and_of_unknown_hosts_are_passed_over() -> None:
+    gw = gateway()
+    gw.told(NOW, 77, "nowhere", 1, 0.1)
+    gw.told(NOW, 77, "h0", 2, 3.0)
+    gw.opened(NOW, 77, "h0", 0, 0.1)
+    gw.ended(NOW, 77, True, Outcome.RESET, "nowhere", 0.1, 0, [0.5, 0.5])
+    gw.left(NOW, 77)
+    gw.probed(NOW, "nowhere", Outcome.TIMEOUT, 0.25)
+    assert pulled(gw, NOW) == [] and not gw.viewings
+
+
+def test_list_of_hundreds_that_all_leave_and_come_back_is_taken() -> None:
+    gw = gateway(hosts=300, fleet=replace(FLEET, uplink_kb=0.0))
+    for i in range(4):
+        gw.listed(NOW + i, "incr", rows(300, "terminated"))
+        ask(gw, NOW + i, i)
+        assert not any(isinstance(d, say.TuneIn) for d in pulled(gw, NOW + i))
+        gw.listed(NOW + i + 0.9, "total", rows(300, started=NOW + i + 0.5))
+    ask(gw, NOW + 20, 99)
+    assert any(isinstance(d, say.TuneIn) for d in pulled(gw, NOW + 20))
+
+
 def test_lost_list_is_asked_for_again() -> None:
     gw = gateway(terms=say.Terms(on_request=True, ask_within=10.0))
     assert pulled(gw, 100.0) == [say.Subscribe()]
