--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -40,6 +40,9 @@
 ENOUGH, ANSWERS = 6, 0.1  # readings from which on none is asked for; seconds that an answer is waited for
 DRAWN = 3  # holders without a recent reading that are looked at, drawn by chance: more find an emptier one
 TRUST = 1.5  # a reading older than so many telling intervals fades into what is guessed
+REPORT_AGE, FORGOTTEN = 0.3, 10.0  # seconds that a load report lags; after which it is not averaged any more
+TOGETHER, ALONE = 1.5, 0.5  # hosts short within these seconds blame the uplink, a lone one from this share
+LEAST_UPLINK = 0.3  # part of the stated size that short notes may teach an uplink to have: less jams less
 BINS = (0.05, 0.1, 0.15, 0.2, 0.3, 0.45, 0.7, 1.1, 2.0)  # seconds a set-up took, coarse
 FORGET = 20.0  # seconds until an uplink told to be short is taken for a usual one again
 LATE = 0.99, 2.0  # a tune-in is given up at this quantile of set-ups, times this: lower wastes slow set-ups
@@ -52,7 +55,7 @@
 COLD_SAFE = 0.8  # part of the budget for cold media hosts that all gateways together plan to use
 LIST_LATE = 7.0  # seconds by which a list may lag: a restarted gateway doubts what it does not know so long
 OTHERS = 0.3  # with so much of a link asked by others, a media host did not just start
-ASK_AGAIN = 5.0  # seconds, by chance more or less, before a lost list is asked for again
+ASK_AGAIN, ASK_MORE = 1.0, 5.0  # seconds until a lost list is asked for again: the first, plus a part by chance
 LOOK = 0.05  # seconds between looks for a holder while viewings wait
 CHANGE = struct.Struct(">Hh")  # a change told to other gateways: which media host, kB a second
 RECEIVERS = 2  # gateways that a word goes to: more tell more, and cost as many times as much
@@ -70,7 +73,7 @@
 
     def read(self, now: float, at: float, value: float, weight: float = 1.0) -> None:
         if value >= 0.0 and at >= self.at:
-            if self.value is not None and now - self.at < 10:
+            if self.value is not None and now - self.at < FORGOTTEN:
                 done = sum(kb for t, kb in self.changes if t <= at) / self.cap_kb
                 value = weight * value + (1 - weight) * max(0.0, self.value + done)
             self.value, self.at = min(value, WORST), at
@@ -162,7 +165,7 @@
 
     def listed(self, now: float, how: str, rows: Sequence[Row]) -> None:
         if how == "lost":
-            self.list_due = now + ASK_AGAIN * (0.2 + self.chance.random())
+            self.list_due = now + (ASK_AGAIN + ASK_MORE * self.chance.random())
             return
         if how != "warm_copy":
             self.list_due = None
@@ -322,7 +325,7 @@
             if h is None or not 0 <= value < math.inf:
                 continue
             if field in ("x0", "x1") or (field == "cpu" and value < 1):
-                self._read(now, now - 0.3, h, field != "x1", value)
+                self._read(now, now - REPORT_AGE, h, field != "x1", value)
 
     def _read(self, now: float, at: float, h: MediaHost, link: bool, value: float) -> None:
         """A report: what is asked of a link (or uplink) over what it gives."""
@@ -341,12 +344,12 @@
         """
         up = h.uplink
         rack = [x for x in h.rack if x.viewings and x.told_link < PRESSED]
-        short = sum(now - x.share_at < 1.5 for x in rack)
+        short = sum(now - x.share_at < TOGETHER for x in rack)
         if (self.x1 and (up.value or 0.0) > max(MARK, h.told_link)) or (
-            h in rack and (short > 1 or len(rack) == 1 and share > 0.5)
+            h in rack and (short > 1 or len(rack) == 1 and share > ALONE)
         ):
             if not self.x1:
-                up.cap_kb = max(0.3 * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
+                up.cap_kb = max(LEAST_UPLINK * self.fleet.uplink_kb, self._rack_kb(now, h) * share)
             up.read(now, at, 1 / share)
         else:
             h.link.read(now, at, 1 / share)
