The doubt is the gateway's, gateways are counted once, a rung told is booked once

A start's doubt stood on every media host and each viewing handed over cleared it on all of them; it is one time of the gateway's now, and a host only says whether it is in doubt. The number of gateways was guarded against 0 in one place of three (a start that told none ended in a division by zero): it is derived once, with a test. Times of viewings asked and tried again were kept for ever where no budget counts them. A told rung was booked twice over; the seats had their condition twice. Left as it is: whether a doubted holder is too cold is asked up to three times when a viewing is placed, which ends at once for hosts that are neither cold nor in doubt.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -103,7 +103,8 @@
         self.good = self.bad = 0.0
         self.in_a_row = 0
         self.aside_until = -1e9
-        self.cold_until = self.doubted_until = -1e9
+        self.cold_until = -1e9
+        self.doubted = False  # whether it may have started while this gateway was away
         self.sent: deque[float] = deque(maxlen=512)  # when it was last sent set-ups
         self.tick_at = 0.0
 
@@ -135,10 +136,12 @@
                  terms: Terms) -> None:  # fmt: skip
         self.chance = random.Random(seed)
         self.started = now
+        self.doubts_until = now + min(terms.warm_up, LIST_LATE)
         self.rates = ladder.kb or (1.0,)
         self.earns = ladder.earns or (1.0,)
         self.packages = {p.name: p for p in packages}
         self.fleet, self.terms = fleet, terms
+        self.gateways = max(1, terms.gateways)
         self.hosts: dict[str, MediaHost] = {}
         self.racks: list[tuple[Use, list[MediaHost]]] = [
             (Use(fleet.uplink_kb or 1e12), []) for _ in range(max(1, fleet.racks))
@@ -182,8 +185,7 @@
                 self.hosts[row.host] = host
                 host.tick_at = now + self.chance.random() * TICK
                 # Guards against a media host that started while this gateway was away or its list was late.
-                if how == "warm_copy":
-                    host.doubted_until = self.started + min(self.terms.warm_up, LIST_LATE)
+                host.doubted = how == "warm_copy"
             if row.started > host.row.started or row.state == "in_service" and not host.listed:
                 began = row.started or (now if how == "incr" else -1e9)
                 host.cold_until = max(host.cold_until, began + self.terms.warm_up)
@@ -194,7 +196,8 @@
               patience: float) -> None:  # fmt: skip
         v = self.waiting[vw] = self._viewing(vw, package, title, (first, spread), top)
         v.patience, v.asked_at = patience, min(now, patience - v.package.patience)
-        self.asked_times.append(now)
+        if self.terms.extra_free is not None:
+            self.asked_times.append(now)
 
     def handed_over(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
                     host: str) -> None:  # fmt: skip
@@ -202,8 +205,7 @@
         v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
         if v.host:
             v.host.viewings[vw] = v
-        for h in self.hosts.values():
-            h.doubted_until = -1e9  # who is handed viewings was not away, so its list is as good as any
+        self.doubts_until = now  # who is handed viewings was not away, so its list is as good as any
         self._begin(now, v)
 
     def opened(self, now: float, vw: int, host: str, tune_in: int, latency: float) -> None:
@@ -223,7 +225,7 @@
         if not 0 <= value < math.inf or h is None:
             return
         if kind == 2 and v is not None and v.playing:
-            self._load(now, v, int(min(value, len(self.rates) - 1)))
+            v.rung = int(min(value, len(self.rates) - 1))
             self._begin(now, v)
             v.hold_until = now if self.x1 else v.hold_until  # it did not step: holds until both are reported
         at = now - self.fleet.told_late
@@ -333,7 +335,7 @@
             h.told_link = value
             self.usual += USUAL_NEWS * (min(value, 1.0) - self.usual)
             if value - h.own_kb / h.link.cap_kb > OTHERS:
-                h.doubted_until = -1e9  # others play there, so it did not just start
+                h.doubted = False  # others play there, so it did not just start
         (h.link if link else h.uplink).read(now, at, value, NEWS)
 
     def _ran_short(self, now: float, at: float, h: MediaHost, share: float) -> None:
@@ -382,7 +384,7 @@
         Guards against reports that stay out, and a fleet of which a gateway sees little: an old reading fades
         into the usual one, the more so the more this gateway has there, never more than the mark.
         """
-        more = (h.own_kb / h.link.cap_kb + PRIOR) / (self.usual / self.terms.gateways + PRIOR)
+        more = (h.own_kb / h.link.cap_kb + PRIOR) / (self.usual / self.gateways + PRIOR)
         return h.link.predicted(now, lambda: min(self.usual * more, MARK), self.stale)
 
     def _rack_kb(self, now: float, h: MediaHost) -> float:
@@ -427,7 +429,7 @@
             words, self.untold = self.untold[: CHANGE.size * 60], b""
             # Guards against a price without use: the chance that others play there too is taken from its own.
             if self.chance.random() * len(self.hosts) < sum(bool(h.viewings) for h in self.hosts.values()):
-                others = [i for i in range(self.terms.gateways) if i != self.terms.ordinal]
+                others = [i for i in range(self.gateways) if i != self.terms.ordinal]
                 for to in self.chance.sample(others, min(RECEIVERS, len(others))):
                     yield say.Tell(words, to)
 
@@ -500,9 +502,10 @@
     def _may_try_again(self, now: float, v: Viewing) -> bool:
         """Rules 5 and 6: a seat is free, and a further tune-in is within the budget."""
         p, t = v.package, self.terms
-        held = [x for x in self.viewings.values() if x.out or x.playing] if p.seats > 0 else []
-        if p.seats > 0 and sum((x.title, x.package) == (v.title, p) for x in held) >= p.seats:
-            return False
+        if p.seats > 0:
+            held = [x for x in self.viewings.values() if x.out or x.playing]
+            if sum((x.title, x.package) == (v.title, p) for x in held) >= p.seats:
+                return False
         if v.tune_ins and t.extra_free is not None:
             for times in (self.asked_times, self.extra_times):
                 while times and times[0] <= now - t.extra_window:
@@ -512,10 +515,10 @@
 
     def _too_cold(self, now: float, h: MediaHost) -> bool:
         """Rule 4: a cold media host gets this gateway's part of its budget, as if all others sent theirs."""
-        if now >= max(h.cold_until, h.doubted_until):
+        if now >= h.cold_until and not (h.doubted and now < self.doubts_until):
             return False
         slots = (self.fleet.slots or {}).get(h.row.kind) or min((self.fleet.slots or {"": 1}).values())
-        budget, n = int(self.cold_budget * slots), max(1, self.terms.gateways)
+        budget, n = int(self.cold_budget * slots), self.gateways
         mine = budget // n + ((self.terms.ordinal - h.mark) % n < budget % n)
         while h.sent and h.sent[0] < now - self.terms.fall_after - 0.1:
             h.sent.popleft()
@@ -529,10 +532,10 @@
         if rung != v.rung or v.tune_ins == 0:
             v.rung = rung
             yield say.SetRung(v.vw, rung)
-        if v.tune_ins:
-            self.extra_times.append(now)
-        else:
+        if not v.tune_ins:
             v.first_at = now
+        elif self.terms.extra_free is not None:
+            self.extra_times.append(now)
         left = v.patience - EDGE - now
         within = left if v.package.effect == "once" else min(self._time_out(v), left)
         self.waiting.pop(v.vw, None)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -232,6 +232,13 @@
     assert any(isinstance(d, say.TuneIn) for d in pulled(gw, NOW + 20))
 
 
+def test_no_gateways_told_counts_as_one_and_without_a_budget_no_times_are_kept() -> None:
+    gw = gateway(terms=replace(TERMS, gateways=0))
+    ask(gw, NOW, 1)
+    assert any(isinstance(d, say.TuneIn) for d in pulled(gw, NOW))
+    assert not gw.asked_times
+
+
 def test_lost_list_is_asked_for_again() -> None:
     gw = gateway(terms=say.Terms(on_request=True, ask_within=10.0))
     assert pulled(gw, 100.0) == [say.Subscribe()]
