--- a/ledgehitch/__init__.py
+++ b/ledgehitch/__init__.py
@@ -1,1 +1,3 @@
-"""ledgehitch: admits viewers to media hosts and sets the rate at which they play."""
+"""ledgehitch: a session front that places viewings on media hosts and sets the rate at which they play."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/ledgehitch/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m ledgehitch`: the command line."""
+
+from ledgehitch.cli.main import main
+
+main()
--- /dev/null
+++ b/ledgehitch/cli/run.py
@@ -0,0 +1,41 @@
+"""`up` and `serve`: a gateway with stand-ins for trying out, and a gateway alone."""
+
+import sys
+from pathlib import Path
+
+import click
+
+from ledgehitch.config import BadInput, facts_of, read_site
+from ledgehitch.gateway.serve import say_ready, serve
+from ledgehitch.rehearsal.up import run_up
+
+
+@click.command()
+@click.option("--port", type=click.IntRange(0, 65535), default=0, help="Of the gateway; 0: any free one.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def up(port: int, seed: int) -> None:
+    """A gateway, a list service and six stand-in media hosts on loopback, until Ctrl-C.
+
+    The first line on standard output, once all is ready, names the gateway's address.
+    """
+    sys.exit(run_up(port, seed))
+
+
+@click.command("serve")
+@click.option("--site", "site_file", type=click.Path(path_type=Path), required=True)
+@click.option("--gateway", "name", default=None, help="Which of the site's gateways; the first if left out.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--state", type=click.Path(path_type=Path), default=None, help="Directory for what the next "
+              "start begins with.")  # fmt: skip
+@click.option("--record", type=click.Path(path_type=Path), default=None, help="Writes a flight record there.")
+def serve_command(
+    site_file: Path, name: str | None, seed: int, state: Path | None, record: Path | None
+) -> None:
+    """One gateway of a site, until SIGTERM or SIGINT. SIGUSR1 lets it drain."""
+    site = read_site(site_file)
+    name = name if name is not None else site.gateways[0].name
+    try:
+        facts_of(site, name)
+    except BadInput as wrong:
+        raise BadInput(f"{site_file}: {wrong}") from None
+    sys.exit(serve(site, name, seed, state, record, say_ready))
--- /dev/null
+++ b/ledgehitch/config/day.py
@@ -0,0 +1,168 @@
+"""Day scripts: arrivals and faults over some seconds. One definition, played on loopback and in models.
+
+A fault has a kind, a time, a length and what it needs of `part` (share of the fleet that it meets), `size`
+(how strong) and `extra`. `KINDS` says for each kind what the figures mean and within which bounds.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+from ledgehitch.config.read import BadInput, read_record
+from ledgehitch.config.site import Amount, Count, Positive, Record, Share
+
+
+@dataclass(frozen=True)
+class Kind:
+    """What a kind of fault does to `whom`, and the bounds of its size and extra (None: not used)."""
+
+    whom: Literal["hosts", "links", "uplinks", "list", "gateways", "viewers", "peers"]
+    what: str
+    size: tuple[float, float] | None = None
+    extra: tuple[float, float] | None = None
+
+
+KINDS: dict[str, Kind] = {
+    "crash": Kind("hosts", "the process dies with resets and comes back cold when it is over"),
+    "vanish": Kind("hosts", "the machine goes silent and comes back cold"),
+    "hang": Kind("hosts", "takes set-ups and answers nothing; what plays gets nothing"),
+    "slow": Kind("hosts", "set-ups take `size` times as long, the link gives as much less", (1, 100)),
+    "neighbour": Kind(
+        "links", "another program takes `size` of the link, `extra` s on and off", (0, 0.95), (0.05, 60)
+    ),
+    "fast_errors": Kind("hosts", "`size` of the set-ups fail at once", (0, 1)),
+    "answers_lost": Kind(
+        "hosts",
+        "of `size` of the set-ups that run the answer is lost: silence, or a reset where `extra` is 1",
+        (0, 1),
+        (0, 1),
+    ),
+    "bad_answers": Kind(
+        "hosts", "`size` of the set-ups answer with half an answer, a wrong SDP, or twice, in turn", (0, 1)
+    ),
+    "link_shrink": Kind("links", "the link gives 1 / `size`", (1, 100)),
+    "uplink_shrink": Kind("uplinks", "the rack's uplink gives 1 / `size`", (1, 100)),
+    "deploy": Kind(
+        "hosts",
+        "hosts are replaced, `size` of the fleet at a time, drained for `extra` s; successors start cold",
+        (0.01, 1),
+        (0, 60),
+    ),
+    "burst": Kind("viewers", "viewers come at `size` times the rate", (1, 100)),
+    "crowd": Kind("viewers", "`size` of the viewers want one title that few hold", (0, 1)),
+    "gateways_killed": Kind(
+        "gateways",
+        "gateways are killed in waves, `size` of them at a time, and start again after `extra` s",
+        (0.01, 1),
+        (0, 30),
+    ),
+    "gateways_still": Kind("gateways", "gateways stand still (are stopped) and go on when it is over"),
+    "peers_lost": Kind("peers", "`size` of the messages between gateways is lost", (0, 1)),
+    "list_late": Kind("list", "news of media hosts come `size` s later", (0, 60)),
+    "list_lost": Kind("list", "the list service is away"),
+}
+
+
+class Fault(Record, kw_only=True, frozen=True):
+    kind: str
+    at: Amount
+    len: Positive = 5.0
+    part: Share = 0.25
+    size: float | None = None
+    extra: float | None = None
+
+    def strength(self) -> float:
+        """`size`, or the middle of what the kind allows."""
+        return self.size if self.size is not None else _middle(KINDS[self.kind].size)
+
+    def further(self) -> float:
+        return self.extra if self.extra is not None else _middle(KINDS[self.kind].extra)
+
+
+def _middle(bounds: tuple[float, float] | None) -> float:
+    return 0.0 if bounds is None else min((bounds[0] + bounds[1]) / 2, max(2.0, bounds[0]))
+
+
+class Mix(Record, kw_only=True, frozen=True):
+    """One package's part of the arrivals and how long its viewers watch, in seconds (exponential)."""
+
+    package: str
+    share: Positive = 1.0
+    watch: Positive = 20.0
+    method: Literal["whep", "whip"] = "whep"
+
+
+class Arrivals(Record, kw_only=True, frozen=True):
+    """`rate` viewers a second; titles by Zipf's law with exponent `zipf`."""
+
+    rate: Positive
+    mix: Annotated[list[Mix], msgspec.Meta(min_length=1)]
+    shape: Literal["steady", "ramp", "wave"] = "steady"
+    swing: Share = 0.2
+    zipf: Amount = 0.8
+    small_screens: Share = 0.2  # viewers who cannot use the upper half of the rungs
+    returns: Share = 0.9  # of the blocked and broken who come again
+    return_after: Positive = 1.0
+    returns_at_most: Count = 3
+    honour_advice: Share = 1.0
+    impatient: Share = 0.0  # hang up early
+    repeats: Share = 0.0  # send their offer again from a second connection before the first answer
+    leave_under: Share = 0.75  # delivered share under which viewers begin to leave
+
+
+class Shape(Record, kw_only=True, frozen=True):
+    """How many of what the day needs, and how its media hosts behave."""
+
+    gateways: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
+    hosts: Annotated[int, msgspec.Meta(ge=1, le=400)] = 9
+    zones: Annotated[int, msgspec.Meta(ge=1, le=8)] = 1
+    titles: Annotated[int, msgspec.Meta(ge=1, le=5000)] = 20
+    rack: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3  # hosts of a rack
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 60
+    link_kb: Positive = 6000.0
+    uplink_share: Positive = 0.8  # of a rack's links
+    setup: Positive = 0.05  # seconds of a set-up, in the median
+    setup_spread: Amount = 0.4  # sigma of their logarithm
+    true_rate_spread: Amount = 0.1
+    report_noise: Amount = 0.05
+    list_delay: Amount = 0.5
+    peer_delay: Amount = 0.01
+    peer_loss: Share = 0.01
+    fresh: bool = False  # media hosts start cold
+
+
+class Day(Record, kw_only=True, frozen=True):
+    name: str
+    length: Positive
+    arrivals: Arrivals
+    faults: list[Fault] = []
+    shape: Shape = Shape()
+    settle: Amount = 2.0  # seconds between the last start and the first viewer
+    seed: int = 1
+    site: dict[str, msgspec.Raw] = {}  # parts of the site file that this day wants otherwise
+    source: str = ""  # where an imported day came from
+
+
+def read_day(path: Path) -> Day:
+    day = read_record(path, Day)
+    check_day(day, str(path))
+    return day
+
+
+def check_day(day: Day, name: str) -> None:
+    for i, fault in enumerate(day.faults):
+        at = f"{name}: faults[{i}]"
+        kind = KINDS.get(fault.kind)
+        if kind is None:
+            raise BadInput(f"{at}.kind: no fault {fault.kind!r}, known are {', '.join(sorted(KINDS))}")
+        for field, value, bounds in (("size", fault.size, kind.size), ("extra", fault.extra, kind.extra)):
+            if value is None:
+                continue
+            if bounds is None:
+                raise BadInput(f"{at}.{field}: a {fault.kind} has none")
+            if not bounds[0] <= value <= bounds[1]:
+                raise BadInput(f"{at}.{field}: {value:g} is not from {bounds[0]:g} to {bounds[1]:g}")
+        if fault.at >= day.length:
+            raise BadInput(f"{at}.at: {fault.at:g} s is after the day's end, {day.length:g} s")
--- /dev/null
+++ b/ledgehitch/config/site.py
@@ -0,0 +1,181 @@
+"""The site file: ladder, packages, fleet, terms, titles, gateways and media hosts of one installation.
+
+Times are seconds, rates kilobytes a second, shares parts of one. `facts_of` derives what the decision module
+is told; the records themselves are not kept by it.
+"""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+from ledgehitch.config.read import BadInput, read_record
+from ledgehitch.interface import Fleet, Ladder, Package, Terms
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern="^[A-Za-z0-9][A-Za-z0-9_.-]*$")]
+
+
+class Record(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
+    pass
+
+
+class Rung(Record, kw_only=True, frozen=True):
+    kb: Positive
+    earns: Share
+
+
+class PackageRecord(Record, kw_only=True, frozen=True):
+    name: Name
+    join_target: Positive
+    patience: Positive
+    value: Positive = 1.0
+    effect: Literal["repeatable", "by_key", "once"] = "repeatable"
+    key_scope: Literal["all", "zone", "cell"] = "all"
+    key_window: Amount = 0.0
+    scale: Positive = 1.0
+    floor: Count = 0
+    top: Count = 99
+    seats: Count = 0
+    live: bool = False
+
+
+class FleetRecord(Record, kw_only=True, frozen=True):
+    cells: Count
+    racks: Count
+    link_unit_kb: Amount
+    uplink_kb: Amount
+    slots: dict[str, Annotated[int, msgspec.Meta(ge=1)]]
+    full_from: Amount = 0.0
+    told_late: Amount = 0.5
+    told_every: Positive = 2.0
+    load_fields: tuple[Literal["x0", "x1", "util", "inflight"], ...] = ("x0", "x1")
+
+
+class TermsRecord(Record, kw_only=True, frozen=True):
+    """The six rules' figures and what is allowed."""
+
+    tune_ins: Annotated[int, msgspec.Meta(ge=1)] = 3
+    answer_slack: Amount = 0.25
+    drain_grace: Amount = 1.0
+    cold_share: Share = 0.3
+    warm_up: Positive = 8.0
+    fall_multiple: Positive = 3.0
+    fall_after: Positive = 2.0
+    extra_free: Amount | None = None
+    extra_ratio: Amount = 0.0
+    extra_window: Amount = 0.0
+    may_probe: bool = False
+    may_tell: bool = True
+    may_advise: bool = True
+    longest_advice: Amount = 5.0
+    cross_price: Amount = 0.0
+
+
+class Title(Record, kw_only=True, frozen=True):
+    """Held by `spread` cells in a row from cell `first`, modulo the fleet's cells."""
+
+    first: Count
+    spread: Annotated[int, msgspec.Meta(ge=1)]
+
+
+class GatewayRecord(Record, kw_only=True, frozen=True):
+    name: Name
+    at: str
+    zone: str = ""
+    peer_at: str = ""  # where it hears other gateways
+    peer_via: str = ""  # where others send to reach it, if not there
+
+
+class HostRecord(Record, kw_only=True, frozen=True):
+    name: Name
+    at: str
+    cell: Count
+    weight: Positive = 1.0
+    kind: str = "std"
+    zone: str = ""
+
+
+class Site(Record, kw_only=True, frozen=True):
+    name: Name
+    ladder: Annotated[list[Rung], msgspec.Meta(min_length=1, max_length=32)]
+    packages: Annotated[list[PackageRecord], msgspec.Meta(min_length=1)]
+    fleet: FleetRecord
+    terms: TermsRecord = TermsRecord()
+    titles: dict[Name, Title]
+    gateways: Annotated[list[GatewayRecord], msgspec.Meta(min_length=1)]
+    hosts: list[HostRecord] = []  # what the stand-ins run; gateways learn theirs from the list service
+    list_at: str
+    peer_key_file: str = ""
+
+
+def read_site(path: Path) -> Site:
+    site = read_record(path, Site)
+    check(site, str(path))
+    return site
+
+
+def check(site: Site, name: str) -> None:
+    """What the types do not say: references and orders between fields."""
+
+    def wrong(field: str, reason: str) -> None:
+        raise BadInput(f"{name}: {field}: {reason}")
+
+    kb = [r.kb for r in site.ladder]
+    if kb != sorted(set(kb)):
+        wrong("ladder", f"rungs must rise in kb, they are {kb}")
+    for what, names in (
+        ("packages", [p.name for p in site.packages]),
+        ("hosts", [h.name for h in site.hosts]),
+        ("gateways", [g.name for g in site.gateways]),
+    ):
+        for i, one in enumerate(names):
+            if one in names[:i]:
+                wrong(f"{what}[{i}].name", f"{one!r} is named twice")
+    for i, p in enumerate(site.packages):
+        if p.join_target > p.patience:
+            wrong(
+                f"packages[{i}].join_target", f"{p.join_target:g} s is more than patience, {p.patience:g} s"
+            )
+        if p.floor >= len(site.ladder):
+            wrong(f"packages[{i}].floor", f"{p.floor} is no rung, the ladder has 0 to {len(site.ladder) - 1}")
+        if p.effect == "by_key" and not p.key_window:
+            wrong(f"packages[{i}].key_window", "a package set up by key needs a window above 0")
+    for title, held in site.titles.items():
+        if held.first >= max(1, site.fleet.cells):
+            wrong(f"titles.{title}.first", f"{held.first} is no cell, there are {site.fleet.cells}")
+    for i, h in enumerate(site.hosts):
+        if h.kind not in site.fleet.slots:
+            wrong(f"hosts[{i}].kind", f"{h.kind!r} has no places, known are {', '.join(site.fleet.slots)}")
+        if h.cell >= site.fleet.cells:
+            wrong(f"hosts[{i}].cell", f"{h.cell} is no cell, there are {site.fleet.cells}")
+    if site.terms.extra_free is not None and not site.terms.extra_window:
+        wrong("terms.extra_window", "a budget for further tune-ins needs a window above 0")
+
+
+def facts_of(site: Site, gateway: str) -> tuple[Ladder, tuple[Package, ...], Fleet, Terms]:
+    """What the decision module of one gateway is told at start."""
+    names = [g.name for g in site.gateways]
+    if gateway not in names:
+        raise BadInput(f"site {site.name}: no gateway {gateway!r}, known are {', '.join(names)}")
+    ladder = Ladder(tuple(r.kb for r in site.ladder), tuple(r.earns for r in site.ladder))
+    packages = tuple(Package(**msgspec.structs.asdict(p)) for p in site.packages)
+    f, t = site.fleet, site.terms
+    fleet = Fleet(
+        cells=f.cells, racks=f.racks, link_unit_kb=f.link_unit_kb, uplink_kb=f.uplink_kb, slots=dict(f.slots),
+        full_from=f.full_from, told_late=f.told_late, told_every=f.told_every,
+        load_fields=tuple(f.load_fields), reports="piggyback",
+    )  # fmt: skip
+    at = names.index(gateway)
+    terms = Terms(
+        zone=site.gateways[at].zone, ordinal=at, gateways=len(names), tune_ins=t.tune_ins,
+        answer_slack=t.answer_slack, drain_grace=t.drain_grace, cold_share=t.cold_share, warm_up=t.warm_up,
+        fall_multiple=t.fall_multiple, fall_after=t.fall_after, extra_free=t.extra_free,
+        extra_ratio=t.extra_ratio, extra_window=t.extra_window, may_probe=t.may_probe,
+        may_tell=t.may_tell and len(names) > 1, may_advise=t.may_advise, longest_advice=t.longest_advice,
+        cross_price=t.cross_price,
+    )  # fmt: skip
+    return ladder, packages, fleet, terms
--- /dev/null
+++ b/ledgehitch/gateway/front.py
@@ -0,0 +1,295 @@
+"""The gateway's HTTP face: WHEP and WHIP requests become offers at the carrier; what is settled answers them.
+
+POST   /whep/{package}/{title}   an offer to watch; ?top=N says the highest rung that the viewer can use
+POST   /whip/{package}/{title}   an offer to send
+PATCH  /viewings/{id}            trickled candidates, or an ICE restart
+DELETE /viewings/{id}            ends the viewing
+POST, GET /viewings/{id}/events  what happens to the viewing, as server-sent events
+POST   /viewings/{id}/layer      answered 409: the gateway sets the rate
+GET    /health, /state           whether it serves, and its counters
+"""
+
+import itertools
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+from blake3 import blake3
+
+from ledgehitch.gateway.carry import LAYER, Carrier, Viewing
+from ledgehitch.http import Feed, NoAnswer, Refused, Request, Response, problem
+from ledgehitch.http.events import event
+from ledgehitch.interface import Package
+from ledgehitch.loop import Loop, TimedOut
+from ledgehitch.signalling import BadSdp, Offer, read_fragment, read_sdp
+
+SDP = "application/sdp"
+FRAGMENT = "application/trickle-ice-sdpfrag"
+EVENTS = "urn:ietf:params:whep:ext:core:server-sent-events"
+TOLD = ("active", "inactive", "layers")
+BLOCKED = "urn:ledgehitch:problem:blocked"
+ABORTED = "urn:ledgehitch:problem:aborted"
+MOST_TOKEN = 4096
+UNMET = {
+    404: "no such viewing, or it has ended",
+    412: "the condition names another state of the ICE session",
+    428: "a PATCH needs If-Match: the ETag, or * to restart ICE",
+}
+LAST = 0.1  # seconds after patience at which a viewing without a decision is answered all the same
+
+
+class Front:
+    def __init__(self, loop: Loop, carrier: Carrier, packages: Mapping[str, Package],
+                 titles: Mapping[str, tuple[int, int]], rates: tuple[float, ...],
+                 state: Callable[[], dict[str, Any]]) -> None:  # fmt: skip
+        self.loop, self.carrier = loop, carrier
+        self.packages, self.titles, self.rates, self.state = packages, titles, rates, state
+        self.draining = False
+        self._conns = itertools.count(1)
+        self._vws = itertools.count(1)
+
+    def handle(self, request: Request) -> Response:
+        parts = request.path.strip("/").split("/")
+        match parts:
+            case ["whep" | "whip" as method, package, title]:
+                return self._endpoint(request, method, package, title)
+            case ["viewings", resource]:
+                return self._resource(request, resource)
+            case ["viewings", resource, "events"]:
+                return self._events(request, resource)
+            case ["viewings", resource, "layer"]:
+                self._only(request, "POST")
+                self._viewing(resource)
+                raise Refused(409, "the gateway sets the rate of this viewing; ask with ?top=N for less")
+            case ["health"]:
+                self._only(request, "GET", "HEAD")
+                return _json(200, {"serves": not self.draining})
+            case ["state"]:
+                self._only(request, "GET", "HEAD")
+                return _json(200, self.state())
+        raise Refused(404, f"nothing at {request.path[:100]!r}")
+
+    @staticmethod
+    def _only(request: Request, *methods: str) -> None:
+        if request.method not in methods:
+            allowed = ", ".join(methods)
+            raise Refused(405, f"{request.method} is not done here, {allowed} is", [("Allow", allowed)])
+
+    # ---- offers --------------------------------------------------------------------------------------------
+
+    def _endpoint(self, request: Request, method: str, package: str, title: str) -> Response:
+        if request.method == "OPTIONS":
+            fields = [("Accept-Post", SDP), ("Allow", "POST, OPTIONS"), *_cors()]
+            return Response(204, fields)
+        self._only(request, "POST", "OPTIONS")
+        sold, cells = self.packages.get(package), self.titles.get(title)
+        if sold is None:
+            raise Refused(404, f"no package {package!r}; there are {', '.join(sorted(self.packages))}")
+        if cells is None:
+            raise Refused(404, f"no title {title!r}")
+        if request.media_type() != SDP:
+            raise Refused(415, f"an offer is {SDP}", [("Accept-Post", SDP)])
+        if not _accepts(request.headers.get("accept"), SDP):
+            raise Refused(406, f"the answer is {SDP}")
+        token = _token(request)
+        offer = self._offer(request, method)
+        top = self._top(request, offer)
+        wait = min(_wait(request.headers.get("prefer")), sold.patience)
+        if self.draining:
+            raise Refused(503, "this gateway drains", [("Retry-After", "0")])
+        conn, vw = next(self._conns), next(self._vws)
+        digest = blake3()
+        for part in (method, package, title, token, str(top)):
+            digest.update(part.encode() + b"\0")
+        digest.update(request.body)
+        viewing = Viewing(token, method, sold, title, request.body, offer)
+        patience = request.arrived + wait
+        event = self.carrier.ask(conn, digest.digest(16), vw, viewing, cells, top, patience, offer.ufrag)
+        request.hung_up(lambda: self.carrier.hung_up(conn))
+        try:
+            with self.loop.deadline(max(0.0, patience - self.loop.now) + LAST):
+                vw = event.wait()
+        except TimedOut:
+            self.carrier.overdue(conn, vw)
+        if vw is None:
+            raise NoAnswer("the client hung up")
+        return self._settled(conn, vw)
+
+    def _offer(self, request: Request, method: str) -> Offer:
+        try:
+            offer = read_sdp(request.body.decode("utf-8"))
+        except UnicodeDecodeError as wrong:
+            raise Refused(400, f"the offer is not UTF-8 at byte {wrong.start}") from None
+        except BadSdp as wrong:
+            raise Refused(400, f"the offer does not parse: {wrong}") from None
+        unfit = "sendonly" if method == "whep" else "recvonly"
+        for number, media in enumerate(offer.media):
+            if media.direction == unfit:
+                raise Refused(400, f"media section {number}: {unfit} cannot be offered to {method.upper()}")
+        return offer
+
+    def _top(self, request: Request, offer: Offer) -> int:
+        """The highest rung that the viewer can use: `?top=N`, else from the offer's bandwidth, else all."""
+        asked = request.query("top")
+        if asked is not None:
+            if not asked.isdigit():
+                raise Refused(400, f"top is the number of a rung, 0 to {len(self.rates) - 1}, not {asked!r}")
+            return min(int(asked), len(self.rates) - 1)
+        kb = offer.most_kb()
+        if kb is None:
+            return len(self.rates) - 1
+        return max((i for i, rate in enumerate(self.rates) if rate <= kb), default=0)
+
+    def _settled(self, conn: int, vw: int) -> Response:
+        entry = self.carrier.desk.entries.get(vw)
+        settled = entry.settled if entry is not None else None
+        if entry is None or settled is None:
+            # It ended between its answer and this connection's: for this one it never came about.
+            self.carrier.desk.delivered(self.loop.now, conn)
+            return problem(502, "the viewing ended as it was set up", kind=ABORTED, answer="aborted")
+        if settled.kind == "plays":
+            at = f"/viewings/{entry.resource}"
+            known = f'; events="{",".join(TOLD)}"'
+            fields = [
+                ("Content-Type", SDP),
+                ("Location", at),
+                ("ETag", self.carrier.desk.etag(entry)),
+                ("Link", f'<{at}/layer>; rel="{LAYER}"'),
+                ("Link", f'<{at}/events>; rel="{EVENTS}"{known}'),
+                ("Accept-Patch", FRAGMENT),
+                *_cors(),
+            ]
+            response = Response(201, fields, settled.answer.encode())
+        elif settled.kind == "blocked":
+            fields = [("Retry-After", str(math.ceil(settled.advice)))] if settled.advice > 0 else []
+            response = problem(503, "no media host has room for this viewing", [*fields, *_cors()], BLOCKED,
+                               answer="blocked")  # fmt: skip
+        else:
+            response = problem(504, "the viewing could not be set up in time; it may have run", _cors(),
+                               ABORTED, answer="aborted")  # fmt: skip
+        response.after = lambda whole: self._written(conn, whole)
+        return response
+
+    def _written(self, conn: int, whole: bool) -> None:
+        desk = self.carrier.desk
+        (desk.delivered if whole else desk.undelivered)(self.loop.now, conn)
+        self.carrier.stir()
+
+    # ---- resources -----------------------------------------------------------------------------------------
+
+    def _viewing(self, resource: str) -> Viewing:
+        entry = self.carrier.desk.of(resource)
+        viewing = self.carrier.viewings.get(entry.vw) if entry is not None and entry.playing else None
+        if viewing is None:
+            raise Refused(404, "no such viewing, or it has ended")
+        return viewing
+
+    def _resource(self, request: Request, resource: str) -> Response:
+        if request.method == "OPTIONS":
+            return Response(204, [("Accept-Patch", FRAGMENT), ("Allow", "PATCH, DELETE, OPTIONS"), *_cors()])
+        self._only(request, "PATCH", "DELETE", "OPTIONS")
+        if request.method == "DELETE":
+            if not self.carrier.desk.deleted(self.loop.now, resource):
+                raise Refused(404, "no such viewing, or it has ended")
+            self.carrier.stir()
+            return Response(200)
+        if request.media_type() != FRAGMENT:
+            raise Refused(415, f"a PATCH is {FRAGMENT}", [("Accept-Patch", FRAGMENT)])
+        viewing = self._viewing(resource)
+        try:
+            fragment = read_fragment(request.body.decode("utf-8"))
+        except (UnicodeDecodeError, BadSdp) as wrong:
+            raise Refused(400, f"the fragment does not parse: {wrong}") from None
+        desk = self.carrier.desk
+        status = desk.patched(resource, request.headers.get("if-match"), fragment.ufrag)
+        if status in (404, 412, 428):
+            raise Refused(status, UNMET[status])
+        headers = [("Content-Type", FRAGMENT), ("If-Match", request.headers["if-match"])]
+        passed = self.carrier.forward_patch(viewing, headers, request.body)
+        if passed is None or passed.status >= 400:
+            raise Refused(502, "the media host did not take it")
+        if status == 204:
+            return Response(204, _cors())
+        entry = desk.of(resource)
+        tag = [("ETag", desk.etag(entry))] if entry is not None else []
+        return Response(200, [("Content-Type", FRAGMENT), *tag, *_cors()], passed.body)
+
+    def _events(self, request: Request, resource: str) -> Response:
+        self._only(request, "GET", "POST")
+        viewing = self._viewing(resource)
+        if request.method == "POST":
+            try:
+                wanted = msgspec.json.decode(request.body or b"[]", type=list[str])
+            except msgspec.MsgspecError as wrong:
+                raise Refused(400, f"a list of names of events is meant: {wrong}") from None
+            query = ",".join(name for name in wanted if name in TOLD)
+            return Response(201, [("Location", f"/viewings/{resource}/events?of={query}"), *_cors()])
+        only = set((request.query("of") or ",".join(TOLD)).split(","))
+        feed = Feed(self.loop, 64)
+
+        def tell(name: str, data: dict[str, Any]) -> None:
+            if name in only:
+                feed.tell(event(msgspec.json.encode(data).decode(), name))
+            if name == "inactive":
+                feed.close()
+
+        tell("active", {})
+        tell("layers", {"encodingId": str(viewing.in_force)})
+        viewing.events = [*(viewing.events or []), tell]
+
+        def stream(send: Callable[[bytes], None]) -> None:
+            try:
+                feed.send_all(send)
+            finally:
+                viewing.events = [t for t in viewing.events or [] if t is not tell] or None
+
+        return Response(200, [("Content-Type", "text/event-stream"), *_cors()], stream=stream)
+
+
+def _json(status: int, thing: Any) -> Response:
+    return Response(status, [("Content-Type", "application/json")], msgspec.json.encode(thing))
+
+
+def _cors() -> list[tuple[str, str]]:
+    exposed = "Location, ETag, Link, Retry-After"
+    return [("Access-Control-Allow-Origin", "*"), ("Access-Control-Expose-Headers", exposed)]
+
+
+def _accepts(header: str | None, kind: str) -> bool:
+    if header is None:
+        return True
+    for part in header.split(","):
+        name, _, parameters = part.strip().partition(";")
+        if name.strip().lower() in (kind, kind.partition("/")[0] + "/*", "*/*"):
+            quality = parameters.replace(" ", "").partition("q=")[2].partition(";")[0]
+            try:
+                return not quality or float(quality) > 0
+            except ValueError:
+                return True
+    return False
+
+
+def _token(request: Request) -> str:
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    token = token.strip()
+    if scheme.lower() != "bearer" or not token:
+        raise Refused(401, "a viewer is named by a bearer token", [("WWW-Authenticate", "Bearer")])
+    if len(token) > MOST_TOKEN:
+        raise Refused(401, f"a token has at most {MOST_TOKEN} characters", [("WWW-Authenticate", "Bearer")])
+    return token
+
+
+def _wait(prefer: str | None) -> float:
+    """Seconds of `Prefer: wait=SECONDS` (RFC 7240), without bound where it is not there."""
+    for part in (prefer or "").replace(";", ",").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.strip().lower() == "wait":
+            try:
+                wait = float(value.strip().strip('"'))
+            except ValueError:
+                raise Refused(400, f"Prefer: wait takes seconds, not {value[:20]!r}") from None
+            if not 0 <= wait < math.inf:
+                raise Refused(400, f"Prefer: wait takes seconds from 0 up, not {value[:20]!r}")
+            return wait
+    return math.inf
--- /dev/null
+++ b/ledgehitch/gateway/gate.py
@@ -0,0 +1,86 @@
+"""The one gate that every tune-in passes on its way out: what the wire can show of rules 1 to 3. Free of I/O.
+
+The module keeps the rules; this is the second pair of eyes, with no tuned value in it. A tune-in that it
+stops was a fault of ours, is logged as such and never leaves.
+"""
+
+from dataclasses import dataclass
+
+from ledgehitch.interface import Outcome, Package
+
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+HURRY = 0.002  # seconds of rounding allowed between two readings of the clock
+
+
+class Shut(Exception):
+    """A send that would break a rule; `rule` numbers it, 0 for what was never told."""
+
+    def __init__(self, rule: int, reason: str) -> None:
+        super().__init__(f"rule {rule}: {reason}" if rule else reason)
+        self.rule = rule
+
+
+@dataclass(slots=True)
+class _Held:
+    package: Package
+    patience: float
+    out: bool = False
+    playing: bool = False
+    may_have_run: bool = False
+
+
+class Gate:
+    def __init__(self, grace: float) -> None:
+        self.grace = grace  # seconds in which a send may still follow the news that a host drains
+        self.viewings: dict[int, _Held] = {}
+        self.hosts: dict[str, float | None] = {}  # when it was heard that it drains or is gone
+        self.stopped = 0
+
+    def listed(self, now: float, host: str, in_service: bool) -> None:
+        if in_service:
+            self.hosts[host] = None
+        elif self.hosts.get(host) is None:
+            self.hosts[host] = now
+
+    def unlisted(self, now: float, names: set[str]) -> None:
+        """A complete list names these only."""
+        for host, gone in self.hosts.items():
+            if host not in names and gone is None:
+                self.hosts[host] = now
+
+    def asked(self, vw: int, package: Package, patience: float) -> None:
+        self.viewings[vw] = _Held(package, patience)
+
+    def sending(self, now: float, vw: int, host: str, within: float) -> None:
+        """Passes, and books, a tune-in that leaves now; else raises `Shut`."""
+        try:
+            v = self.viewings.get(vw)
+            if v is None:
+                raise Shut(0, f"viewing {vw} was never asked for, or has its answer")
+            if v.out or v.playing:
+                raise Shut(2, f"viewing {vw} has a tune-in out or plays")
+            if v.may_have_run and v.package.effect == "once":
+                raise Shut(2, f"viewing {vw} may have been set up already, and is paid for")
+            if now + within > v.patience + HURRY:
+                raise Shut(1, f"viewing {vw}: {within:.3f} s end after its patience")
+            if host not in self.hosts:
+                raise Shut(0, f"no list named {host}")
+            gone = self.hosts[host]
+            if gone is not None and now > gone + self.grace:
+                raise Shut(3, f"{host} was heard to drain {now - gone:.3f} s ago")
+        except Shut:
+            self.stopped += 1
+            raise
+        v.out = True
+
+    def came_back(self, vw: int, code: int) -> None:
+        """A tune-in has its outcome."""
+        v = self.viewings.get(vw)
+        if v is not None and v.out:
+            v.out = False
+            v.playing = code == Outcome.OK
+            v.may_have_run |= code not in NEVER_RAN
+
+    def done(self, vw: int) -> None:
+        """The viewing was blocked, aborted or has ended."""
+        self.viewings.pop(vw, None)
--- /dev/null
+++ b/ledgehitch/gateway/replay.py
@@ -0,0 +1,64 @@
+"""A record fed to the module again: the first difference, or that there is none."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ledgehitch.brain import Gateway
+from ledgehitch.gateway.record import BadRecord, digest_of_module, entries, plain, segments, thawed
+from ledgehitch.interface import Row
+
+INPUTS = {"listed", "asked", "opened", "told", "ended", "left", "probed", "peer_said"}
+
+
+@dataclass
+class Verdict:
+    """What a replay found. `difference` is empty when there is none."""
+
+    entries: int = 0
+    pulls: int = 0
+    decisions: int = 0
+    difference: str = ""
+    same_module: bool = True
+
+
+def replayed(path: Path) -> Verdict:
+    """Replays each segment from its checkpoint (the state that the record holds, not a guess at it)."""
+    found = segments(path)
+    if not found:
+        raise BadRecord(f"{path}: no record there")
+    verdict = Verdict()
+    for segment in found:
+        gateway: Gateway | None = None
+        for number, (name, *args) in enumerate(entries(segment), 1):
+            verdict.entries += 1
+            if name == "head":
+                verdict.same_module &= args[1] == digest_of_module()
+            elif name == "state":
+                gateway = thawed(args[0])
+            elif gateway is None:
+                raise BadRecord(f"{segment}: entry {number}: no checkpoint before it")
+            elif name == "pulled":
+                verdict.pulls += 1
+                verdict.decisions += len(args[1])
+                difference = _differs(gateway, args[0], args[1])
+                if difference:
+                    verdict.difference = f"{segment}: entry {number}, at {args[0]:.6f}: {difference}"
+                    return verdict
+            elif name in INPUTS:
+                if name == "listed":
+                    args[2] = [Row(**row) if isinstance(row, dict) else Row(*row) for row in args[2]]
+                getattr(gateway, name)(*args)
+            else:
+                raise BadRecord(f"{segment}: entry {number}: {name!r} is no input of the module")
+    return verdict
+
+
+def _differs(gateway: Gateway, now: float, recorded: list[Any]) -> str:
+    for i, before in enumerate(recorded):
+        decision = gateway.decide(now)
+        after = plain(decision) if decision is not None else None
+        if after != before:
+            return f"decision {i + 1} was {before}, is {after}"
+    more = gateway.decide(now)
+    return f"a further decision {plain(more)}" if more is not None else ""
--- /dev/null
+++ b/ledgehitch/gateway/serve.py
@@ -0,0 +1,170 @@
+"""One gateway as a process: put together from a site file, run until told to stop."""
+
+import json
+import os
+import random
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from ledgehitch import __version__
+from ledgehitch.brain import Gateway
+from ledgehitch.config import BadInput, Site, facts_of
+from ledgehitch.gateway.carry import Carrier
+from ledgehitch.gateway.front import Front
+from ledgehitch.gateway.gate import Gate
+from ledgehitch.gateway.listing import Listing
+from ledgehitch.gateway.mind import Mind
+from ledgehitch.gateway.peers import Peers
+from ledgehitch.gateway.record import Recorder
+from ledgehitch.gateway.watch import Watch
+from ledgehitch.http import Limits, Server
+from ledgehitch.loop import Datagrams, Event, Loop, endpoint
+from ledgehitch.signalling import Desk
+
+TOLD_EVERY = 5.0  # seconds between log lines with the loop's lag and the counters
+SWEEP = 1.0
+log = structlog.get_logger("gateway")
+
+
+def peer_key(site: Site) -> bytes | None:
+    """The 32 bytes that gateways share, from a file that only its owner can read."""
+    if not site.peer_key_file:
+        return None
+    path = Path(site.peer_key_file)
+    try:
+        mode = path.stat().st_mode & 0o077
+        key = path.read_bytes()
+    except OSError as problem:
+        raise BadInput(f"{path}: the peer key cannot be read: {problem.strerror}") from None
+    if mode:
+        raise BadInput(f"{path}: others than its owner may read the peer key (chmod 600)")
+    if len(key) != 32:
+        raise BadInput(f"{path}: a peer key has 32 bytes, not {len(key)}")
+    return key
+
+
+class Running:
+    """A gateway that serves. `build` within a task; `stop` ends it."""
+
+    def __init__(self, loop: Loop, site: Site, name: str, seed: int, state_dir: Path | None = None,
+                 record: Path | None = None, limits: Limits | None = None) -> None:  # fmt: skip
+        self.loop, self.site, self.name = loop, site, name
+        self.boot = secrets.token_hex(4)
+        me = [g.name for g in site.gateways].index(name) if name in [g.name for g in site.gateways] else -1
+        ladder, packages, fleet, terms = facts_of(site, name)
+        here = site.gateways[me]
+        key = peer_key(site)
+        self.peers = Peers(key, me, time.time_ns()) if key and terms.may_tell else None
+        brain = Gateway(seed, time.monotonic(), ladder, packages, fleet, terms)
+        self.recorder = Recorder(record) if record is not None else None
+        peer_socket = Datagrams(loop, endpoint(here.peer_at)) if self.peers and here.peer_at else None
+        others = {i: endpoint(g.peer_via or g.peer_at) for i, g in enumerate(site.gateways)
+                  if i != me and (g.peer_via or g.peer_at)}  # fmt: skip
+        self.carrier = Carrier(
+            loop, Mind(brain, self.recorder), Desk(secrets.token_bytes(32)), Gate(terms.drain_grace),
+            Watch(random.Random(seed + 1)), name, self.boot, random.Random(seed + 2), self.peers, peer_socket,
+            others, fleet.load_fields,
+        )  # fmt: skip
+        self.carrier.home = loop.current
+        titles = {title: (t.first, t.spread) for title, t in site.titles.items()}
+        front = Front(loop, self.carrier, {p.name: p for p in packages}, titles, ladder.kb, self.state)
+        self.front = front
+        kept = state_dir / f"{name}.hosts.json" if state_dir is not None else None
+        self.listing = Listing(loop, self.carrier, site.list_at, name, kept)
+        self.server = Server(loop, endpoint(here.at), front.handle, limits or Limits(), _report)
+        loop.spawn(self.listing.run, name="list")
+        loop.spawn(self._sweep, name="sweep")
+        if peer_socket is not None:
+            loop.spawn(self.carrier.hear_peers, name="peers")
+
+    def state(self) -> dict[str, Any]:
+        c = self.carrier
+        return {
+            "name": self.name,
+            "boot": self.boot,
+            "version": __version__,
+            "draining": self.front.draining,
+            "viewings": len(c.viewings),
+            "counts": msgspec.to_builtins(c.counts),
+            "list": {"epoch": self.listing.roll.epoch, "version": self.listing.roll.version},
+            "hosts": {
+                h: {"in_service": gone is None, "viewings": len(c.playing_at.get(h, {}))}
+                for h, gone in c.gate.hosts.items()
+            },
+            "answers": {str(k): n for k, n in sorted(self.server.served.items())},
+            "connections": len(self.server.open),
+            "out_of_descriptors": self.server.listener.refused_for_descriptors,
+            "stood_still": self.loop.stood_still,
+            "failed_tasks": self.loop.failed,
+            "to_hosts": {"opened": c.client.opened, "reused": c.client.reused, "idle": c.client.idle()},
+            "peers_refused": dict(self.peers.refused) if self.peers else {},
+        }
+
+    def _sweep(self) -> None:
+        told = time.monotonic()
+        while True:
+            self.loop.sleep(SWEEP)
+            self.carrier.client.sweep()
+            if self.recorder is not None:
+                self.recorder.flush()
+            if time.monotonic() - told >= TOLD_EVERY:
+                told = time.monotonic()
+                counts = msgspec.to_builtins(self.carrier.counts)
+                log.info("figures", viewings=len(self.carrier.viewings), **self.loop.lag.taken(), **counts)
+
+    def stop(self) -> None:
+        self.server.close()
+        self.carrier.client.close()
+        if self.recorder is not None:
+            self.recorder.close()
+
+
+def _report(name: str, error: BaseException) -> None:
+    log.error("task failed", task=name, error=f"{type(error).__name__}: {error}", exc_info=error)
+
+
+def serve(site: Site, name: str, seed: int, state_dir: Path | None, record: Path | None,
+          ready: Callable[[str], None] | None = None) -> int:  # fmt: skip
+    """Runs until SIGTERM or SIGINT; SIGUSR1 drains. `ready` is told the address once it serves."""
+    loop = Loop(_report)
+
+    def main() -> int:
+        over = Event(loop)
+
+        def on(number: int) -> None:
+            if number == signal.SIGUSR1:
+                running.front.draining = True
+                log.info("drains")
+            else:
+                over.set(number)
+
+        restore = loop.on_signals([signal.SIGTERM, signal.SIGINT, signal.SIGUSR1], on)
+        try:
+            running = Running(loop, site, name, seed, state_dir, record)
+        except OSError as problem:
+            print(f"ledgehitch: {name}: {problem}", file=sys.stderr)
+            return 2
+        address = str(running.server.at)
+        log.info("serves", gateway=name, at=address, boot=running.boot, pid=os.getpid())
+        if ready is not None:
+            ready(address)
+        over.wait()
+        log.info("stops", signal=over.value)
+        running.stop()
+        restore()
+        return 0
+
+    return int(loop.run(main))
+
+
+def say_ready(address: str) -> None:
+    """The line that whoever started us waits for."""
+    print(json.dumps({"gateway": f"http://{address}"}), flush=True)
--- /dev/null
+++ b/ledgehitch/http/client.py
@@ -0,0 +1,158 @@
+"""The client: keeps connections open for each address, closes idle ones, never sends a request twice."""
+
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from ledgehitch.http.message import Response
+from ledgehitch.http.parse import ResponseReader
+from ledgehitch.loop import Endpoint, Loop, Stream, connect, endpoint
+
+IDLE = 10.0  # seconds that a connection is kept unused: less than servers keep theirs
+KEPT = 64  # unused connections kept for one address
+MOST_BODY = 1 << 20
+
+
+class ConnectFailed(Exception):
+    """No connection came about: the request certainly was not sent."""
+
+
+class Interrupted(Exception):
+    """The connection broke after the request may have been sent: it may have been carried out."""
+
+
+class Client:
+    """Requests to addresses such as `127.0.0.1:80`. Bound each call with `loop.deadline`.
+
+    A call that is cut short by its deadline closes its connection: the other side sees it end.
+    """
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self._pools: dict[str, deque[tuple[float, Stream]]] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+        self.opened = self.reused = self.dirty = 0
+
+    def request(self, address: str, method: str, target: str, headers: list[tuple[str, str]] | None = None,
+                body: bytes = b"") -> Response:  # fmt: skip
+        """The response, or `ConnectFailed` (never sent), `Interrupted` (may have run), `ValueError`
+        (what came back is no HTTP)."""
+        stream = self._stream(address)
+        fine = False
+        try:
+            reader = ResponseReader(most_body=MOST_BODY)
+            try:
+                stream.send(_written(address, method, target, headers or [], body))
+                response = None
+                while response is None:
+                    data = stream.receive()
+                    if not data:
+                        response = reader.at_end()
+                        if response is None:
+                            raise Interrupted("it hung up before its answer was whole")
+                        break
+                    response = reader.feed(data)
+            except OSError as problem:
+                raise Interrupted(str(problem)) from None
+            fine = reader.keep and not reader.extra
+            return response
+        finally:
+            if fine:
+                self._keep(address, stream)
+            else:
+                stream.close()
+
+    @contextmanager
+    def stream(self, address: str, target: str, headers: list[tuple[str, str]] | None = None,
+               within: float = 2.0) -> Iterator[tuple[Response, Iterator[bytes]]]:  # fmt: skip
+        """A response whose body comes bit by bit; its head must come within so many seconds."""
+        with self.loop.deadline(within):
+            stream = self._connect(address)
+        try:
+            reader = ResponseReader(stream=True)
+            response = None
+            try:
+                with self.loop.deadline(within):
+                    stream.send(_written(address, "GET", target, headers or [], b""))
+                    while response is None:
+                        data = stream.receive()
+                        if not data:
+                            raise Interrupted("it hung up before its answer")
+                        response = reader.feed(data)
+            except OSError as problem:
+                raise Interrupted(str(problem)) from None
+
+            def parts() -> Iterator[bytes]:
+                if first := reader.taken():
+                    yield first
+                while True:
+                    try:
+                        data = stream.receive()
+                    except OSError:
+                        return
+                    if not data:
+                        return
+                    reader.feed(data)
+                    if more := reader.taken():
+                        yield more
+
+            yield response, parts()
+        finally:
+            stream.close()
+
+    def _stream(self, address: str) -> Stream:
+        pool = self._pools.get(address)
+        while pool:
+            _, stream = pool.pop()
+            # Guards against sending into a connection that the other side has closed, or that holds an
+            # answer nobody asked for (a second one to an earlier request).
+            if stream.quiet():
+                self.reused += 1
+                return stream
+            self.dirty += 1
+            stream.close()
+        return self._connect(address)
+
+    def _connect(self, address: str) -> Stream:
+        at = self._endpoints.get(address)
+        if at is None:
+            at = self._endpoints[address] = endpoint(address)
+        self.opened += 1
+        try:
+            return connect(self.loop, at)
+        except OSError as problem:
+            raise ConnectFailed(str(problem)) from None
+
+    def _keep(self, address: str, stream: Stream) -> None:
+        pool = self._pools.setdefault(address, deque())
+        if len(pool) >= KEPT:
+            pool.popleft()[1].close()
+        pool.append((self.loop.now + IDLE, stream))
+
+    def sweep(self) -> None:
+        """Closes what was idle too long; run now and then."""
+        for address in list(self._pools):
+            pool = self._pools[address]
+            while pool and (pool[0][0] <= self.loop.now or not pool[0][1].quiet()):
+                pool.popleft()[1].close()
+            if not pool:
+                del self._pools[address]
+
+    def close(self) -> None:
+        for pool in self._pools.values():
+            for _, stream in pool:
+                stream.close()
+        self._pools.clear()
+
+    def idle(self) -> int:
+        """How many unused connections are held."""
+        return sum(map(len, self._pools.values()))
+
+
+def _written(address: str, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
+    host = "localhost" if address.startswith("unix:") else address
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n" + body
--- /dev/null
+++ b/ledgehitch/loop/sockets.py
@@ -0,0 +1,225 @@
+"""Stream and datagram sockets over the loop: IPv4, IPv6 and Unix."""
+
+import errno
+import os
+import socket
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from ledgehitch.loop.kernel import Loop
+
+OUT_OF_DESCRIPTORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+REST = 0.1  # seconds without accepting after descriptors ran out
+BACKLOG = 1024
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """Where a socket listens: `family` and the address as the `socket` module takes it."""
+
+    family: int
+    address: Any
+
+    def __str__(self) -> str:
+        if self.family == socket.AF_UNIX:
+            return f"unix:{self.address}"
+        host, port = self.address[:2]
+        return f"[{host}]:{port}" if self.family == socket.AF_INET6 else f"{host}:{port}"
+
+
+def endpoint(text: str) -> Endpoint:
+    """Reads `127.0.0.1:80`, `[::1]:80` or `unix:/path`; names are not looked up, that would block."""
+    if text.startswith("unix:"):
+        return Endpoint(socket.AF_UNIX, text[5:])
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is no address: 127.0.0.1:80, [::1]:80 or unix:/path is meant")
+    if host.startswith("[") and host.endswith("]"):
+        return Endpoint(socket.AF_INET6, (host[1:-1], int(port)))
+    return Endpoint(socket.AF_INET, (host, int(port)))
+
+
+class Stream:
+    """A connected stream. One task may read while another writes, never two of a kind."""
+
+    __slots__ = ("loop", "sock", "fd", "since", "peer")
+
+    def __init__(self, loop: Loop, sock: socket.socket, peer: str = "") -> None:
+        self.loop, self.sock, self.peer = loop, sock, peer
+        self.fd = sock.fileno()
+        self.since = loop.seen_from  # what is first read arrived no earlier than this
+
+    def receive(self, most: int = 65536) -> bytes:
+        """Some bytes, or none at the end; raises `OSError` when reset."""
+        while self.fd >= 0:
+            try:
+                data = self.sock.recv(most)
+            except BlockingIOError:
+                self.loop.wait_readable(self.fd)
+                self.since = self.loop.seen_from
+                continue
+            self.loop.breathe()
+            return data
+        return b""
+
+    def send(self, data: bytes) -> None:
+        """Sends all of it; raises `OSError` when the other side is gone."""
+        view = memoryview(data)
+        while len(view):
+            if self.fd < 0:
+                raise ConnectionResetError("closed here")
+            try:
+                view = view[self.sock.send(view) :]
+            except BlockingIOError:
+                self.loop.wait_writable(self.fd)
+
+    def ended(self) -> bool:
+        """Whether the other side has hung up, seen without waiting; unread bytes say no."""
+        if self.fd < 0:
+            return True
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def quiet(self) -> bool:
+        """Whether it is open and nothing is to be read: fit to be used again for a new request."""
+        if self.fd < 0:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        if self.fd >= 0:
+            fd, self.fd = self.fd, -1
+            self.loop.forget(fd)
+            self.sock.close()
+
+    def reset(self) -> None:
+        """Closes so that the other side sees a reset."""
+        if self.fd >= 0:
+            if self.sock.family != socket.AF_UNIX:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.close()
+
+
+def _open(family: int, kind: int) -> socket.socket:
+    sock = socket.socket(family, kind)
+    sock.setblocking(False)
+    return sock
+
+
+def connect(loop: Loop, to: Endpoint) -> Stream:
+    """A stream to `to`, or `OSError`. Bound it with `loop.deadline`."""
+    sock = _open(to.family, socket.SOCK_STREAM)
+    try:
+        if to.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        failed = sock.connect_ex(to.address)
+        if failed == errno.EINPROGRESS:
+            loop.wait_writable(sock.fileno())
+            failed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failed:
+            raise OSError(failed, os.strerror(failed))
+    except BaseException:
+        fd = sock.fileno()
+        loop.forget(fd)
+        sock.close()
+        raise
+    return Stream(loop, sock, str(to))
+
+
+class Listener:
+    """A listening stream socket; `accept` rests when descriptors run out instead of spinning."""
+
+    def __init__(self, loop: Loop, at: Endpoint) -> None:
+        self.loop = loop
+        self.sock = _open(at.family, socket.SOCK_STREAM)
+        if at.family == socket.AF_UNIX:
+            if os.path.exists(at.address):
+                os.unlink(at.address)
+        else:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind(at.address)
+            self.sock.listen(BACKLOG)
+        except OSError as problem:
+            self.sock.close()
+            raise OSError(problem.errno, f"cannot listen at {at}: {problem.strerror}") from None
+        self.fd = self.sock.fileno()
+        self.at = Endpoint(at.family, self.sock.getsockname())
+        self.refused_for_descriptors = 0
+
+    def accept(self) -> Stream:
+        while self.fd >= 0:
+            try:
+                sock, peer = self.sock.accept()
+            except BlockingIOError:
+                self.loop.wait_readable(self.fd)
+                continue
+            except ConnectionError:
+                continue
+            except OSError as problem:
+                if problem.errno not in OUT_OF_DESCRIPTORS:
+                    raise
+                # Guards against a busy loop: the queue stays readable while no descriptor is free.
+                self.refused_for_descriptors += 1
+                self.loop.sleep(REST)
+                continue
+            sock.setblocking(False)
+            if sock.family != socket.AF_UNIX:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.loop.breathe()
+            return Stream(self.loop, sock, str(peer[0]) if peer else "unix")
+        raise ConnectionAbortedError("the listener was closed")
+
+    def close(self) -> None:
+        if self.fd >= 0:
+            fd, self.fd = self.fd, -1
+            self.loop.forget(fd)
+            self.sock.close()
+
+
+class Datagrams:
+    """A datagram socket bound at an address."""
+
+    def __init__(self, loop: Loop, at: Endpoint) -> None:
+        self.loop = loop
+        self.sock = _open(at.family, socket.SOCK_DGRAM)
+        self.sock.bind(at.address)
+        self.fd = self.sock.fileno()
+        self.at = Endpoint(at.family, self.sock.getsockname())
+
+    def receive(self) -> tuple[bytes, Any]:
+        while self.fd >= 0:
+            try:
+                got = self.sock.recvfrom(65536)
+            except BlockingIOError:
+                self.loop.wait_readable(self.fd)
+                continue
+            except ConnectionError:
+                continue  # the answer to an earlier datagram: nobody there
+            self.loop.breathe()
+            return got
+        raise ConnectionAbortedError("the socket was closed")
+
+    def send(self, data: bytes, to: Endpoint) -> bool:
+        """Whether it left; one that does not fit now is lost, as datagrams are."""
+        try:
+            return self.fd >= 0 and self.sock.sendto(data, to.address) == len(data)
+        except OSError:
+            return False
+
+    def close(self) -> None:
+        if self.fd >= 0:
+            fd, self.fd = self.fd, -1
+            self.loop.forget(fd)
+            self.sock.close()
--- /dev/null
+++ b/ledgehitch/standins/media.py
@@ -0,0 +1,408 @@
+"""A media host's stand-in: WHEP and WHIP set-ups, sessions, notes, load reports, and the troubles it has."""
+
+import math
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from ledgehitch.http import Feed, NoAnswer, Refused, Request, Response, Server
+from ledgehitch.http.events import event
+from ledgehitch.loop import Cancelled, Endpoint, Event, Loop
+from ledgehitch.proof.tape import Tape
+from ledgehitch.signalling import BadSdp, read_sdp
+from ledgehitch.signalling.sdp import Media
+from ledgehitch.standins.links import Delivery
+from ledgehitch.standins.places import Places
+
+LAYER = "urn:ietf:params:whep:ext:core:layer"
+ORPHANED = 3.0  # seconds that viewings go on without the stream of their gateway
+CONSENT = 15.0  # seconds that a viewing goes on without a sign of its viewer
+NEVER = 1e9
+
+
+@dataclass
+class Habits:
+    """How media hosts of a fleet behave; times in seconds, rates in kB a second."""
+
+    setup: float = 0.05
+    setup_spread: float = 0.4
+    true_rate_spread: float = 0.1
+    report_noise: float = 0.05
+    refresh: float = 0.3
+    full_from: float = 0.0
+    consent: float = CONSENT
+
+
+class Troubles:
+    """What is wrong with one host now; each is switched on and off by the world."""
+
+    def __init__(self) -> None:
+        self.silent = False  # vanished: nothing is answered, nothing is sent
+        self.hangs = False
+        self.slower = 1.0
+        self.errors = 0.0
+        self.lost = 0.0
+        self.lost_resets = False
+        self.bad = 0.0
+
+
+class Session:
+    __slots__ = ("id", "key", "gateway", "vw", "package", "title", "rung", "factor", "seen", "host")
+
+    def __init__(self, id: str, key: str, gateway: str, vw: int, package: str, title: str, rung: int,
+                 factor: float, now: float) -> None:  # fmt: skip
+        self.id, self.key, self.gateway, self.vw, self.package = id, key, gateway, vw, package
+        self.title, self.rung, self.factor, self.seen = title, rung, factor, now
+
+
+class MediaHost:
+    """One host: a server of its own, sessions, and a feed to each gateway that follows it."""
+
+    def __init__(self, loop: Loop, name: str, at: Endpoint, cell: int, kind: str, zone: str, weight: float,
+                 rates: tuple[float, ...], scales: dict[str, float], places: Callable[[], Places],
+                 habits: Habits, tape: Tape, seed: int, media_at: str,
+                 reset: Callable[[], None] | None = None) -> None:  # fmt: skip
+        self.loop, self.name, self.want_at, self.cell, self.kind = loop, name, at, cell, kind
+        self.zone, self.weight, self.rates, self.scales = zone, weight, rates, scales
+        self.new_places, self.habits, self.tape, self.media_at = places, habits, tape, media_at
+        self.chance = random.Random(f"{seed}/{name}")
+        self.troubles = Troubles()
+        self.delivery = Delivery()
+        self.shown: tuple[float, Delivery] = (0.0, Delivery())
+        self.sessions: dict[str, Session] = {}
+        self.by_key: dict[str, str] = {}
+        self.setting_up: dict[str, Event] = {}  # by key
+        self.feeds: dict[str, Feed] = {}  # by gateway.boot
+        self.unfollowed: dict[str, float] = {}
+        self.server: Server | None = None
+        self.lives = 0
+        self.started_wall = 0.0
+        self.places = places()
+        self._ids = 0
+        self._bad_turn = 0
+
+    # ---- its process ---------------------------------------------------------------------------------------
+
+    def start(self, cold: bool = True) -> None:
+        self.lives += 1
+        self.boot = f"{self.name}-{self.lives}-{self.chance.randrange(1 << 32):08x}"
+        self.places = self.new_places()
+        now = time.monotonic()
+        self.places.started = now if cold else now - self.places.warm_up
+        self.started_wall = time.time() - (now - self.places.started)
+        self.troubles = Troubles()
+        self.server = Server(self.loop, self.want_at, self.handle)
+        self.want_at = self.server.at
+        if cold:
+            self.tape.write("started", host=self.name, slots=self.places.slots)
+
+    @property
+    def up(self) -> bool:
+        return self.server is not None
+
+    def stop(self, fell: bool = False) -> None:
+        """The process dies: connections are reset, sessions are gone."""
+        if self.server is None:
+            return
+        server, self.server = self.server, None
+        for stream in list(server.open):
+            stream.reset()
+        server.close()
+        for feed in self.feeds.values():
+            feed.close()
+        self.feeds.clear()
+        for session in list(self.sessions.values()):
+            self._drop(session)
+        self.setting_up.clear()
+        self.tape.write("fell" if fell else "down", host=self.name)
+
+    # ---- requests ------------------------------------------------------------------------------------------
+
+    def handle(self, request: Request) -> Response:
+        parts = request.path.strip("/").split("/")
+        if self.troubles.silent and parts[0] not in ("whep", "whip"):
+            self._forever(request)
+        match request.method, parts:
+            case "POST", ["whep" | "whip", package, title]:
+                return self._set_up(request, package, title)
+            case "DELETE", ["sessions", id]:
+                session = self.sessions.get(id)
+                if session is None:
+                    raise Refused(404, "no such session")
+                self._drop(session)
+                return Response(200)
+            case "DELETE", ["tune-ins", key]:
+                return self._call_back(key)
+            case "POST", ["sessions", id, "layer"]:
+                return self._layer(request, id)
+            case "PATCH", ["sessions", id]:
+                if id not in self.sessions:
+                    raise Refused(404, "no such session")
+                if request.headers.get("if-match") == "*":
+                    kind = [("Content-Type", "application/trickle-ice-sdpfrag")]
+                    return Response(200, kind, f"a=ice-ufrag:{id}r\r\na=ice-pwd:{'p' * 22}\r\n".encode())
+                return Response(204)
+            case "GET", ["events"]:
+                return self._events(request)
+            case "GET", ["probe"]:
+                return Response(204, [self._report()])
+        raise Refused(404, "nothing there")
+
+    def _forever(self, request: Request) -> None:
+        gone = Event(self.loop)
+        request.hung_up(lambda: gone.set())
+        gone.wait()
+        raise NoAnswer("the other side gave up")
+
+    def _set_up(self, request: Request, package: str, title: str) -> Response:
+        now = time.monotonic()
+        key = request.headers.get("idempotency-key", "").strip('"')
+        gateway = request.headers.get("gateway", "")
+        rung = int(request.query("rung") or 0)
+        self._ids += 1
+        id = f"{self.name}+{self.lives}+{self._ids}"  # "+" is fit for ICE and in no name
+        self.tape.write("setup", host=self.name, id=id, key=key, gateway=gateway.partition(".")[0],
+                        package=package, title=title, rung=rung)  # fmt: skip
+        gone = Event(self.loop)
+        request.hung_up(lambda: gone.set("gone"))
+        try:
+            response, drop = self._setting_up(request, now, id, key, gateway, package, title, rung, gone)
+        except (Cancelled, NoAnswer):
+            self.tape.write("setup_gone", id=id)
+            raise
+        if response is None or gone.value == "gone":
+            self.tape.write("setup_gone", id=id)
+            if id in self.sessions:
+                self._drop(self.sessions[id])
+            raise NoAnswer("the other side gave up")
+        if drop is None:
+            self.tape.write("setup_out", id=id, status=response.status)
+            return response
+        self.tape.write("setup_gone", id=id)
+        raise NoAnswer(drop)
+
+    def _setting_up(self, request: Request, now: float, id: str, key: str, gateway: str, package: str,
+                    title: str, rung: int, gone: Event) -> tuple[Response | None, str | None]:  # fmt: skip
+        t = self.troubles
+        stood = self.places.take(now)
+        if not stood:
+            self.stop(fell=True)
+            raise NoAnswer("pushed over")
+        if t.silent or t.hangs:
+            gone.wait()
+            return None, None
+        if self.chance.random() < t.errors:
+            return Response(500, [self._report()], b"out of order"), None
+        if len(self.sessions) + len(self.setting_up) >= self.places.slots or (
+            self.habits.full_from and self.delivery.link >= self.habits.full_from
+        ):
+            return Response(503, [self._report()], b"full"), None
+        try:
+            offer = read_sdp(request.body.decode("utf-8", "replace"))
+        except BadSdp as wrong:
+            return Response(400, [], str(wrong).encode()), None
+        self.setting_up[key] = gone
+        try:
+            takes = self.habits.setup * math.exp(self.habits.setup_spread * self.chance.gauss(0, 1))
+            ends = time.monotonic() + takes * t.slower
+            timer = self.loop.call_at(ends, lambda: gone.set("done"))
+            try:
+                gone.wait()
+            finally:
+                self.loop.timers.cancel(timer)
+        finally:
+            self.setting_up.pop(key, None)
+        if gone.value != "done" or not self.up:
+            return None, None
+        if t.silent or t.hangs:
+            silent = Event(self.loop)
+            request.hung_up(None)
+            request.hung_up(lambda: silent.set())
+            silent.wait()
+            return None, None
+        vw = int(key.split(".")[2]) if key.count(".") == 3 else 0
+        spread = self.habits.true_rate_spread
+        factor = max(0.3, random.Random(title).gauss(1.0, spread))
+        session = Session(id, key, gateway, vw, package, title, rung, factor, time.monotonic())
+        self.sessions[id], self.by_key[key] = session, id
+        answer = self._answer(offer.media, id)
+        fields = [
+            ("Content-Type", "application/sdp"),
+            ("Location", f"/sessions/{id}"),
+            ("Link", f'</sessions/{id}/layer>; rel="{LAYER}"'),
+            self._report(),
+        ]
+        response = Response(201, fields, answer)
+        if self.chance.random() < t.lost:
+            if t.lost_resets:
+                request.reset()
+                return response, "its answer was lost with the connection"
+            silent = Event(self.loop)
+            request.hung_up(None)
+            request.hung_up(lambda: silent.set())
+            silent.wait()
+            return response, "its answer was lost"
+        if self.chance.random() < t.bad:
+            return self._bad(request, response), None
+        return response, None
+
+    def _bad(self, request: Request, response: Response) -> Response:
+        """In turn: a wrong SDP, half an answer, the answer twice, a reset after the answer."""
+        self._bad_turn += 1
+        way = self._bad_turn % 4
+        whole = response.written(keep=True)
+        if way == 0:
+            response.body = b"v=0\r\nthis is no description\r\n"
+        elif way == 1:
+            response.body = response.body[: len(response.body) // 2]
+            response.headers.append(("Content-Length", str(len(response.body) * 2)))
+            response.stream = lambda send: None  # ends the connection where the half ends
+        elif way == 2:
+            response.body += whole
+            response.headers.append(("Content-Length", str(len(response.body) - len(whole))))
+            response.stream = lambda send: send(response.body)
+        else:
+            response.headers.append(("Content-Length", str(len(response.body))))
+
+            def reset(send: Callable[[bytes], None]) -> None:
+                self.loop.sleep(0.01)
+                request.reset()
+
+            response.stream = reset
+        return response
+
+    def _answer(self, media: list[Media], id: str) -> bytes:
+        ip, _, port = self.media_at.rpartition(":")
+        lines = ["v=0", f"o=- {hash_of(id)} 1 IN IP4 127.0.0.1", "s=-", "t=0 0", "a=ice-lite"]
+        for number, m in enumerate(media):
+            lines += [
+                f"m={m.kind} 9 UDP/TLS/RTP/SAVPF 96",
+                "c=IN IP4 127.0.0.1",
+                f"a=mid:{m.mid or number}",
+                f"a=ice-ufrag:{id}",
+                "a=ice-pwd:0123456789abcdefghijkl",
+                "a=fingerprint:sha-256 " + ":".join(["AB"] * 32),
+                "a=setup:passive",
+                "a=sendonly",
+                f"a=candidate:1 1 udp 2130706431 {ip} {port} typ host",
+            ]
+        return ("\r\n".join(lines) + "\r\n").encode()
+
+    def _call_back(self, key: str) -> Response:
+        out = self.setting_up.get(key)
+        if out is not None:
+            out.set("gone")
+        id = self.by_key.get(key)
+        if id is not None and id in self.sessions:
+            self._drop(self.sessions[id])
+        return Response(200 if id or out else 404)
+
+    def _layer(self, request: Request, id: str) -> Response:
+        if self.troubles.hangs:
+            self._forever(request)
+        session = self.sessions.get(id)
+        if session is None:
+            raise Refused(404, "no such session")
+        try:
+            wanted = int(msgspec.json.decode(request.body, type=dict[str, str])["encodingId"])
+            self.rates[wanted]
+        except (msgspec.MsgspecError, KeyError, ValueError, IndexError):
+            raise Refused(400, "no such layer") from None
+        session.rung = wanted
+        self.tape.write("rung", id=id, rung=wanted)
+        return Response(200)
+
+    def _events(self, request: Request) -> Response:
+        gateway = request.query("gateway") or ""
+        old = self.feeds.pop(gateway, None)
+        if old is not None:
+            old.close()
+        feed = self.feeds[gateway] = Feed(self.loop)
+        self.unfollowed.pop(gateway, None)
+        feed.tell(b": here\n\n")
+
+        def stream(send: Callable[[bytes], None]) -> None:
+            try:
+                feed.send_all(send)
+            finally:
+                if self.feeds.get(gateway) is feed:
+                    del self.feeds[gateway]
+                    self.unfollowed[gateway] = time.monotonic()
+
+        return Response(200, [("Content-Type", "text/event-stream"), ("Boot", self.boot)], stream=stream)
+
+    def _report(self) -> tuple[str, str]:
+        now = time.monotonic()
+        if now - self.shown[0] > self.habits.refresh:
+            noise = self.habits.report_noise
+            d = self.delivery
+            self.shown = now, Delivery(
+                d.share, d.link * max(0.0, self.chance.gauss(1, noise)),
+                d.uplink * max(0.0, self.chance.gauss(1, noise)),
+            )  # fmt: skip
+        d = self.shown[1]
+        return ("Endpoint-Load-Metrics", f"TEXT application_utilization={min(1.0, d.link):.4f}, "
+                f"named_metrics.inflight={len(self.sessions)}, named_metrics.x0={d.link:.4f}, "
+                f"named_metrics.x1={d.uplink:.4f}")  # fmt: skip
+
+    # ---- what plays ----------------------------------------------------------------------------------------
+
+    def asked_kb(self) -> float:
+        """What its viewings ask of its link now, in kB a second."""
+        return sum(self.rates[s.rung] * self.scales.get(s.package, 1.0) * s.factor
+                   for s in self.sessions.values())  # fmt: skip
+
+    def _drop(self, session: Session) -> None:
+        if self.sessions.pop(session.id, None) is not None:
+            self.by_key.pop(session.key, None)
+            self.tape.write("stop", id=session.id)
+
+    def end(self, session: Session, code: int) -> None:
+        """It ends by itself; its gateway is told."""
+        self._drop(session)
+        self._tell(session.gateway, "ended", session.vw, code)
+
+    def _tell(self, gateway: str, name: str, vw: int, kind: int, value: float = 0.0) -> None:
+        feed = self.feeds.get(gateway)
+        if feed is not None and not self.troubles.silent:
+            data = msgspec.json.encode({"vw": vw, "kind": kind, "value": round(value, 4)}).decode()
+            feed.tell(event(data, name))
+
+    def consented(self, id: str) -> tuple[float, int] | None:
+        """A sign of a viewer: the share delivered to it and its rung; None if nothing plays there."""
+        session = self.sessions.get(id)
+        if session is None:
+            return None
+        session.seen = time.monotonic()
+        return (0.0 if self.troubles.hangs else self.delivery.share), session.rung
+
+    def alive(self) -> None:
+        for feed in list(self.feeds.values()):
+            if not self.troubles.silent:
+                feed.tell(b": here\n\n")
+
+    def sweep(self) -> None:
+        """Ends what nobody watches, or whose gateway is gone."""
+        now = time.monotonic()
+        for session in list(self.sessions.values()):
+            if now - session.seen > self.habits.consent:
+                self.end(session, 70)
+            elif now - self.unfollowed.get(session.gateway, NEVER) > ORPHANED:
+                self._drop(session)
+
+    def note(self, kinds: tuple[tuple[int, float], ...]) -> None:
+        """Tells every gateway with viewings here, on one of them each."""
+        told: dict[str, None] = {}
+        for session in self.sessions.values():
+            if session.gateway not in told:
+                told[session.gateway] = None
+                for kind, value in kinds:
+                    self._tell(session.gateway, "note", session.vw, kind, value)
+
+
+def hash_of(text: str) -> int:
+    """A number from a text, the same in every process."""
+    return random.Random(text).randrange(1 << 31)
