--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,130 @@
+"""The light peers of the measurements: media hosts that answer at once, and a load of offers at a rate."""
+
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ledgehitch.config import read_site
+from ledgehitch.http import Feed, Request, Response, Server
+from ledgehitch.http.events import event
+from ledgehitch.http.parse import ResponseReader
+from ledgehitch.loop import Loop, Stream, TimedOut, connect, endpoint
+from ledgehitch.standins.viewers import offer_of
+
+ANSWER = offer_of(1).replace(b"a=recvonly", b"a=sendonly").replace(b"actpass", b"passive")
+
+
+def hosts(site_file: str, fail: float = 0.0) -> None:
+    """All media hosts of a site and its list, each answering at once with the same description."""
+    site = read_site(Path(site_file))
+    loop = Loop()
+
+    def main() -> None:
+        made = 0
+        lines = []
+
+        def handle(request: Request) -> Response:
+            nonlocal made
+            if request.method == "POST" and request.path.startswith("/whep/"):
+                made += 1
+                return Response(
+                    201,
+                    [
+                        ("Content-Type", "application/sdp"), ("Location", f"/sessions/{made}"),
+                        ("Link", f'</sessions/{made}/layer>; rel="urn:ietf:params:whep:ext:core:layer"'),
+                        ("Endpoint-Load-Metrics", "TEXT named_metrics.x0=0.2, named_metrics.x1=0.2"),
+                    ],
+                    ANSWER,
+                )  # fmt: skip
+            if request.path.startswith("/events"):
+                feed = Feed(loop)
+                feed.tell(b": here\n\n")
+                feeds.append(feed)
+                return Response(200, [("Boot", "b")], stream=feed.send_all)
+            return Response(200)
+
+        feeds: list[Feed] = []
+        for host in site.hosts:
+            server = Server(loop, endpoint("127.0.0.1:0"), handle)
+            lines.append({"host": host.name, "at": str(server.at), "cell": host.cell, "weight": host.weight,
+                          "kind": host.kind, "zone": host.zone, "state": "in_service", "started": 0.0})  # fmt: skip
+
+        def listing(request: Request) -> Response:
+            feed = Feed(loop)
+            told = {"epoch": "e", "version": 1, "rows": lines}
+            feed.tell(event(msgspec.json.encode(told).decode(), "total"))
+            return Response(200, [], stream=feed.send_all)
+
+        Server(loop, endpoint(site.list_at), listing)
+        print("{}", flush=True)
+        while True:
+            loop.sleep(1.0)
+            for feed in feeds:
+                feed.tell(b": here\n\n")
+
+    loop.run(main)
+
+
+def load(at: str, rate: float, seconds: float, name: str, titles: int, package: str = "recorded",
+         hold: bool = True) -> dict[str, Any]:  # fmt: skip
+    """Offers at an even rate over kept connections; what came of them, and how long each took in ms."""
+    loop = Loop()
+    took: list[float] = []
+    answers: dict[int, int] = {}
+    pool: list[Stream] = []
+    to = endpoint(at)
+
+    def one(number: int, due: float) -> None:
+        body = offer_of(number, f"{name}{number}")
+        head = (f"POST /whep/{package}/clip-{number % titles + 1} HTTP/1.1\r\nHost: {at}\r\n"
+                f"Content-Type: application/sdp\r\nAuthorization: Bearer {name}-{number}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n")  # fmt: skip
+        try:
+            with loop.deadline(10.0):
+                stream = pool.pop() if pool else connect(loop, to)
+                reader, response = ResponseReader(), None
+                stream.send(head.encode() + body)
+                while response is None:
+                    data = stream.receive()
+                    if not data:
+                        raise OSError("ended")
+                    response = reader.feed(data)
+        except (OSError, TimedOut):
+            answers[0] = answers.get(0, 0) + 1
+            return
+        took.append((time.monotonic() - due) * 1000)
+        answers[response.status] = answers.get(response.status, 0) + 1
+        pool.append(stream)
+
+    def main() -> None:
+        start = time.monotonic()
+        n = int(rate * seconds)
+        tasks = []
+        for i in range(n):
+            due = start + i / rate
+            wait = due - time.monotonic()
+            if wait > 0.0005:
+                loop.sleep(wait)
+            tasks.append(loop.spawn(one, i, due))
+        for task in tasks:
+            task.wait()
+
+    loop.run(main)
+    took.sort()
+
+    def at_share(q: float) -> float:
+        return round(took[min(len(took) - 1, int(q * len(took)))], 2) if took else -1.0
+
+    return {"rate": rate, "answers": answers, "ms": {str(q): at_share(q) for q in (0.5, 0.9, 0.99, 1.0)}}
+
+
+if __name__ == "__main__":
+    words = sys.argv[2:]
+    if sys.argv[1] == "hosts":
+        hosts(words[0])
+    elif sys.argv[1] == "load":
+        print(json.dumps(load(words[0], float(words[1]), float(words[2]), words[3], int(words[4]))))
--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -11,6 +11,7 @@
 import random
 import struct
 import zlib
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from itertools import accumulate
@@ -38,6 +39,7 @@
 USUAL, USUAL_NEWS = 0.5, 0.1  # use of a link before any report, weight of each report in the usual one
 PRIOR = 0.3  # use by own viewings from which a guess goes by them rather than by the usual use
 ENOUGH, ANSWERS = 6, 0.1  # readings from which on none is asked for; seconds that an answer is waited for
+REMEMBERED = 64  # own changes since a reading that count: more tell more of a crowded second
 DRAWN = 3  # holders without a recent reading that are looked at, drawn by chance: more find an emptier one
 TRUST = 1.5  # a reading older than so many telling intervals fades into what is guessed
 REPORT_AGE, FORGOTTEN = 0.3, 10.0  # seconds that a load report lags; after which it is not averaged any more
@@ -69,7 +71,16 @@
         self.cap_kb = max(cap_kb, 1e-9)
         self.value: float | None = None
         self.at = 0.0
-        self.changes: deque[tuple[float, float]] = deque(maxlen=64)
+        self.changes: deque[tuple[float, float]] = deque()
+        self.changed_kb = 0.0  # their sum
+        self.version = 0  # counts what was read and changed
+
+    def change(self, now: float, kb: float) -> None:
+        if len(self.changes) >= REMEMBERED:
+            self.changed_kb -= self.changes.popleft()[1]
+        self.changes.append((now, kb))
+        self.changed_kb += kb
+        self.version += 1
 
     def read(self, now: float, at: float, value: float, weight: float = 1.0) -> None:
         if value >= 0.0 and at >= self.at:
@@ -79,12 +90,14 @@
             self.value, self.at = min(value, WORST), at
             while self.changes and self.changes[0][0] <= at:
                 self.changes.popleft()
+            self.changed_kb = sum(kb for _, kb in self.changes)
+            self.version += 1
 
     def predicted(self, now: float, guess: Callable[[], float], stale: float) -> float:
         """The reading and what this gateway changed since; an old reading fades into the guess."""
         if self.value is None:
             return guess()
-        known = max(0.0, self.value + sum(kb for _, kb in self.changes) / self.cap_kb)
+        known = max(0.0, self.value + self.changed_kb / self.cap_kb)
         age = max(0.0, now - self.at - stale)
         return known + (guess() - known) * min(1.0, age / stale) if age > 0 else known
 
@@ -107,19 +120,35 @@
         self.doubted = False  # whether it may have started while this gateway was away
         self.sent: deque[float] = deque(maxlen=512)  # when it was last sent set-ups
         self.tick_at = 0.0
+        self.uses: tuple[float, float] = (0.0, 0.0)  # of link and uplink, as last worked out for `uses_of`
+        self.uses_of: tuple[float, int, int, int] | None = None
 
     def failing(self) -> float:
         return self.bad / (self.good + self.bad + 2.0)
 
 
+class Tables:
+    """What a package's rungs come to: rates in kB a second, what the step up from each earns a kB, and up to
+    where a step to each may fill link and uplink (less where it earns less a kB, to leave room)."""
+
+    def __init__(self, p: Package, rates: Sequence[float], gains: Sequence[float], best: float) -> None:
+        self.rates = [kb * p.scale for kb in rates]
+        self.worths = [p.value * gain / max(1e-9, p.scale) for gain in gains] + [0.0]
+        below = [1e9, *self.worths]
+        self.marks = [MARK - GRADE * max(0.0, 1 - below[i] / max(1e-9, best)) ** 2 for i in range(len(rates))]
+
+
 class Viewing:
-    def __init__(self, vw: int, package: Package, title: str, cells: tuple[int, int], top: int) -> None:
+    def __init__(self, vw: int, package: Package, title: str, cells: tuple[int, int], top: int,
+                 tables: Tables) -> None:  # fmt: skip
         self.vw, self.package, self.title, self.cells, self.top = vw, package, title, cells, top
+        self.rates, self.worths, self.marks = tables.rates, tables.worths, tables.marks
         self.patience = self.asked_at = 0.0
         self.host: MediaHost | None = None
         self.rung = package.floor
         self.tune_ins = 0
         self.out = self.playing = self.gone = self.may_have_run = False
+        self.looked = False  # whether a holder was looked for since it began to wait
         self.first_at, self.news_at = 0.0, -1.0  # its first tune-in, the first report after set-up
         self.anchor: Row | None = None  # where a tune-in may have run
         self.tried: list[str] = []
@@ -158,6 +187,9 @@
         self.x1 = "x1" in fleet.load_fields  # whether the use of uplinks is reported
         self.must_probe = fleet.reports == "pull" and terms.may_probe
         self.usual = USUAL  # use of a link, as reports have it lately
+        self.inputs = 0  # counts what was told
+        self.look_at = now  # when holders are looked for again, for all that wait
+        self.tables = {p.name: Tables(p, self.rates, self.gains, self.best) for p in packages}
         self.untold = b""  # changes of own viewings' rates that other gateways have not heard of
         self.plan: Iterator[Decision] | None = None
         self.list_due = now if terms.on_request else None
@@ -167,6 +199,7 @@
     # ---- what is known -------------------------------------------------------------------------------------
 
     def listed(self, now: float, how: str, rows: Sequence[Row]) -> None:
+        self.inputs += 1
         if how == "lost":
             self.list_due = now + (ASK_AGAIN + ASK_MORE * self.chance.random())
             return
@@ -209,6 +242,7 @@
         self._begin(now, v)
 
     def opened(self, now: float, vw: int, host: str, tune_in: int, latency: float) -> None:
+        self.inputs += 1
         v = self.viewings.get(vw)
         if v is None or v.playing or v.host is None:
             return
@@ -221,6 +255,7 @@
 
     def told(self, now: float, vw: int, host: str, kind: int, value: float) -> None:
         """News on a viewing: 1 the share delivered, 2 its rung, 3 and 4 the use of link and uplink."""
+        self.inputs += 1
         v, h = self.viewings.get(vw), self.hosts.get(host)
         if not 0 <= value < math.inf or h is None:
             return
@@ -247,6 +282,7 @@
 
     def ended(self, now: float, vw: int, closed: bool, code: int, host: str, latency: float, tune_in: int,
               loads: Sequence[float] = ()) -> None:  # fmt: skip
+        self.inputs += 1
         h = self.hosts.get(host)
         self._reported(now, h, loads)
         v = self.viewings.get(vw)
@@ -264,6 +300,7 @@
         v.host = None
         v.may_have_run |= code not in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
         v.anchor = v.anchor if v.may_have_run else None
+        v.looked = False
         self.waiting[vw] = v
 
     def left(self, now: float, vw: int) -> None:
@@ -274,10 +311,12 @@
             v.gone = True  # its outcome still comes, and frees its seat and load
 
     def probed(self, now: float, host: str, code: int, latency: float, loads: Sequence[float] = ()) -> None:
+        self.inputs += 1
         self._reported(now, self.hosts.get(host), loads)
 
     def peer_said(self, now: float, words: bytes) -> None:
         """Changes that another gateway booked; what does not parse or names no media host is passed over."""
+        self.inputs += 1
         if len(words) % CHANGE.size == 0:
             for name, kb in CHANGE.iter_unpack(words):
                 for h in self.hosts.values():
@@ -286,7 +325,7 @@
 
     def wake_at(self) -> float | None:
         due = [h.tick_at for h in self.hosts.values() if h.viewings]
-        due += [self.now + LOOK] if self.waiting else []
+        due += [max(self.look_at, self.now)] if self.waiting else []
         due += [] if self.list_due is None else [self.list_due]
         return min(due, default=None)
 
@@ -294,8 +333,9 @@
 
     def _viewing(self, vw: int, package: str, title: str, cells: tuple[int, int], top: int) -> Viewing:
         p = self.packages.get(package) or Package(package, 1.0, 3.0)
-        self.viewings[vw] = Viewing(vw, p, title, cells, min(top, p.top, len(self.rates) - 1))
-        return self.viewings[vw]
+        tables = self.tables.get(package) or Tables(p, self.rates, self.gains, self.best)
+        v = self.viewings[vw] = Viewing(vw, p, title, cells, min(top, p.top, len(self.rates) - 1), tables)
+        return v
 
     def _begin(self, now: float, v: Viewing) -> None:
         v.low = v.high = v.rung
@@ -304,7 +344,7 @@
         self._load(now, v, v.rung)
 
     def _rate(self, v: Viewing, rung: int) -> float:
-        return self.rates[min(rung, len(self.rates) - 1)] * v.package.scale
+        return v.rates[min(rung, len(v.rates) - 1)]
 
     def _load(self, now: float, v: Viewing, rung: int | None) -> None:
         """Books what a viewing asks of link and uplink; None: nothing any more."""
@@ -319,8 +359,8 @@
         v.kb = kb
 
     def _changed(self, now: float, h: MediaHost, kb: float) -> None:
-        h.link.changes.append((now, kb))
-        h.uplink.changes.append((now, kb))
+        h.link.change(now, kb)
+        h.uplink.change(now, kb)
 
     def _reported(self, now: float, h: MediaHost | None, loads: Sequence[float]) -> None:
         for field, value in zip(self.fleet.load_fields, loads, strict=False):
@@ -399,6 +439,13 @@
         size = self.fleet.uplink_kb + (up.cap_kb - self.fleet.uplink_kb) * taught
         return up.predicted(now, lambda: self._rack_kb(now, h) / size, self.stale if self.x1 else 1.0)
 
+    def _uses(self, now: float, h: MediaHost) -> tuple[float, float]:
+        """Use of link and uplink, worked out once for all that ask between two pieces of news on the rack."""
+        known = now, self.inputs, h.link.version, h.uplink.version
+        if h.uses_of != known:
+            h.uses, h.uses_of = (self.use_link(now, h), self.use_uplink(now, h)), known
+        return h.uses
+
     # ---- decisions -----------------------------------------------------------------------------------------
 
     now = 0.0
@@ -417,8 +464,15 @@
         if self.list_due is not None and now >= self.list_due:
             self.list_due = now + (0.5 * self.terms.ask_within or ASK_AGAIN)
             yield say.Subscribe()
-        for v in sorted(self.waiting.values(), key=lambda v: (-v.package.value, v.asked_at)):
-            yield from self._place(now, v)
+        # Guards against a cost that grows with all that wait: who was looked for is so again with all others,
+        # every LOOK, and what fits no rung now is found out once for all who want the same.
+        again = now >= self.look_at
+        due = [v for v in self.waiting.values() if again or not v.looked or now >= v.patience - EDGE]
+        self.look_at = now + LOOK if again else self.look_at
+        full: set[tuple[tuple[int, int], str]] = set()
+        for v in sorted(due, key=lambda v: (-v.package.value, v.asked_at)):
+            yield from self._place(now, v, full)
+            v.looked = now >= v.asks_until  # one that waits for a probe's answer is looked for at any news
         for h in self.hosts.values():
             if now >= h.tick_at and h.viewings:
                 h.tick_at = now + TICK
@@ -433,9 +487,14 @@
                 for to in self.chance.sample(others, min(RECEIVERS, len(others))):
                     yield say.Tell(words, to)
 
-    def _place(self, now: float, v: Viewing) -> Iterator[Decision]:
-        """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting."""
-        if now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins and self._may_try_again(now, v):
+    def _place(self, now: float, v: Viewing, full: set[tuple[tuple[int, int], str]]) -> Iterator[Decision]:
+        """Admission: the least used holder, at the highest rung under the mark, the lowest, or waiting.
+
+        `full` holds what was found to fit nowhere in this pull, where no chance or probe had a part."""
+        alike = v.cells, v.package.name
+        in_time = now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins
+        may = in_time and self._may_try_again(now, v)
+        if may and (alike not in full or v.tried):
             held = [h for h in self.hosts.values() if self._holds(v, h)]
             # Guards against a fleet that looks ill as a whole: with every holder set aside, all are used.
             held = [h for h in held if now >= h.aside_until] or held
@@ -460,8 +519,10 @@
                 if rung is not None:
                     yield from self._send(now, v, h, rung)
                     return
-            if now < min(v.asked_at + WAIT_PART * v.package.join_target, v.patience - EDGE):
-                return
+            if not unread and not v.tried and v.top >= v.package.floor:
+                full.add(alike)
+        if may and now < min(v.asked_at + WAIT_PART * v.package.join_target, v.patience - EDGE):
+            return
         del self.waiting[v.vw]
         del self.viewings[v.vw]
         effect, scope = v.package.effect, v.package.key_scope
@@ -471,14 +532,14 @@
             yield say.Block(v.vw, min(1.0, self.terms.longest_advice) if self.terms.may_advise else 0.0)
 
     def _least_used(self, now: float, v: Viewing, h: MediaHost) -> float:
-        link, up = self.use_link(now, h), self.use_uplink(now, h)
+        link, up = self._uses(now, h)
         crossing = CROSS_BIAS * self.terms.cross_price * (h.row.zone != self.terms.zone)
         return max(link, up) + SECOND * min(link, up) + crossing + TRIED * (h.row.host in v.tried)
 
     def _fitting(self, now: float, v: Viewing, h: MediaHost) -> int | None:
-        link, up = self.use_link(now, h), self.use_uplink(now, h)
+        link, up = self._uses(now, h)
         for rung in range(v.top, v.package.floor - 1, -1):
-            mark = self._mark(v, rung) if rung > v.package.floor else FULL_ENOUGH
+            mark = v.marks[rung] if rung > v.package.floor else FULL_ENOUGH
             kb = self._rate(v, rung)
             if link + kb / h.link.cap_kb <= mark and up + kb / h.uplink.cap_kb <= mark:
                 return rung
@@ -562,13 +623,16 @@
         brings link and uplink to the mark, which chance rounds to whole steps.
         """
         playing = [v for v in h.viewings.values() if v.playing and not v.gone]
-        use = max(self.use_link(now, h), self.use_uplink(now, h), 1e-9)
+        use = max(*self._uses(now, h), 1e-9)
         part, dice = h.own_kb * abs(MARK / use - 1), self.chance.random()
         if h.short and now - h.share_at < SHORT_FOR:
             part *= HASTE
         sign, down = (1, 1) if use > MARK else (-1, 0)  # the cheapest give way first
-        for v in sorted(playing, key=lambda v: (sign * self._worth(v, v.rung - down), v.vw)):
+        worths = [(sign * (v.worths[v.rung - down] if v.rung >= down else 1e9), v.vw, v) for v in playing]
+        for _, _, v in sorted(worths):
             rung = self._step(now, v, h)
+            if rung == v.rung:
+                continue
             change = abs(self._rate(v, rung) - self._rate(v, v.rung))
             if change and dice * change <= part:
                 part -= change
@@ -576,31 +640,18 @@
                 v.hold_until = now + HOLD
                 yield say.SetRung(v.vw, rung)
 
-    def _mark(self, v: Viewing, rung: int) -> float:
-        """Up to where a step to this rung may fill: less where it earns less a kB, to leave room."""
-        return MARK - GRADE * max(0.0, 1 - self._worth(v, rung - 1) / max(1e-9, self.best)) ** 2
-
-    def _worth(self, v: Viewing, rung: int) -> float:
-        """What the step from this rung to the next earns for each kB."""
-        if rung < 0:
-            return 1e9
-        gain = self.gains[rung] if rung < len(self.gains) else 0.0
-        return v.package.value * gain / max(1e-9, v.package.scale)
-
     def _step(self, now: float, v: Viewing, h: MediaHost) -> int:
         """EDRA for one viewing: measure, estimate, bounds, then a rung at most (to the measure if short)."""
-        link, up = self.use_link(now, h), self.use_uplink(now, h)
+        link, up = self._uses(now, h)
         rate = self._rate(v, v.rung)
         share = 1 / max(link, up, 1e-9) if h.short and now - h.share_at < SHORT_FOR else 1.0
         if share < SHORT:
             measure = rate * share
         else:
-            mark = self._mark(v, min(v.rung + 1, v.top))
-            room = min(
-                (mark - use) * cap if use < mark else min(0.0, PRESSED - use) * cap
-                for use, cap in ((link, h.link.cap_kb), (up, h.uplink.cap_kb))
-            )
-            measure = max(0.0, rate + room)
+            mark = v.marks[min(v.rung + 1, v.top)]
+            on_link = (mark - link if link < mark else min(0.0, PRESSED - link)) * h.link.cap_kb
+            on_uplink = (mark - up if up < mark else min(0.0, PRESSED - up)) * h.uplink.cap_kb
+            measure = max(0.0, rate + min(on_link, on_uplink))
         v.estimate = (NEW * measure + OLD * v.estimate) / (NEW + OLD)
         below = self._below(v, measure)
         if measure > v.last:
@@ -618,6 +669,5 @@
         return max(v.package.floor, min(v.top, step)) if v.package.floor <= v.top else v.rung
 
     def _below(self, v: Viewing, kb: float) -> int:
-        rungs = range(v.package.floor, v.top + 1)
-        return max((r for r in rungs if self._rate(v, r) <= kb), default=v.package.floor)
+        return max(v.package.floor, min(v.top, bisect_right(v.rates, kb) - 1))
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -321,5 +321,5 @@
 def test_marks_are_lower_for_steps_that_earn_less_for_each_kb() -> None:
     gw = gateway()
     ask(gw, NOW, 1)
-    marks = [gw._mark(gw.viewings[1], rung) for rung in (1, 2, 3)]
+    marks = gw.viewings[1].marks[1:4]
     assert marks[0] == brain.MARK > marks[1] > marks[2] >= brain.MARK - brain.GRADE
