--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -49,19 +49,41 @@
 def loaded(at: str, rate: float, seconds: float, senders: int = 1, name: str = "b") -> list[dict[str, Any]]:
     children = [
         subprocess.Popen(
-            [sys.executable, "-m", "benchmarks.peers", "load", at, str(rate / senders), str(seconds), f"{name}{i}", "20"],
+            [
+                sys.executable,
+                "-m",
+                "benchmarks.peers",
+                "load",
+                at,
+                str(rate / senders),
+                str(seconds),
+                f"{name}{i}",
+                "20",
+            ],
             stdout=subprocess.PIPE,
         )
         for i in range(senders)
-    ]  # fmt: skip
+    ]
     return [json.loads(child.communicate()[0]) for child in children]
 
 
 def site_file(directory: Path, hosts: int, slots: int = 100000, link_kb: float = 1e9) -> tuple[Path, str]:
-    day = msgspec.convert({
-        "name": "bench", "length": 60.0, "arrivals": {"rate": 1.0, "mix": [{"package": "recorded"}]},
-        "shape": {"gateways": 1, "hosts": hosts, "titles": 20, "rack": 7, "slots": slots, "link_kb": link_kb},
-    }, Day)  # fmt: skip
+    day = msgspec.convert(
+        {
+            "name": "bench",
+            "length": 60.0,
+            "arrivals": {"rate": 1.0, "mix": [{"package": "recorded"}]},
+            "shape": {
+                "gateways": 1,
+                "hosts": hosts,
+                "titles": 20,
+                "rack": 7,
+                "slots": slots,
+                "link_kb": link_kb,
+            },
+        },
+        Day,
+    )
     site = site_of(day, 1, free_ports(4), str(write_key(directory / "key")))
     path = directory / f"site-{hosts}.json"
     path.write_bytes(msgspec.json.encode(site))
@@ -111,8 +133,13 @@
     holds = state(at)["viewings"]
     front.end()
     peers.end()
-    return {"held": holds, "kb_each": round((after - before) / max(1, holds), 2), "descriptors": fds,
-            "idle_cpu": round(idle, 4), "answers": [c["answers"] for c in came]}  # fmt: skip
+    return {
+        "held": holds,
+        "kb_each": round((after - before) / max(1, holds), 2),
+        "descriptors": fds,
+        "idle_cpu": round(idle, 4),
+        "answers": [c["answers"] for c in came],
+    }
 
 
 def main(seconds: float = 4.0) -> dict[str, Any]:
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -34,12 +34,13 @@
                 return Response(
                     201,
                     [
-                        ("Content-Type", "application/sdp"), ("Location", f"/sessions/{made}"),
+                        ("Content-Type", "application/sdp"),
+                        ("Location", f"/sessions/{made}"),
                         ("Link", f'</sessions/{made}/layer>; rel="urn:ietf:params:whep:ext:core:layer"'),
                         ("Endpoint-Load-Metrics", "TEXT named_metrics.x0=0.2, named_metrics.x1=0.2"),
                     ],
                     ANSWER,
-                )  # fmt: skip
+                )
             if request.path.startswith("/events"):
                 feed = Feed(loop)
                 feed.tell(b": here\n\n")
@@ -50,8 +51,18 @@
         feeds: list[Feed] = []
         for host in site.hosts:
             server = Server(loop, endpoint("127.0.0.1:0"), handle)
-            lines.append({"host": host.name, "at": str(server.at), "cell": host.cell, "weight": host.weight,
-                          "kind": host.kind, "zone": host.zone, "state": "in_service", "started": 0.0})  # fmt: skip
+            lines.append(
+                {
+                    "host": host.name,
+                    "at": str(server.at),
+                    "cell": host.cell,
+                    "weight": host.weight,
+                    "kind": host.kind,
+                    "zone": host.zone,
+                    "state": "in_service",
+                    "started": 0.0,
+                }
+            )
 
         def listing(request: Request) -> Response:
             feed = Feed(loop)
@@ -69,8 +80,9 @@
     loop.run(main)
 
 
-def load(at: str, rate: float, seconds: float, name: str, titles: int, package: str = "recorded",
-         hold: bool = True) -> dict[str, Any]:  # fmt: skip
+def load(
+    at: str, rate: float, seconds: float, name: str, titles: int, package: str = "recorded", hold: bool = True
+) -> dict[str, Any]:
     """Offers at an even rate over kept connections; what came of them, and how long each took in ms."""
     loop = Loop()
     took: list[float] = []
@@ -80,9 +92,11 @@
 
     def one(number: int, due: float) -> None:
         body = offer_of(number, f"{name}{number}")
-        head = (f"POST /whep/{package}/clip-{number % titles + 1} HTTP/1.1\r\nHost: {at}\r\n"
-                f"Content-Type: application/sdp\r\nAuthorization: Bearer {name}-{number}\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n")  # fmt: skip
+        head = (
+            f"POST /whep/{package}/clip-{number % titles + 1} HTTP/1.1\r\nHost: {at}\r\n"
+            f"Content-Type: application/sdp\r\nAuthorization: Bearer {name}-{number}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
         try:
             with loop.deadline(10.0):
                 stream = pool.pop() if pool else connect(loop, to)
--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -59,6 +59,7 @@
 OTHERS = 0.3  # with so much of a link asked by others, a media host did not just start
 ASK_AGAIN, ASK_MORE = 1.0, 5.0  # seconds until a lost list is asked for again: at least, and more by chance
 LOOK = 0.05  # seconds between looks for a holder while viewings wait
+FEW = 8  # so many that wait are looked for at any news: more find room sooner and cost more when none is
 CHANGE = struct.Struct(">Hh")  # a change told to other gateways: which media host, kB a second
 RECEIVERS = 2  # gateways that a word goes to: more tell more, and cost as many times as much
 EDGE = 0.03  # seconds kept free before patience ends
@@ -188,6 +189,7 @@
         self.must_probe = fleet.reports == "pull" and terms.may_probe
         self.usual = USUAL  # use of a link, as reports have it lately
         self.inputs = 0  # counts what was told
+        self.holders: dict[tuple[int, int], list[MediaHost]] = {}  # by cells, as far as the list says
         self.look_at = now  # when holders are looked for again, for all that wait
         self.tables = {p.name: Tables(p, self.rates, self.gains, self.best) for p in packages}
         self.untold = b""  # changes of own viewings' rates that other gateways have not heard of
@@ -205,6 +207,7 @@
             return
         if how != "warm_copy":
             self.list_due = None
+        self.holders = {}
         if how in ("total", "warm_copy"):
             named = {row.host for row in rows}
             for name, known in self.hosts.items():
@@ -466,7 +469,7 @@
             yield say.Subscribe()
         # Guards against a cost that grows with all that wait: who was looked for is so again with all others,
         # every LOOK, and what fits no rung now is found out once for all who want the same.
-        again = now >= self.look_at
+        again = now >= self.look_at or len(self.waiting) <= FEW
         due = [v for v in self.waiting.values() if again or not v.looked or now >= v.patience - EDGE]
         self.look_at = now + LOOK if again else self.look_at
         full: set[tuple[tuple[int, int], str]] = set()
@@ -495,7 +498,7 @@
         in_time = now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins
         may = in_time and self._may_try_again(now, v)
         if may and (alike not in full or v.tried):
-            held = [h for h in self.hosts.values() if self._holds(v, h)]
+            held = [h for h in self._holders(v.cells) if self._within_key(v, h)]
             # Guards against a fleet that looks ill as a whole: with every holder set aside, all are used.
             held = [h for h in held if now >= h.aside_until] or held
             held = [h for h in held if now >= h.cold_until or not self._too_cold(now, h)]
@@ -545,10 +548,16 @@
                 return rung
         return None
 
-    def _holds(self, v: Viewing, h: MediaHost) -> bool:
-        (first, spread), places = v.cells, self.fleet.cells
-        holds = places <= 0 or (h.row.cell - first) % places < spread
-        return h.listed and holds and self._within_key(v, h)
+    def _holders(self, cells: tuple[int, int]) -> list[MediaHost]:
+        """The media hosts in service that hold what lies in these cells; kept until the list changes."""
+        held = self.holders.get(cells)
+        if held is None:
+            (first, spread), places = cells, self.fleet.cells
+            held = self.holders[cells] = [
+                h for h in self.hosts.values()
+                if h.listed and (places <= 0 or (h.row.cell - first) % places < spread)
+            ]  # fmt: skip
+        return held
 
     def _within_key(self, v: Viewing, h: MediaHost) -> bool:
         """Rule 2: what may have run is sent again only where its package lets it."""
@@ -587,7 +596,8 @@
 
     def _send(self, now: float, v: Viewing, h: MediaHost, rung: int) -> Iterator[Decision]:
         """The one gate that every tune-in passes."""
-        may = self._holds(v, h) and not self._too_cold(now, h) and self._may_try_again(now, v)
+        holds = h in self._holders(v.cells) and self._within_key(v, h)
+        may = holds and not self._too_cold(now, h) and self._may_try_again(now, v)
         if v.out or v.playing or not may:
             return
         if rung != v.rung or v.tune_ins == 0:
--- a/ledgehitch/loop/kernel.py
+++ b/ledgehitch/loop/kernel.py
@@ -12,8 +12,7 @@
 import sys
 import time
 from collections import deque
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from typing import Any
 
 import greenlet
@@ -199,25 +198,9 @@
             if task.interrupts:
                 raise task.interrupts.pop(0)
 
-    @contextmanager
-    def deadline(self, seconds: float) -> Iterator[None]:
+    def deadline(self, seconds: float) -> "Deadline":
         """Raises `TimedOut` where the task waits when the time has passed; nested ones each keep theirs."""
-        task = self.current
-        assert task is not None
-        scope = object()
-        timer = self.timers.set(time.monotonic() + seconds, lambda: self.interrupt(task, _DeadlineHit(scope)))
-        try:
-            yield
-        except _DeadlineHit as hit:
-            if hit.scope is scope:
-                raise TimedOut() from None
-            raise
-        finally:
-            self.timers.cancel(timer)
-            if task.interrupts:
-                task.interrupts = [
-                    e for e in task.interrupts if not (isinstance(e, _DeadlineHit) and e.scope is scope)
-                ]
+        return Deadline(self, seconds)
 
     def call_at(self, at: float, call: Callable[[], None]) -> Timer:
         """Runs a short call that must not wait, at a time of `time.monotonic()`."""
@@ -374,6 +357,34 @@
         return restore
 
 
+class Deadline:
+    """The scope of `Loop.deadline`: a plain class, since nearly every wait of the program has one."""
+
+    __slots__ = ("loop", "at", "task", "timer")
+
+    def __init__(self, loop: Loop, seconds: float) -> None:
+        self.loop, self.at = loop, time.monotonic() + seconds
+
+    def __enter__(self) -> None:
+        task = self.loop.current
+        assert task is not None
+        self.task = task
+        self.timer = self.loop.timers.set(self.at, self._pass)
+
+    def _pass(self) -> None:
+        self.loop.interrupt(self.task, _DeadlineHit(self))
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None, _: object) -> None:
+        self.loop.timers.cancel(self.timer)
+        interrupts = self.task.interrupts
+        if interrupts:
+            self.task.interrupts = [
+                e for e in interrupts if not (isinstance(e, _DeadlineHit) and e.scope is self)
+            ]
+        if isinstance(error, _DeadlineHit) and error.scope is self:
+            raise TimedOut() from None
+
+
 class Event:
     """Set once; who waits is woken, who comes later does not wait."""
 
--- a/ledgehitch/signalling/sdp.py
+++ b/ledgehitch/signalling/sdp.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 MOST_LINES = 2000
-DIRECTIONS = ("sendrecv", "sendonly", "recvonly", "inactive")
+FLAGS = frozenset(("sendrecv", "sendonly", "recvonly", "inactive"))
+NEEDED = (("o", "an origin line (o=)"), ("s", "a session name (s=)"), ("t", "a time line (t=)"))
 
 
 class BadSdp(ValueError):
@@ -51,22 +52,21 @@
     candidates: int = 0
 
 
-def _lines(text: str) -> list[tuple[int, str, str]]:
-    lines = []
-    raw = text.replace("\r\n", "\n").split("\n")
-    if len(raw) > MOST_LINES:
+def _lines(text: str) -> list[str]:
+    lines = text.split("\n", MOST_LINES)
+    if len(lines) > MOST_LINES:
         raise BadSdp(MOST_LINES, f"more than {MOST_LINES} lines")
-    for number, line in enumerate(raw, 1):
-        if not line:
-            if any(raw[number:]):
-                raise BadSdp(number, "an empty line inside the description")
-            break
-        if len(line) < 2 or line[1] != "=" or not line[0].isalpha():
-            raise BadSdp(number, f"{line[:40]!r} is no line of the form x=value")
-        lines.append((number, line[0], line[2:]))
+    while lines and not lines[-1].strip("\r"):
+        lines.pop()
     return lines
 
 
+def _malformed(number: int, line: str) -> BadSdp:
+    if not line:
+        return BadSdp(number, "an empty line inside the description")
+    return BadSdp(number, f"{line[:40]!r} is no line of the form x=value")
+
+
 def _kb(number: int, value: str) -> float | None:
     kind, _, amount = value.partition(":")
     if kind not in ("AS", "TIAS"):
@@ -79,42 +79,46 @@
 def read_sdp(text: str) -> Offer:
     """Reads an offer or an answer; raises `BadSdp` with the line."""
     lines = _lines(text)
-    if not lines or lines[0][1:] != ("v", "0"):
+    if not lines or lines[0].rstrip("\r") != "v=0":
         raise BadSdp(1, "a description starts with v=0")
     found = Offer()
+    media = None
     seen = ""
-    for number, letter, value in lines:
-        if letter == "m":
-            parts = value.split()
-            if len(parts) < 4 or not parts[1].partition("/")[0].isdigit():
-                raise BadSdp(number, f"a media line is 'm=kind port protocol formats', not 'm={value[:40]}'")
-            found.media.append(Media(parts[0]))
-        elif letter == "b":
-            kb = _kb(number, value)
-            if kb is not None and found.media:
-                found.media[-1].kb = kb
-            elif kb is not None:
-                found.kb = kb
-        elif letter == "a":
-            name, _, rest = value.partition(":")
-            if name == "ice-ufrag":
+    for number, line in enumerate(lines, 1):
+        if line[1:2] != "=" or not line[0].isalpha():
+            raise _malformed(number, line.rstrip("\r"))
+        letter = line[0]
+        if letter == "a":
+            name, _, rest = line[2:].rstrip("\r").partition(":")
+            if name in FLAGS:
+                if media is not None:
+                    media.direction = name
+            elif name == "mid":
+                if media is not None:
+                    media.mid = rest
+            elif name == "ice-ufrag":
                 found.ufrag = found.ufrag or rest
             elif name == "ice-pwd":
                 found.password = found.password or rest
             elif name == "fingerprint":
                 found.fingerprint = True
-            elif name == "mid" and found.media:
-                found.media[-1].mid = rest
-            elif name in DIRECTIONS and found.media:
-                found.media[-1].direction = name
-        elif not found.media:
+        elif letter == "m":
+            parts = line.split()
+            if len(parts) < 4 or not parts[1].partition("/")[0].isdigit():
+                said = line[:42].rstrip("\r")
+                raise BadSdp(number, f"a media line is 'm=kind port protocol formats', not {said!r}")
+            media = Media(parts[0][2:])
+            found.media.append(media)
+        elif letter == "b":
+            kb = _kb(number, line[2:].rstrip("\r"))
+            if kb is not None and media is not None:
+                media.kb = kb
+            elif kb is not None:
+                found.kb = kb
+        elif media is None:
             seen += letter
-    last = lines[-1][0]
-    for needed, why in (
-        ("o", "an origin line (o=)"),
-        ("s", "a session name (s=)"),
-        ("t", "a time line (t=)"),
-    ):
+    last = len(lines)
+    for needed, why in NEEDED:
         if needed not in seen:
             raise BadSdp(last, f"{why} is missing")
     if not found.media:
@@ -129,17 +133,20 @@
 def read_fragment(text: str) -> Fragment:
     """Reads the body of a PATCH: credentials and how many candidates."""
     found = Fragment()
-    for number, letter, value in _lines(text):
-        if letter == "a":
-            name, _, rest = value.partition(":")
+    for number, line in enumerate(_lines(text), 1):
+        line = line.rstrip("\r")
+        if line[1:2] != "=":
+            raise _malformed(number, line)
+        if line[0] == "a":
+            name, _, rest = line[2:].partition(":")
             if name == "ice-ufrag":
                 found.ufrag = rest
             elif name == "ice-pwd":
                 found.password = rest
             elif name == "candidate":
                 found.candidates += 1
-        elif letter != "m":
-            raise BadSdp(number, f"a fragment holds a= and m= lines, not {letter}=")
+        elif line[0] != "m":
+            raise BadSdp(number, f"a fragment holds a= and m= lines, not {line[0]}=")
     if not found.ufrag or not found.password:
         raise BadSdp(1, "ICE credentials (a=ice-ufrag, a=ice-pwd) are missing")
     return found
