--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -85,13 +85,13 @@
 
     def read(self, now: float, at: float, value: float, weight: float = 1.0) -> None:
         if value >= 0.0 and at >= self.at:
+            done = 0.0  # changes that the reading has seen
+            while self.changes and self.changes[0][0] <= at:
+                done += self.changes.popleft()[1]
+            self.changed_kb = self.changed_kb - done if self.changes else 0.0
             if self.value is not None and now - self.at < FORGOTTEN:
-                done = sum(kb for t, kb in self.changes if t <= at) / self.cap_kb
-                value = weight * value + (1 - weight) * max(0.0, self.value + done)
+                value = weight * value + (1 - weight) * max(0.0, self.value + done / self.cap_kb)
             self.value, self.at = min(value, WORST), at
-            while self.changes and self.changes[0][0] <= at:
-                self.changes.popleft()
-            self.changed_kb = sum(kb for _, kb in self.changes)
             self.version += 1
 
     def predicted(self, now: float, guess: Callable[[], float], stale: float) -> float:
--- a/ledgehitch/gateway/carry.py
+++ b/ledgehitch/gateway/carry.py
@@ -93,6 +93,7 @@
         self.home: Task | None = None  # owns what is carried out, so that it outlives the request
         self._pump_due = False
         self._timer: Timer | None = None
+        self._timer_at = 0.0
 
     # ---- the pump ------------------------------------------------------------------------------------------
 
@@ -147,10 +148,13 @@
                     self._left(now, vw)
                 case End(vw):
                     self._end(now, vw)
-        wakes = [at for at in (self.mind.brain.wake_at(), self.watch.wake_at(), self.desk.wake_at()) if at]
-        if self._timer is not None:
-            self.loop.timers.cancel(self._timer)
-        self._timer = self.loop.call_at(min(wakes), self.stir) if wakes else None
+        asks = (self.mind.brain.wake_at(), self.watch.wake_at(), self.desk.wake_at())
+        wake = min(at for at in asks if at is not None)
+        # The timer that is set does where it is early enough: it stirs once for nothing at most.
+        if self._timer is None or self._timer.call is None or wake < self._timer_at:
+            if self._timer is not None:
+                self.loop.timers.cancel(self._timer)
+            self._timer, self._timer_at = self.loop.call_at(wake, self.stir), wake
 
     def _spawn(self, call: Callable[..., None], *args: Any, name: str) -> Task:
         return self.loop.spawn(call, *args, name=name, owner=self.home)
--- a/ledgehitch/gateway/front.py
+++ b/ledgehitch/gateway/front.py
@@ -173,8 +173,11 @@
 
     def _written(self, conn: int, whole: bool) -> None:
         desk = self.carrier.desk
-        (desk.delivered if whole else desk.undelivered)(self.loop.now, conn)
-        self.carrier.stir()
+        if whole:
+            desk.delivered(self.loop.now, conn)
+        else:
+            desk.undelivered(self.loop.now, conn)
+            self.carrier.stir()
 
     # ---- resources -----------------------------------------------------------------------------------------
 
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -1,5 +1,6 @@
 """One gateway as a process: put together from a site file, run until told to stop."""
 
+import gc
 import json
 import os
 import random
@@ -135,6 +136,11 @@
           ready: Callable[[str], None] | None = None) -> int:  # fmt: skip
     """Runs until SIGTERM or SIGINT; SIGUSR1 drains. `ready` is told the address once it serves."""
     loop = Loop(_report)
+    # Guards against pauses of the collector that grow with the viewings held: what is here at start stays,
+    # and viewings are let go by count of references.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 100)
 
     def main() -> int:
         over = Event(loop)
--- a/ledgehitch/gateway/watch.py
+++ b/ledgehitch/gateway/watch.py
@@ -5,6 +5,7 @@
 another process, stayed silent too long, or that the list calls gone.
 """
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -52,9 +53,11 @@
         self.chance = chance
         self.hosts: dict[str, _Host] = {}
         self._due: list[Decision] = []
+        self.next_at = 0.0  # before this there is nothing to decide, unless something is told
 
     def listed(self, now: float, host: str, gone: bool) -> None:
         """The list names a host; `gone` when its process is."""
+        self.next_at = now
         h = self.hosts.get(host)
         if gone:
             if h is not None and h.listed:
@@ -70,6 +73,7 @@
 
     def hello(self, now: float, host: str, boot: str) -> None:
         """The stream is open, and the process at its other end is `boot`."""
+        self.next_at = now
         h = self.hosts.get(host)
         if h is None:
             return
@@ -84,6 +88,7 @@
 
     def broke(self, now: float, host: str, refused: bool) -> None:
         """The stream ended or could not be opened; `refused`: no process listens there."""
+        self.next_at = now
         h = self.hosts.get(host)
         if h is None:
             return
@@ -100,6 +105,14 @@
         return h is None or now - max(h.heard, h.since) > SILENT
 
     def decide(self, now: float) -> Decision | None:
+        if now < self.next_at:
+            return None
+        decision = self._decided(now)
+        if decision is None:
+            self.next_at = self._wake_at()
+        return decision
+
+    def _decided(self, now: float) -> Decision | None:
         if self._due:
             return self._due.pop(0)
         for host, h in self.hosts.items():
@@ -111,7 +124,10 @@
                 return Lost(host)
         return None
 
-    def wake_at(self) -> float | None:
+    def wake_at(self) -> float:
+        return self.next_at
+
+    def _wake_at(self) -> float:
         due = [h.again_at for h in self.hosts.values() if not h.following]
         due += [h.since + LOST for h in self.hosts.values() if h.boot and not h.lost_told]
-        return min(due, default=None)
+        return min(due, default=math.inf)
--- a/ledgehitch/http/client.py
+++ b/ledgehitch/http/client.py
@@ -45,7 +45,7 @@
                 stream.send(_written(address, method, target, headers or [], body))
                 response = None
                 while response is None:
-                    data = stream.receive()
+                    data = stream.receive(likely_empty=True)
                     if not data:
                         response = reader.at_end()
                         if response is None:
--- a/ledgehitch/http/server.py
+++ b/ledgehitch/http/server.py
@@ -69,10 +69,11 @@
     def _connection(self, stream: Stream) -> None:
         reader = RequestReader(self.limits.head, self.limits.body)
         try:
-            keep = True
+            keep = first = True
             while keep:
                 try:
-                    requests = self._read(stream, reader)
+                    requests = self._read(stream, reader, first)
+                    first = False
                 except Refused as refused:
                     self._send(stream, self._refusal(refused).written(keep=False))
                     # Guards against a reset that takes the answer with it: what still comes is read off.
@@ -95,10 +96,10 @@
             self.open.pop(stream, None)
             stream.close()
 
-    def _read(self, stream: Stream, reader: RequestReader) -> list[Request]:
+    def _read(self, stream: Stream, reader: RequestReader, first: bool) -> list[Request]:
         try:
             with self.loop.deadline(self.limits.idle):
-                data = stream.receive()
+                data = stream.receive(likely_empty=not first)
         except TimedOut:
             return []
         since = stream.since
@@ -157,8 +158,10 @@
 
     def _send(self, stream: Stream, data: bytes) -> None:
         try:
-            with self.loop.deadline(self.limits.send_within):
-                stream.send(data)
+            rest = stream.send_now(data)
+            if rest:
+                with self.loop.deadline(self.limits.send_within):
+                    stream.send(rest)
         except TimedOut:
             self.slow += 1
             raise OSError("the client does not take its answer") from None
--- a/ledgehitch/loop/sockets.py
+++ b/ledgehitch/loop/sockets.py
@@ -50,8 +50,13 @@
         self.fd = sock.fileno()
         self.since = loop.seen_from  # what is first read arrived no earlier than this
 
-    def receive(self, most: int = 65536) -> bytes:
-        """Some bytes, or none at the end; raises `OSError` when reset."""
+    def receive(self, most: int = 65536, likely_empty: bool = False) -> bytes:
+        """Some bytes, or none at the end; raises `OSError` when reset.
+
+        Where nothing can be there yet (`likely_empty`) the first try at reading is spared."""
+        if likely_empty and self.fd >= 0:
+            self.loop.wait_readable(self.fd)
+            self.since = self.loop.seen_from
         while self.fd >= 0:
             try:
                 data = self.sock.recv(most)
@@ -74,6 +79,15 @@
             except BlockingIOError:
                 self.loop.wait_writable(self.fd)
 
+    def send_now(self, data: bytes) -> bytes:
+        """Sends what goes without waiting, and gives back the rest."""
+        if self.fd < 0:
+            raise ConnectionResetError("closed here")
+        try:
+            return data[self.sock.send(data) :]
+        except BlockingIOError:
+            return data
+
     def ended(self) -> bool:
         """Whether the other side has hung up, seen without waiting; unread bytes say no."""
         if self.fd < 0:
--- a/ledgehitch/loop/timers.py
+++ b/ledgehitch/loop/timers.py
@@ -7,21 +7,17 @@
 class Timer:
     """A call that is due at a time; cancelled ones stay in the heap until they surface or it is swept."""
 
-    __slots__ = ("at", "call", "order")
+    __slots__ = ("call",)
 
-    def __init__(self, at: float, order: int, call: Callable[[], None]) -> None:
-        self.at, self.order = at, order
+    def __init__(self, call: Callable[[], None]) -> None:
         self.call: Callable[[], None] | None = call
 
-    def __lt__(self, other: "Timer") -> bool:
-        return (self.at, self.order) < (other.at, other.order)
-
 
 class Timers:
     """A heap of timers; of two due at once the one set first goes first."""
 
     def __init__(self) -> None:
-        self._heap: list[Timer] = []
+        self._heap: list[tuple[float, int, Timer]] = []  # when, and in which order it was set
         self._order = 0
         self._dead = 0
 
@@ -30,8 +26,8 @@
 
     def set(self, at: float, call: Callable[[], None]) -> Timer:
         self._order += 1
-        timer = Timer(at, self._order, call)
-        heapq.heappush(self._heap, timer)
+        timer = Timer(call)
+        heapq.heappush(self._heap, (at, self._order, timer))
         return timer
 
     def cancel(self, timer: Timer) -> None:
@@ -41,22 +37,22 @@
         self._dead += 1
         # Guards against deadlines that are nearly always cancelled filling the heap until they fall due.
         if self._dead > 64 and self._dead > len(self._heap) // 2:
-            self._heap = [t for t in self._heap if t.call is not None]
+            self._heap = [entry for entry in self._heap if entry[2].call is not None]
             heapq.heapify(self._heap)
             self._dead = 0
 
     def next_at(self) -> float | None:
         """When the next timer falls due, in the clock's seconds; None without one."""
-        while self._heap and self._heap[0].call is None:
+        while self._heap and self._heap[0][2].call is None:
             heapq.heappop(self._heap)
             self._dead -= 1
-        return self._heap[0].at if self._heap else None
+        return self._heap[0][0] if self._heap else None
 
     def due(self, now: float) -> list[tuple[float, Callable[[], None]]]:
         """Takes out what is due: pairs of when it was and what to call. What these set runs next time."""
         calls: list[tuple[float, Callable[[], None]]] = []
         while (at := self.next_at()) is not None and at <= now:
-            timer = heapq.heappop(self._heap)
+            timer = heapq.heappop(self._heap)[2]
             if timer.call is not None:
                 calls.append((at, timer.call))
                 timer.call = None
--- a/ledgehitch/signalling/sdp.py
+++ b/ledgehitch/signalling/sdp.py
@@ -4,10 +4,18 @@
 checked; all else is passed through untouched.
 """
 
+import re
 from dataclasses import dataclass, field
 
 MOST_LINES = 2000
 FLAGS = frozenset(("sendrecv", "sendonly", "recvonly", "inactive"))
+WELL_FORMED = re.compile(r"(?:[A-Za-z]=[^\n]*(?:\n|\Z))+\s*")
+READ = re.compile(
+    r"^(?:m=(?P<m>[^\r\n]*)|b=(?P<b>[^\r\n]*)"
+    r"|a=(?P<a>mid|ice-ufrag|ice-pwd|fingerprint|sendrecv|sendonly|recvonly|inactive)\b(?::(?P<v>[^\r\n]*))?)",
+    re.MULTILINE,
+)
+MEDIA_KINDS = re.compile(r"^m=(\S+)", re.MULTILINE)
 NEEDED = (("o", "an origin line (o=)"), ("s", "a session name (s=)"), ("t", "a time line (t=)"))
 
 
@@ -81,45 +89,45 @@
     lines = _lines(text)
     if not lines or lines[0].rstrip("\r") != "v=0":
         raise BadSdp(1, "a description starts with v=0")
+    if WELL_FORMED.fullmatch(text) is None:
+        for number, line in enumerate(lines, 1):
+            if line[1:2] != "=" or not line[0].isalpha():
+                raise _malformed(number, line.rstrip("\r"))
     found = Offer()
     media = None
-    seen = ""
-    for number, line in enumerate(lines, 1):
-        if line[1:2] != "=" or not line[0].isalpha():
-            raise _malformed(number, line.rstrip("\r"))
-        letter = line[0]
-        if letter == "a":
-            name, _, rest = line[2:].rstrip("\r").partition(":")
-            if name in FLAGS:
-                if media is not None:
-                    media.direction = name
-            elif name == "mid":
-                if media is not None:
-                    media.mid = rest
-            elif name == "ice-ufrag":
-                found.ufrag = found.ufrag or rest
-            elif name == "ice-pwd":
-                found.password = found.password or rest
-            elif name == "fingerprint":
-                found.fingerprint = True
-        elif letter == "m":
-            parts = line.split()
+    for match in READ.finditer(text):
+        name = match["a"]
+        if name is None:
+            number = text.count("\n", 0, match.start()) + 1
+            if match["b"] is not None:
+                kb = _kb(number, match["b"])
+                if kb is not None and media is not None:
+                    media.kb = kb
+                elif kb is not None:
+                    found.kb = kb
+                continue
+            parts = match["m"].split()
             if len(parts) < 4 or not parts[1].partition("/")[0].isdigit():
-                said = line[:42].rstrip("\r")
-                raise BadSdp(number, f"a media line is 'm=kind port protocol formats', not {said!r}")
-            media = Media(parts[0][2:])
+                said = match["m"][:40]
+                raise BadSdp(number, f"a media line is 'm=kind port protocol formats', not 'm={said}'")
+            media = Media(parts[0])
             found.media.append(media)
-        elif letter == "b":
-            kb = _kb(number, line[2:].rstrip("\r"))
-            if kb is not None and media is not None:
-                media.kb = kb
-            elif kb is not None:
-                found.kb = kb
-        elif media is None:
-            seen += letter
+        elif name in FLAGS:
+            if media is not None:
+                media.direction = name
+        elif name == "mid":
+            if media is not None:
+                media.mid = match["v"] or ""
+        elif name == "ice-ufrag":
+            found.ufrag = found.ufrag or match["v"] or ""
+        elif name == "ice-pwd":
+            found.password = found.password or match["v"] or ""
+        else:
+            found.fingerprint = True
+    head = text.partition("\nm=")[0]
     last = len(lines)
     for needed, why in NEEDED:
-        if needed not in seen:
+        if f"\n{needed}=" not in head:
             raise BadSdp(last, f"{why} is missing")
     if not found.media:
         raise BadSdp(last, "no media line (m=)")
@@ -154,10 +162,12 @@
 
 def wrong_answer(offer: Offer, text: str) -> str:
     """Why this is no answer to the offer; empty if it is one."""
-    try:
-        answer = read_sdp(text)
-    except BadSdp as problem:
-        return str(problem)
-    if [m.kind for m in answer.media] != [m.kind for m in offer.media]:
-        return f"{len(answer.media)} media lines answer {len(offer.media)}, or of other kinds"
+    if not text.startswith("v=0") or WELL_FORMED.fullmatch(text) is None:
+        try:
+            read_sdp(text)
+        except BadSdp as problem:
+            return str(problem)
+    kinds = MEDIA_KINDS.findall(text)
+    if kinds != [m.kind for m in offer.media]:
+        return f"{len(kinds)} media lines answer {len(offer.media)}, or of other kinds"
     return ""
