--- a/ledgehitch/http/parse.py
+++ b/ledgehitch/http/parse.py
@@ -117,12 +117,36 @@
 
 
 class _Responses(_Parts):
+    """A first final response; whatever comes behind it is `extra` and touches it not."""
+
     parser: Any
-    keep = False
+    over = keep = extra = False
+    status = 0
+
+    def on_message_begin(self) -> None:
+        if self.over:
+            self.extra = True
+        else:
+            super().on_message_begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.over:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        if not self.over:
+            self.status = self.parser.get_status_code()
+            self.headed = self.status >= 200
+
+    def on_body(self, part: bytes) -> None:
+        if not self.over:
+            super().on_body(part)
 
     def on_message_complete(self) -> None:
-        super().on_message_complete()
-        self.keep = bool(self.parser.should_keep_alive())
+        if not self.over and self.status >= 200:
+            super().on_message_complete()
+            self.over = True
+            self.keep = bool(self.parser.should_keep_alive())
 
 
 class ResponseReader:
@@ -135,12 +159,14 @@
         self._parts = _Responses(most_head, most_body)
         self._parser = self._parts.parser = httptools.HttpResponseParser(self._parts)
         self._stream, self._told = stream, False
-        self.keep = True
-        self.extra = False
 
     @property
-    def begun(self) -> bool:
-        return self._parts.begun
+    def keep(self) -> bool:
+        return self._parts.keep
+
+    @property
+    def extra(self) -> bool:
+        return self._parts.extra
 
     def taken(self) -> bytes:
         """The body's bytes so far, of a stream; they are forgotten here."""
@@ -150,34 +176,29 @@
         return data
 
     def feed(self, data: bytes) -> Response | None:
-        if self._told and not self._stream:
-            self.extra = True
+        parts = self._parts
+        if parts.over:
+            parts.extra = True
             return None
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise ValueError("an upgrade that was not asked for") from None
-        except httptools.HttpParserError as error:
-            cause = _cause(error)
-            raise ValueError(str(cause) if cause else f"not an HTTP response: {error}") from None
-        except Refused as cause:
-            raise ValueError(cause.detail) from None
-        if not self._told and (self._parts.complete or (self._stream and self._parts.headed)):
-            status = self._parser.get_status_code()
-            if status < 200:
-                self._parts.fresh()
-                return None
-            self._told = True
-            self.keep = self._parts.keep
-            body = b"" if self._stream else b"".join(self._parts.body)
-            return Response(status, list(self._parts.headers.items()), body)
-        return None
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, Refused) as error:
+            if not parts.over:
+                cause = error if isinstance(error, Refused) else _cause(error)
+                raise ValueError(str(cause) if cause else f"not an HTTP response: {error}") from None
+            parts.extra = True
+        if self._told or not (parts.over or self._stream and parts.headed):
+            return None
+        return self._made(b"" if self._stream else b"".join(parts.body))
 
     def at_end(self) -> Response | None:
         """The response whose end is the end of the connection, if it is one of those."""
-        headed, framed = self._parts.headed, "content-length" in self._parts.headers
-        if self._told or not headed or framed or "transfer-encoding" in self._parts.headers:
+        parts = self._parts
+        framed = "content-length" in parts.headers or "transfer-encoding" in parts.headers
+        if self._told or not parts.headed or framed:
             return None
-        self._told, self.keep = True, False
-        return Response(self._parser.get_status_code(), list(self._parts.headers.items()),
-                        b"".join(self._parts.body))  # fmt: skip
+        return self._made(b"".join(parts.body))
+
+    def _made(self, body: bytes) -> Response:
+        self._told = True
+        return Response(self._parts.status, list(self._parts.headers.items()), body)
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,206 @@
+"""A gateway on real sockets in one loop with scripted media hosts: what tests of hard cases stand on."""
+
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ledgehitch.config import Day, Site
+from ledgehitch.gateway.serve import Running
+from ledgehitch.http import Client, Feed, Limits, NoAnswer, Request, Response, Server
+from ledgehitch.http.events import event
+from ledgehitch.http.parse import ResponseReader
+from ledgehitch.loop import Event, Loop, Stream, connect, endpoint
+from ledgehitch.proof.tape import Tape
+from ledgehitch.rehearsal.plan import site_of
+from ledgehitch.rehearsal.play import free_ports
+from ledgehitch.standins.lists import ListService
+from ledgehitch.standins.viewers import offer_of
+
+SDP = "application/sdp"
+Handler = Callable[["Host", Request], Response]
+
+
+def site(hosts: int = 3, **more: Any) -> Site:
+    """A small site of one gateway with free ports; `more` replaces parts of the site file."""
+    raw = {
+        "name": "test", "length": 60.0, "arrivals": {"rate": 1.0, "mix": [{"package": "recorded"}]},
+        "shape": {"gateways": 1, "hosts": hosts, "titles": 3, "rack": hosts, "link_kb": 1e6},
+        "site": {part: msgspec.Raw(msgspec.json.encode(value)) for part, value in more.items()},
+    }  # fmt: skip
+    return site_of(msgspec.convert(raw, Day), 1, free_ports(4))
+
+
+class Host:
+    """A media host whose set-ups are answered as a test says; counts what came."""
+
+    def __init__(self, rig: "Rig", name: str, answer: Handler | None) -> None:
+        self.rig, self.name, self.answer = rig, name, answer
+        self.set_ups: list[str] = []  # keys, in the order in which they came
+        self.out = self.most_out = 0
+        self.deleted: list[str] = []
+        self.rungs: list[bytes] = []
+        self.feed: Feed | None = None
+        self.boot = name
+        self.server = Server(rig.loop, endpoint("127.0.0.1:0"), self.handle)
+
+    def handle(self, request: Request) -> Response:
+        if request.method == "POST" and request.path.startswith(("/whep/", "/whip/")):
+            key = request.headers["idempotency-key"].strip('"')
+            self.set_ups.append(key)
+            self.rig.set_ups.append((self.name, key))
+            self.rig.out += 1
+            self.rig.most_out = max(self.rig.most_out, self.rig.out)
+            try:
+                return self.answer(self, request) if self.answer else self.plays(request)
+            finally:
+                self.rig.out -= 1
+        if request.path == "/events":
+            self.feed = Feed(self.rig.loop)
+            self.feed.tell(b": here\n\n")
+            return Response(200, [("Boot", self.boot)], stream=self.feed.send_all)
+        if request.method == "DELETE":
+            self.deleted.append(request.path)
+        elif request.path.endswith("/layer"):
+            self.rungs.append(request.body)
+        return Response(200)
+
+    def plays(self, request: Request) -> Response:
+        id = f"{self.name}-{len(self.set_ups)}"
+        link = f'</sessions/{id}/layer>; rel="urn:ietf:params:whep:ext:core:layer"'
+        body = offer_of(1).replace(b"recvonly", b"sendonly")
+        fields = [("Content-Type", SDP), ("Location", f"/sessions/{id}"), ("Link", link)]
+        return Response(201, fields, body)
+
+    def silent(self, request: Request) -> Response:
+        """Takes it and says nothing until the gateway gives up."""
+        gone = Event(self.rig.loop)
+        request.hung_up(lambda: gone.set())
+        gone.wait()
+        raise NoAnswer
+
+    def die(self) -> None:
+        for stream in list(self.server.open):
+            stream.reset()
+        self.server.close()
+
+
+class Rig:
+    """`Rig(...).run(call)` runs `call(rig)` as the first task, with all up and the list heard."""
+
+    def __init__(
+        self,
+        answers: dict[str, Handler] | None = None,
+        hosts: int = 3,
+        limits: Limits | None = None,
+        record: bool = False,
+        **more: Any,
+    ) -> None:
+        self.reports: list[tuple[str, BaseException]] = []
+        self.loop = Loop(lambda name, error: self.reports.append((name, error)))
+        self.site = site(hosts, **more)
+        self.answers, self.limits = answers or {}, limits
+        self.directory = Path(tempfile.mkdtemp(prefix="ledgehitch-test-"))
+        self.record = self.directory / "record" if record else None
+        self.set_ups: list[tuple[str, str]] = []
+        self.out = self.most_out = 0
+        self.conns = 0
+
+    def run(self, call: Callable[["Rig"], Any]) -> Any:
+        def main() -> Any:
+            self.lists = ListService(self.loop, endpoint(self.site.list_at), Tape(None), 0.0, 1)
+            self.hosts = {h.name: Host(self, h.name, self.answers.get(h.name, self.answers.get("*")))
+                          for h in self.site.hosts}  # fmt: skip
+            for record in self.site.hosts:
+                self.listed(record.name, "in_service")
+            self.gateway = Running(self.loop, self.site, "g0", 1, self.directory, self.record, self.limits)
+            self.at = str(self.gateway.server.at)
+            self.client = Client(self.loop)
+            self.until(lambda: len(self.gateway.carrier.gate.hosts) == len(self.site.hosts))
+            self.until(lambda: all(h.feed for h in self.hosts.values()))
+            # Long up, so that nothing is paced as cold.
+            self.gateway.carrier.mind.brain.doubts_until = 0.0
+            try:
+                return call(self)
+            finally:
+                self.gateway.stop()
+
+        return self.loop.run(main)
+
+    def listed(self, name: str, state: str) -> None:
+        record = next(h for h in self.site.hosts if h.name == name)
+        self.lists.set({
+            "host": name, "at": str(self.hosts[name].server.at), "cell": record.cell, "weight": 1.0,
+            "kind": "std", "zone": record.zone, "state": state, "started": 0.0,
+        }, at_once=True)  # fmt: skip
+
+    def until(self, true: Callable[[], Any], within: float = 8.0) -> None:
+        """Waits for something to become true; fails the test when it does not in a generous time."""
+        end = time.monotonic() + within
+        while not true():
+            assert time.monotonic() < end, "it never became true"
+            self.loop.sleep(0.005)
+
+    def offer(self, number: int = 1, wait: float | None = None, token: str = "me", title: str = "clip-1",
+              **headers: str) -> Response:  # fmt: skip
+        stream = self.ask(number, wait, token, title, **headers)
+        try:
+            return answer(stream)
+        finally:
+            stream.close()
+
+    def ask(self, number: int = 1, wait: float | None = None, token: str = "me", title: str = "clip-1",
+            **headers: str) -> Stream:  # fmt: skip
+        """Sends an offer over a connection of its own, and gives the connection."""
+        stream = connect(self.loop, endpoint(self.at))
+        stream.send(request(self.at, number, wait, token, title, more=headers))
+        return stream
+
+    def counts(self) -> Any:
+        return self.gateway.carrier.counts
+
+
+def request(
+    at: str,
+    number: int = 1,
+    wait: float | None = None,
+    token: str = "me",
+    title: str = "clip-1",
+    *,
+    body: bytes | None = None,
+    method: str = "POST",
+    path: str = "",
+    more: dict[str, str] | None = None,
+) -> bytes:
+    body = offer_of(number) if body is None else body
+    fields = {
+        "Host": at,
+        "Content-Type": SDP,
+        "Authorization": f"Bearer {token}",
+        "Content-Length": str(len(body)),
+    }
+    if wait is not None:
+        fields["Prefer"] = f"wait={wait}"
+    fields.update({name.replace("_", "-"): value for name, value in (more or {}).items()})
+    lines = [f"{method} {path or '/whep/recorded/' + title} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items() if value]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def answer(stream: Stream) -> Response:
+    """The next answer on a connection."""
+    reader, response = ResponseReader(), None
+    while response is None:
+        data = stream.receive()
+        if not data:
+            raise ConnectionError("no answer")
+        response = reader.feed(data)
+    return response
+
+
+def notice(host: Host, name: str, vw: int, kind: int, value: float = 0.0) -> None:
+    assert host.feed is not None
+    host.feed.tell(event(msgspec.json.encode({"vw": vw, "kind": kind, "value": value}).decode(), name))
