--- a/ledgehitch/gateway/record.py
+++ b/ledgehitch/gateway/record.py
@@ -45,7 +45,7 @@
 
 
 class Recorder:
-    """Writes entries; `segment` and `keep` bound the record to about segment * keep bytes."""
+    """Writes entries; `segment` bounds the bytes of entries behind a checkpoint, `keep` the segments."""
 
     def __init__(self, path: Path, segment: int = 16 << 20, keep: int = 4) -> None:
         self.path, self.segment, self.keep = path, segment, max(1, keep)
@@ -62,9 +62,10 @@
         self.path.parent.mkdir(parents=True, exist_ok=True)
         self._file = open(f"{self.path}.{self._number:06}", "xb")  # noqa: SIM115
         self._file.write(MAGIC)
-        self._size = len(MAGIC)
         self._write(["head", ledgehitch.__version__, digest_of_module(), sys.version.split()[0]])
         self._write(["state", frozen(gateway)])
+        # Guards against a checkpoint larger than a segment starting a new one at every entry.
+        self._size = 0
         for old in segments(self.path)[: -self.keep]:
             old.unlink(missing_ok=True)
         self.flush()
--- a/ledgehitch/rehearsal/imported.py
+++ b/ledgehitch/rehearsal/imported.py
@@ -117,7 +117,7 @@
             skipped.append(f"class {c['name']}: effect {c['effect']} is taken for repeatable")
     if bench["discovery"]["ask"]:
         skipped.append("discovery: the list is pushed here, not asked for")
-    made = msgspec.convert(day, type=Day)
+    made = msgspec.json.decode(msgspec.json.encode(day), type=Day)
     check_day(made, name)
     return made, skipped
 
--- a/ledgehitch/standins/links.py
+++ b/ledgehitch/standins/links.py
@@ -1,6 +1,6 @@
 """Links of media hosts, uplinks of racks: what is asked and given, and the cut that all get. Free of I/O."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 
@@ -37,14 +37,29 @@
     def deliveries(self, asked: Mapping[str, float]) -> dict[str, Delivery]:
         """By host, from what its viewings ask in kB a second: at each place all get the same cut, and who
         crosses two that are short gets the smaller."""
-        on_rack: dict[int, float] = {}
-        for host, kb in asked.items():
-            rack = self.rack_of[host]
-            on_rack[rack] = on_rack.get(rack, 0.0) + min(kb, self.links[host].gives)
+        cuts = {host: min(1.0, self.links[host].gives / max(kb, 1e-9)) for host, kb in asked.items()}
+        on_rack: dict[int, list[str]] = {}
+        for host in asked:
+            on_rack.setdefault(self.rack_of[host], []).append(host)
         told = {}
-        for host, kb in asked.items():
-            link = kb / self.links[host].gives
-            rack = self.rack_of[host]
-            uplink = on_rack[rack] / self.uplinks[rack].gives
-            told[host] = Delivery(min(1.0, 1 / max(link, 1e-9), 1 / max(uplink, 1e-9)), link, uplink)
+        for rack, hosts in on_rack.items():
+            gives = self.uplinks[rack].gives
+            cut = _level([(cuts[host], asked[host]) for host in hosts], gives)
+            uplink = sum(asked[host] * cuts[host] for host in hosts) / gives
+            for host in hosts:
+                link = asked[host] / self.links[host].gives
+                told[host] = Delivery(min(cuts[host], cut), link, uplink)
         return told
+
+
+def _level(flows: Sequence[tuple[float, float]], gives: float) -> float:
+    """The cut at a place that gives so much, of flows with (cut that they have already, kB asked): who is cut
+    deeper elsewhere takes less, and the rest share what that leaves."""
+    left, open_kb = gives, sum(kb for _, kb in flows)
+    for cut, kb in sorted(flows):
+        if open_kb <= 0 or cut * open_kb > left:
+            break
+        left, open_kb = left - cut * kb, open_kb - kb
+    else:
+        return 1.0
+    return min(1.0, left / open_kb) if open_kb > 0 else 1.0
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,363 @@
+"""Parts of signalling and gateway that are free of I/O: desk, watch, roll, peers, records; sites and days."""
+
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ledgehitch.config import BadInput, Day, facts_of, read_day, read_site
+from ledgehitch.config.site import check
+from ledgehitch.gateway.peers import FRESH, MOST, Peers, Refusal
+from ledgehitch.gateway.record import BadRecord, Recorder, entries, frozen, segments, thawed
+from ledgehitch.gateway.replay import replayed
+from ledgehitch.gateway.roll import Line, News, Roll
+from ledgehitch.gateway.watch import LOST, SILENT, Follow, Lost, Unfollow, Watch
+from ledgehitch.signalling import Answer, BadSdp, Desk, End, Leave, read_fragment, read_sdp
+from ledgehitch.signalling.decide import AGAIN, ORPHAN
+from ledgehitch.standins.viewers import offer_of
+from tests.helpers import gateway, rows
+from tests.rig import site
+
+# ---- signalling --------------------------------------------------------------------------------------------
+
+
+def pulled(desk: Desk, now: float) -> list[Any]:
+    out = []
+    while (decision := desk.decide(now)) is not None:
+        out.append(decision)
+    return out
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_each_connection_is_answered_once_or_hung_up_whatever_happens(seed: int) -> None:
+    """Rule 1 at the desk, and rule 2: one offer is one viewing while it is unanswered or just answered."""
+    chance, desk, now = random.Random(seed), Desk(bytes(32)), 0.0
+    owed: dict[int, int] = {}  # connection, viewing
+    asked: set[int] = set()  # viewings without an answer
+    playing: set[int] = set()
+    given_up: set[int] = set()
+    conn = vw = 0
+    on_way: list[int] = []
+    for _ in range(80):
+        now += chance.choice([0.0, 0.01, 0.3, 2.0])
+        event = chance.randrange(8)
+        if event < 3:
+            conn, vw = conn + 1, vw + 1
+            key = bytes([chance.randrange(4)])
+            if desk.offered(now, conn, key, vw):
+                asked.add(vw)
+                owed[conn] = vw
+            else:
+                owed[conn] = 0
+        elif event == 3 and asked:
+            done = chance.choice(sorted(asked))
+            asked.discard(done)
+            kind = chance.choice(["plays", "blocked", "aborted"])
+            desk.settled(now, done, kind, "answer", chance.choice([0.0, 1.0]))  # type: ignore[arg-type]
+            desk.settled(now, done, "aborted", "a second answer")
+            if kind == "plays":
+                playing.add(done)
+        elif event == 4 and owed:
+            gone = chance.choice(sorted(owed))
+            del owed[gone]
+            desk.hung_up(now, gone)
+        elif event == 5 and on_way:
+            one = on_way.pop()
+            (desk.delivered if chance.random() < 0.7 else desk.undelivered)(now, one)
+        elif event == 6 and playing:
+            one = chance.choice(sorted(playing))
+            entry = desk.entries[one]
+            if chance.random() < 0.5:
+                assert desk.deleted(now, entry.resource) and not desk.deleted(now, entry.resource)
+            else:
+                desk.ended(now, one)
+                playing.discard(one)
+        for decision in pulled(desk, now):
+            match decision:
+                case Answer(to, of):
+                    assert to in owed, "answered once, and nobody who hung up"
+                    if owed.pop(to):
+                        assert of in desk.entries or of not in asked
+                    on_way.append(to)
+                case Leave(of):
+                    assert of in asked
+                    asked.discard(of)
+                    given_up.add(of)
+                case End(of):
+                    assert of in playing and of not in given_up
+                    playing.discard(of)
+    assert all(of in desk.entries for of in asked | playing)
+
+
+def test_the_same_offer_gets_the_same_answer_for_a_while_and_then_is_a_new_viewing() -> None:
+    desk = Desk(bytes(32))
+    assert desk.offered(0.0, 1, b"k", 1)
+    assert not desk.offered(0.1, 2, b"k", 2)
+    desk.settled(0.2, 1, "plays", "sdp")
+    assert pulled(desk, 0.2) == [Answer(1, 1), Answer(2, 1)]
+    assert not desk.offered(AGAIN, 3, b"k", 3) and pulled(desk, AGAIN) == [Answer(3, 1)]
+    assert pulled(desk, AGAIN + 1) == [] and desk.entries[1].settled is not None
+    assert desk.entries[1].settled.answer == "", "the text is let go"
+    assert desk.offered(AGAIN + 1, 4, b"k", 4)
+
+
+def test_a_block_stands_for_as_long_as_its_advice() -> None:
+    desk = Desk(bytes(32))
+    desk.offered(0.0, 1, b"k", 1)
+    desk.settled(0.0, 1, "blocked", advice=2.0)
+    assert not desk.offered(1.9, 2, b"k", 2)
+    pulled(desk, 2.1)
+    assert desk.offered(2.1, 3, b"k", 3) and 1 not in desk.entries
+
+
+def test_what_nobody_heard_of_is_ended_unless_it_is_asked_for_again() -> None:
+    for again in (False, True):
+        desk = Desk(bytes(32))
+        desk.offered(0.0, 1, b"k", 1)
+        desk.settled(0.0, 1, "plays", "sdp")
+        pulled(desk, 0.0)
+        desk.undelivered(0.0, 1)
+        if again:
+            desk.offered(1.0, 2, b"k", 2)
+            pulled(desk, 1.0)
+            desk.delivered(1.0, 2)
+        assert pulled(desk, ORPHAN + 0.1) == ([] if again else [End(1)])
+
+
+def test_descriptions_are_read_and_what_is_wrong_is_named_by_line() -> None:
+    text = offer_of(1).decode()
+    offer = read_sdp(text)
+    assert [m.kind for m in offer.media] == ["audio", "video"] and offer.ufrag == "v1"
+    assert read_sdp(text.replace("\r\n", "\n")).ufrag == "v1"
+    assert read_sdp(text.replace("t=0 0\r\n", "t=0 0\r\nb=TIAS:8000000\r\n")).most_kb() == 1000
+    for spoilt, reason in (
+        ("", "line 1: a description starts"),
+        (text.replace("s=-", "nonsense"), "line 3: 'nonsense'"),
+        (text.replace("s=-\r\n", "\r\n"), "line 3: an empty line"),
+        (text.replace("m=audio 9", "m=audio x"), "line 6: a media line"),
+        (text.replace("t=0 0\r\n", ""), "time line"),
+        (text.replace("a=fingerprint", "a=finger"), "fingerprint"),
+        (text.replace("t=0 0\r\n", "t=0 0\r\nb=AS:fast\r\n"), "line 5: a bandwidth"),
+        (text.partition("m=")[0], "no media line"),
+        ("v=0\n" + "a=x\n" * 3000, "more than 2000 lines"),
+    ):
+        with pytest.raises(BadSdp) as wrong:
+            read_sdp(spoilt)
+        assert reason in str(wrong.value)
+    with pytest.raises(BadSdp, match="line 2"):
+        read_fragment("a=ice-ufrag:x\nv=0\n")
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.text("vostmab=:- 0\r\nice-ufragpwd", max_size=200))
+def test_any_text_is_read_or_refused_with_a_line(text: str) -> None:
+    for spoilt in (text, offer_of(1).decode() + text, "v=0\r\n" + text):
+        try:
+            read_sdp(spoilt)
+        except BadSdp as wrong:
+            assert 1 <= wrong.line <= spoilt.count("\n") + 1
+
+
+# ---- watch, roll, peers ------------------------------------------------------------------------------------
+
+
+def decisions(watch: Watch, now: float) -> list[Any]:
+    out = []
+    while (decision := watch.decide(now)) is not None:
+        out.append(decision)
+    return out
+
+
+def test_a_host_is_lost_when_it_refuses_is_another_process_is_silent_or_gone() -> None:
+    watch = Watch(random.Random(1))
+    watch.listed(0.0, "h", False)
+    assert decisions(watch, 0.0) == [Follow("h")]
+    watch.hello(0.1, "h", "a")
+    watch.broke(1.0, "h", refused=False)
+    assert decisions(watch, 1.0) == []
+    assert decisions(watch, 1.3) == [Follow("h")]
+    watch.hello(1.4, "h", "a")
+    assert decisions(watch, 1.4) == [], "the same process: nothing is lost"
+    watch.broke(2.0, "h", refused=True)
+    watch.broke(2.0, "h", refused=True)
+    assert decisions(watch, 2.0) == [Lost("h")], "once"
+    assert decisions(watch, 3.0) == [Follow("h")]
+    watch.hello(3.0, "h", "b")
+    assert decisions(watch, 3.0) == [], "its loss was told already"
+    watch.hello(3.5, "h", "c")
+    assert decisions(watch, 3.5) == [Lost("h")]
+    watch.sign(4.0, "h")
+    assert not watch.silent(4.0 + SILENT, "h") and watch.silent(4.1 + SILENT, "h")
+    watch.broke(8.0, "h", refused=False)
+    assert Lost("h") not in decisions(watch, 8.0)
+    assert Lost("h") in decisions(watch, 4.1 + LOST)
+    watch.listed(20.0, "h", True)
+    assert decisions(watch, 20.0) == [Lost("h"), Unfollow("h")] and watch.wake_at() == float("inf")
+
+
+def line(host: str, state: str = "in_service") -> Line:
+    return Line(host, "127.0.0.1:1", 0, 1.0, "std", "", state)
+
+
+def test_lists_out_of_order_or_with_gaps_are_never_guessed_at() -> None:
+    roll = Roll()
+    assert roll.change(News("e", 1, [line("a")])) is None, "a change before any list"
+    assert roll.total(News("e", 5, [line("a"), line("b")]))
+    assert roll.change(News("e", 6, [line("b", "terminated")])) and set(roll.lines) == {"a"}
+    assert roll.change(News("e", 6, [line("b")])) == (), "one that came twice"
+    assert roll.change(News("e", 4, [line("c")])) == () and roll.refused == 2
+    assert roll.change(News("e", 8, [line("c")])) is None, "a gap"
+    assert roll.total(News("e", 3, [])) is None, "an older list"
+    assert roll.change(News("f", 9, [line("c")])) is None, "another life of the service"
+    assert roll.total(News("f", 1, [line("c")])) and roll.kept().version == 1
+
+
+def test_datagrams_are_taken_once_from_who_has_the_key_and_only_fresh() -> None:
+    key = bytes(range(32))
+    a, b = Peers(key, 0, 100), Peers(key, 1, 100)
+
+    def refused(data: bytes, wall: float = 1000.0) -> str:
+        with pytest.raises(Refusal) as why:
+            b.words(wall, data)
+        return str(why.value)
+
+    frames = [a.frame(1000.0, 1, b"%d" % n) for n in range(80)]
+    assert b.words(1000.0, frames[3]) == (0, b"3")
+    assert b.words(1000.0, frames[1]) == (0, b"1"), "overtaken, not lost"
+    assert refused(frames[3]) == refused(frames[1]) == "replayed"
+    assert b.words(1000.0, frames[79])[1] == b"79"
+    assert refused(frames[2]) == "replayed", "too old for the window"
+    assert refused(frames[50], wall=1000.1 + FRESH) == "stale"
+    assert refused(a.frame(1000.0, 2, b"x")) == "address"
+    assert refused(frames[60][:-1] + bytes([frames[60][-1] ^ 1])) == "mac"
+    assert refused(Peers(bytes(32), 0, 100).frame(1000.0, 1, b"")) == "mac"
+    assert refused(b"short") == refused(bytes(MOST + 1)) == "size"
+    newer = Peers(key, 0, 101)
+    assert b.words(1000.0, newer.frame(1000.0, 1, b"again"))[1] == b"again"
+    assert refused(a.frame(1000.0, 1, b"old life")) == "former life"
+    with pytest.raises(ValueError, match="do not fit"):
+        a.frame(0.0, 1, bytes(MOST))
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.binary(max_size=200), st.integers(0, 250), st.integers(0, 255))
+def test_no_bytes_make_a_peer_believe_them(data: bytes, at: int, flip: int) -> None:
+    key = bytes(range(32))
+    b = Peers(key, 1, 1)
+    frame = bytearray(Peers(key, 0, 1).frame(0.0, 1, b"words" * 20))
+    if flip:
+        frame[at % len(frame)] ^= flip
+        with pytest.raises(Refusal):
+            b.words(0.0, bytes(frame))
+    with pytest.raises(Refusal):
+        b.words(0.0, data)
+
+
+# ---- records -----------------------------------------------------------------------------------------------
+
+
+def test_a_record_rotates_and_each_segment_replays_from_its_own_checkpoint(tmp_path: Path) -> None:
+    from ledgehitch.gateway.mind import Mind
+
+    mind = Mind(gateway(), Recorder(tmp_path / "r", segment=20000, keep=3))
+    for n in range(300):
+        mind.asked(200 + n / 10, n, "plain", "t1", 0, 6, 3, 203 + n / 10)
+        list(mind.pulled(200 + n / 10))
+        mind.opened(200.05 + n / 10, n, "h0", 0, 0.05)
+        mind.told(200.05 + n / 10, n, "h0", 3, 0.5)
+        list(mind.pulled(200.05 + n / 10))
+    assert mind.recorder is not None
+    mind.recorder.close()
+    kept = segments(tmp_path / "r")
+    assert len(kept) == 3 and not kept[0].name.endswith("000001")
+    verdict = replayed(tmp_path / "r")
+    assert verdict.difference == "" and verdict.decisions > 20
+    for size in range(0, 3000, 37):
+        cut = tmp_path / f"cut{size}"
+        cut.write_bytes(kept[0].read_bytes()[: 20 + size])
+        list(entries(cut))
+
+
+def test_a_record_from_elsewhere_runs_nothing() -> None:
+    import pickle
+
+    class Evil:
+        def __reduce__(self) -> Any:
+            return print, ("pwned",)
+
+    with pytest.raises(BadRecord, match="is not one of ours"):
+        thawed(pickle.dumps(Evil()))
+    with pytest.raises(BadRecord):
+        thawed(b"\x80\x04N.")
+    again = thawed(frozen(gateway()))
+    again.listed(200.0, "total", rows())
+    assert len(again.hosts) == 6
+    with pytest.raises(BadRecord, match="no record there"):
+        replayed(Path("/nonexistent/record"))
+
+
+# ---- sites and days ----------------------------------------------------------------------------------------
+
+
+def test_a_site_that_contradicts_itself_is_refused_with_its_place(tmp_path: Path) -> None:
+    good = msgspec.to_builtins(site())
+    path = tmp_path / "site.json"
+
+    def refused(change: Any) -> str:
+        raw = msgspec.json.decode(msgspec.json.encode(good))
+        change(raw)
+        path.write_bytes(msgspec.json.encode(raw))
+        with pytest.raises(BadInput) as wrong:
+            read_site(path)
+        return str(wrong.value).removeprefix(f"{path}: ")
+
+    assert refused(lambda r: r["packages"][0].update(patience=-1)).startswith(
+        "packages[0].patience: Expected"
+    )
+    assert refused(lambda r: r["packages"][0].update(joint=1)).startswith(
+        "packages[0]: Object contains unknown"
+    )
+    assert refused(lambda r: r["packages"][0].update(join_target=9.0)).startswith(
+        "packages[0].join_target: 9 s"
+    )
+    assert refused(lambda r: r["packages"][0].update(floor=9)).startswith("packages[0].floor: 9 is no rung")
+    assert refused(lambda r: r["ladder"].reverse()).startswith("ladder: rungs must rise")
+    assert refused(lambda r: r["hosts"][1].update(name="h0")).startswith("hosts[1].name: 'h0' is named twice")
+    assert refused(lambda r: r["hosts"][1].update(kind="big")).startswith(
+        "hosts[1].kind: 'big' has no places"
+    )
+    assert refused(lambda r: r["titles"]["clip-1"].update(first=99)).startswith(
+        "titles.clip-1.first: 99 is no cell"
+    )
+    assert refused(lambda r: r["terms"].update(extra_free=1)).startswith("terms.extra_window")
+    path.write_text("{")
+    with pytest.raises(BadInput, match="not JSON"):
+        read_site(path)
+    with pytest.raises(BadInput, match="cannot be read"):
+        read_site(tmp_path / "none")
+    with pytest.raises(BadInput, match="no gateway 'g9', known are g0"):
+        facts_of(site(), "g9")
+    check(site(), "again")
+
+
+def test_a_day_that_makes_no_sense_is_refused_with_its_place(tmp_path: Path) -> None:
+    day: dict[str, Any] = {"name": "d", "length": 10, "arrivals": {"rate": 1, "mix": [{"package": "p"}]}}
+    path = tmp_path / "day.json"
+    for fault, reason in (
+        ({"kind": "flood", "at": 1}, "faults[0].kind: no fault 'flood', known are answers_lost"),
+        ({"kind": "crash", "at": 1, "size": 3}, "faults[0].size: a crash has none"),
+        ({"kind": "neighbour", "at": 1, "size": 3}, "faults[0].size: 3 is not from 0 to 0.95"),
+        ({"kind": "crash", "at": 11}, "faults[0].at: 11 s is after the day's end, 10 s"),
+        ({"kind": "crash"}, "faults[0]: Object missing required field `at`"),
+    ):
+        path.write_bytes(msgspec.json.encode({**day, "faults": [fault]}))
+        with pytest.raises(BadInput) as wrong:
+            read_day(path)
+        assert reason in str(wrong.value)
+    path.write_bytes(msgspec.json.encode(day))
+    assert isinstance(read_day(path), Day)
--- /dev/null
+++ b/tests/test_proof.py
@@ -0,0 +1,408 @@
+"""The checker of the rules: seen to fail on tapes made to break each, and on gateways without its gate."""
+
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ledgehitch.brain import Gateway
+from ledgehitch.gateway.gate import Gate
+from ledgehitch.http import NoAnswer, Request, Response
+from ledgehitch.proof.check import Breach, Figures, Sold, figures_of, judged, judged_tape
+from ledgehitch.proof.tape import Line, Tape, lines_of
+from ledgehitch.signalling import Answer, Desk
+from tests.rig import Host, Rig
+
+F = Figures(
+    answer_slack=0.2,
+    drain_grace=1.0,
+    warm_up=10.0,
+    cold_share=0.5,
+    fall_multiple=2.0,
+    fall_after=2.0,
+    packages={
+        "p": Sold(),
+        "floor": Sold(floor=1),
+        "seats": Sold(seats=2),
+        "once": Sold(effect="once"),
+        "key": Sold(effect="by_key", key_scope="zone", key_window=1.0),
+    },
+    zones={"h0": "a", "h1": "b", "h2": "a"},
+    cells={},
+)
+
+
+def tape(*events: tuple[float, str, dict[str, Any]]) -> list[Line]:
+    lines = []
+    for number, (t, ev, fields) in enumerate(events, 1):
+        line = Line({"t": t, "ev": ev, **fields})
+        line.at = f"made:{number}"
+        lines.append(line)
+    return sorted(lines, key=lambda x: x["t"])
+
+
+def ask(t: float, conn: int = 1, gateway: str = "g0", who: str = "v", offer: str = "o") -> Any:
+    return (
+        t,
+        "ask",
+        {
+            "conn": conn,
+            "who": who,
+            "package": "p",
+            "title": "t",
+            "gateway": gateway,
+            "patience": 3.0,
+            "offer": offer,
+        },
+    )
+
+
+def answered(
+    t: float, conn: int = 1, status: int = 201, kind: str = "plays", extra: int = 0, resource: str = "/a"
+) -> Any:
+    return t, "answer", {"conn": conn, "status": status, "kind": kind, "extra": extra, "resource": resource}
+
+
+def set_up(
+    t: float, host: str = "h0", id: str = "s", key: str = "g0.b.1.0", package: str = "p", rung: int = 1
+) -> Any:
+    return (
+        t,
+        "setup",
+        {
+            "host": host,
+            "id": id,
+            "key": key,
+            "gateway": key.split(".")[0],
+            "package": package,
+            "title": "t",
+            "rung": rung,
+        },
+    )
+
+
+def out(t: float, id: str = "s", status: int = 201) -> Any:
+    return t, "setup_out", {"id": id, "status": status}
+
+
+def gone(t: float, id: str = "s") -> Any:
+    return t, "setup_gone", {"id": id}
+
+
+def told(t: float, state: str, host: str = "h0") -> Any:
+    return t, "told", {"gateway": "g0", "host": host, "state": state}
+
+
+GOOD = [
+    ask(0.0),
+    set_up(0.1, key="g0.b.1.0"),
+    gone(0.4),
+    set_up(0.45, "h1", "s2", "g0.b.1.1"),
+    out(0.6, "s2"),
+    answered(0.7),
+    told(1.0, "terminating"),
+    set_up(1.9, "h0", "s3", "g0.b.2.0"),
+    out(2.0, "s3", 503),
+    (3.0, "started", {"host": "h2", "slots": 20}),
+    set_up(3.1, "h2", "s4", "g0.b.3.0"),
+    out(3.2, "s4"),
+    ask(4.0, 2),
+    (4.5, "hangup", {"conn": 2}),
+    ask(5.0, 3, "g1"),
+    (5.5, "gateway", {"gateway": "g1", "how": "killed"}),
+    (5.6, "broken", {"conn": 3}),
+]
+
+BROKEN: list[tuple[int, str, list[Any]]] = [
+    (1, "never answered", [ask(0.0)]),
+    (1, "never answered", [ask(0.0), (1.0, "broken", {"conn": 1, "why": "ended"})]),
+    (1, "never answered", [ask(0.0), (1.0, "gateway", {"gateway": "g1", "how": "killed"})]),
+    (1, "never answered", [ask(0.0), (3.9, "hangup", {"conn": 1})]),
+    (1, "answered 3.500 s after", [ask(0.0), answered(3.5)]),
+    (1, "more than once", [ask(0.0), answered(1.0), answered(1.1)]),
+    (1, "more than once", [ask(0.0), answered(1.0, extra=1)]),
+    (1, "neither plays", [ask(0.0), answered(1.0, status=500, kind="other")]),
+    (1, "two answers", [ask(0.0), ask(0.1, 2), answered(1.0), answered(1.0, 2, resource="/b")]),
+    (2, "two tune-ins out", [set_up(0.0), set_up(0.5, "h1", "s2", "g0.b.1.1"), out(1.0), out(1.0, "s2")]),
+    (2, "two tune-ins out", [set_up(0.0), set_up(0.5, "h1", "s2", "g0.b.1.1"), out(0.6, "s2")]),
+    (
+        2,
+        "paid for",
+        [set_up(0.0, package="once"), gone(0.5), set_up(0.9, "h1", "s2", "g0.b.1.1", "once"), out(1, "s2")],
+    ),
+    (
+        2,
+        "another zone",
+        [set_up(0.0, package="key"), gone(0.2), set_up(0.5, "h1", "s2", "g0.b.1.1", "key"), out(1, "s2")],
+    ),
+    (
+        2,
+        "key's window",
+        [set_up(0.0, package="key"), gone(0.2), set_up(1.5, "h2", "s2", "g0.b.1.1", "key"), out(2, "s2")],
+    ),
+    (3, "was told to be terminating", [told(0.0, "in_service"), told(1.0, "terminating"), set_up(2.3)]),
+    (3, "was told to be terminated", [told(1.0, "terminated"), told(2.0, "terminating"), set_up(2.3)]),
+    (4, "fell over", [(1.0, "fell", {"host": "h0"})]),
+    (
+        4,
+        "4.0 are safe",
+        [
+            (0.0, "started", {"host": "h0", "slots": 20}),
+            *(set_up(0.01 + n / 1000, id=f"s{n}", key=f"g{n % 3}.b.{n}.0") for n in range(6)),
+        ],
+    ),
+    (5, "under its floor", [set_up(0.0, package="floor", rung=0), out(0.1)]),
+    (5, "under its floor", [set_up(0.0, package="floor"), out(0.1), (1.0, "rung", {"id": "s", "rung": 0})]),
+    (
+        5,
+        "3 of seats/t",
+        [
+            *(
+                x
+                for n in range(3)
+                for x in (set_up(n, id=f"s{n}", key=f"g0.b.{n}.0", package="seats"), out(n + 0.1, f"s{n}"))
+            )
+        ],
+    ),
+    (6, "further tune-ins", [ask(0.0), *(set_up(0.1 + n, id=f"s{n}", key=f"g0.b.{n}.1") for n in range(3))]),
+]
+
+
+def test_a_tape_that_keeps_the_rules_is_found_to() -> None:
+    assert judged(tape(*GOOD), F) == []
+
+
+@pytest.mark.parametrize(("rule", "what", "events"), BROKEN)
+def test_a_tape_made_to_break_a_rule_is_found_out_with_its_lines(
+    rule: int, what: str, events: list[Any]
+) -> None:
+    figures = replace(F, extra_free=1.0, extra_ratio=0.5, extra_window=4.0) if rule == 6 else F
+    breaches = [b for b in judged(tape(*events), figures) if b.rule == rule]
+    assert breaches and what in breaches[0].what, breaches
+    assert breaches[0].lines and all(at.startswith("made:") for at in breaches[0].lines)
+    assert len(breaches[0].times) == len(breaches[0].lines) and "rule" in breaches[0].told()
+
+
+def test_seats_are_free_again_with_an_end() -> None:
+    events = []
+    for n in range(4):
+        events += [
+            set_up(2.0 * n, id=f"s{n}", key=f"g0.b.{n}.0", package="seats"),
+            out(2.0 * n + 0.1, f"s{n}"),
+        ]
+        events += [(2.0 * n + 1.5, "stop", {"id": f"s{n}"})]
+    assert judged(tape(*events), F) == []
+
+
+def test_tapes_are_read_in_the_order_of_time_and_up_to_a_cut(tmp_path: Path) -> None:
+    one, two = Tape(tmp_path / "a.tape"), Tape(tmp_path / "b.tape")
+    two.write("first", n=1)
+    one.write("second", n=2)
+    for t in (one, two):
+        t.close()
+    with open(tmp_path / "a.tape", "ab") as file:
+        file.write(b'{"t": 1, "ev')
+    lines = lines_of(tmp_path)
+    assert [line["ev"] for line in lines] == ["first", "second"] and lines[1].at == "a.tape:1"
+    assert judged_tape(tmp_path, F) == ([], {"first": 1, "second": 1})
+
+
+# ---- gateways with a gate taken out, on real sockets -------------------------------------------------------
+
+
+class Taped:
+    """Writes a tape of one rig's wire: the test is the viewer, its hosts note what comes."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory, self.tape, self.ids, self.conn = directory, Tape(directory / "x.tape"), 0, 0
+
+    def host(self, act: Any) -> Any:
+        def handle(host: Host, request: Request) -> Response:
+            self.ids += 1
+            id, key = f"s{self.ids}", host.set_ups[-1]
+            parts = request.path.split("/")
+            self.tape.write(
+                "setup",
+                host=host.name,
+                id=id,
+                key=key,
+                gateway="g0",
+                package=parts[2],
+                title=parts[3],
+                rung=int(request.query("rung") or 0),
+            )
+            try:
+                response: Response = act(host, request)
+            except NoAnswer:
+                self.tape.write("setup_gone", id=id)
+                raise
+            self.tape.write("setup_out", id=id, status=response.status)
+            return response
+
+        return handle
+
+    def offer(self, rig: Rig, n: int, patience: float = 3.0) -> None:
+        self.conn += 1
+        self.tape.write("ask", conn=self.conn, who=f"t{n}", package="recorded", title="clip-1", gateway="g0",
+                        patience=patience, offer=str(n))  # fmt: skip
+        conn = self.conn
+        try:
+            with rig.loop.deadline(patience + 1.0):
+                response = rig.offer(n, token=f"t{n}")
+        except Exception:
+            self.tape.write("hangup", conn=conn)
+            return
+        kind = {201: "plays", 503: "blocked", 504: "aborted"}.get(response.status, "other")
+        self.tape.write("answer", conn=conn, status=response.status, kind=kind, extra=0,
+                        resource=response.header("location") or "")  # fmt: skip
+
+    def breaches(self, rig: Rig) -> list[Breach]:
+        self.tape.close()
+        return judged_tape(self.directory, figures_of(rig.site))[0]
+
+
+def test_without_the_desk_s_answers_rule_1_breaks(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = Desk.decide
+
+    def mute(desk: Desk, now: float) -> Any:
+        decision = real(desk, now)
+        return real(desk, now) if isinstance(decision, Answer) else decision
+
+    monkeypatch.setattr(Desk, "decide", mute)
+    monkeypatch.setattr("ledgehitch.gateway.front.LAST", 30.0)
+    taped = Taped(tmp_path)
+    rig = Rig(
+        {"*": taped.host(Host.plays)}, packages=[{"name": "recorded", "join_target": 0.1, "patience": 0.3}]
+    )
+    rig.run(lambda rig: taped.offer(rig, 1, 0.3))
+    assert {b.rule for b in taped.breaches(rig)} == {1}
+
+
+def test_without_the_gates_of_module_and_host_rule_2_breaks(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Gate, "sending", lambda *args: None)
+    monkeypatch.setattr(Gateway, "_within_key", lambda *args: True)
+    taped = Taped(tmp_path)
+
+    def act(host: Host, request: Request) -> Response:
+        return Response(500) if len(host.rig.set_ups) == 1 else host.plays(request)
+
+    rig = Rig(
+        {"*": taped.host(act)},
+        packages=[{"name": "recorded", "join_target": 0.8, "patience": 3, "effect": "once"}],
+    )
+
+    def day(rig: Rig) -> None:
+        # The module sends what is paid for once more when its own gate is out; ours stops it when it is in.
+        taped.offer(rig, 1)
+
+    rig.run(day)
+    assert {b.rule for b in taped.breaches(rig)} == {2}
+
+
+def test_our_gate_alone_stops_a_second_set_up_of_what_is_paid_for(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Gateway, "_within_key", lambda *args: True)
+    taped = Taped(tmp_path)
+    packages = [{"name": "recorded", "join_target": 0.8, "patience": 3, "effect": "once"}]
+    rig = Rig({"*": taped.host(lambda host, request: Response(500))}, packages=packages)
+
+    def day(rig: Rig) -> None:
+        taped.offer(rig, 1)
+        assert rig.counts().stopped_at_gate > 0 and len(rig.set_ups) == 1
+
+    rig.run(day)
+    assert taped.breaches(rig) == []
+
+
+def test_without_the_news_of_drains_rule_3_breaks(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    listed = Gateway.listed
+    monkeypatch.setattr(Gateway, "listed", lambda gw, now, how, rows: listed(
+        gw, now, how, [r for r in rows if r.state == "in_service"]))  # fmt: skip
+    monkeypatch.setattr(Gate, "listed", lambda gate, now, host, up: gate.hosts.setdefault(host, None))
+    taped = Taped(tmp_path)
+    rig = Rig({"*": taped.host(Host.plays)}, terms={"drain_grace": 0.1})
+
+    def day(rig: Rig) -> None:
+        rig.lists.tape = taped.tape
+        for name in ("h0", "h1", "h2"):
+            rig.listed(name, "terminating")
+        rig.loop.sleep(0.4)
+        taped.offer(rig, 1)
+
+    rig.run(day)
+    assert {b.rule for b in taped.breaches(rig)} == {3}
+
+
+def test_without_the_pace_of_cold_hosts_rule_4_breaks(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Gateway, "_too_cold", lambda *args: False)
+    taped = Taped(tmp_path)
+    rig = Rig({"*": taped.host(Host.plays)}, hosts=1, terms={"warm_up": 60.0, "cold_share": 0.1},
+              fleet={"slots": {"std": 10}})  # fmt: skip
+
+    def day(rig: Rig) -> None:
+        taped.tape.write("started", host="h0", slots=10)
+        for n in range(8):
+            taped.offer(rig, n)
+
+    rig.run(day)
+    assert {b.rule for b in taped.breaches(rig)} == {4}
+
+
+def test_without_floors_and_seats_rule_5_breaks(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    taped = Taped(tmp_path)
+    monkeypatch.setattr(Gateway, "_may_try_again", lambda *args: True)
+    monkeypatch.setattr(Gateway, "_fitting", lambda *args: 0)
+    package = {"name": "recorded", "join_target": 0.8, "patience": 3, "floor": 1, "seats": 2}
+    rig = Rig({"*": taped.host(Host.plays)}, packages=[package])
+
+    def day(rig: Rig) -> None:
+        for n in range(3):
+            taped.offer(rig, n)
+
+    rig.run(day)
+    found = taped.breaches(rig)
+    assert {b.rule for b in found} == {5}
+    assert any("floor" in b.what for b in found) and any("seats" in b.what for b in found)
+
+
+def test_without_the_budget_rule_6_breaks(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Gateway, "_may_try_again", lambda *args: True)
+    taped = Taped(tmp_path)
+    rig = Rig(
+        {"*": taped.host(lambda host, request: Response(500))},
+        terms={"extra_free": 1.0, "extra_ratio": 0.0, "extra_window": 30.0},
+    )
+
+    def day(rig: Rig) -> None:
+        for n in range(2):
+            taped.offer(rig, n)
+
+    rig.run(day)
+    assert {b.rule for b in taped.breaches(rig)} == {6}
+
+
+def test_with_all_gates_in_the_same_days_break_nothing(tmp_path: Path) -> None:
+    taped = Taped(tmp_path)
+    rig = Rig(
+        {"*": taped.host(lambda host, request: Response(500))},
+        packages=[{"name": "recorded", "join_target": 0.8, "patience": 3, "floor": 1, "seats": 2}],
+        terms={"extra_free": 1.0, "extra_ratio": 0.0, "extra_window": 30.0, "drain_grace": 0.1},
+    )
+
+    def day(rig: Rig) -> None:
+        rig.lists.tape = taped.tape
+        taped.offer(rig, 1)
+        taped.offer(rig, 2)
+        rig.listed("h0", "terminating")
+        rig.loop.sleep(0.4)
+        taped.offer(rig, 3)
+        assert len(rig.set_ups) >= 3
+
+    rig.run(day)
+    assert taped.breaches(rig) == []
--- /dev/null
+++ b/tests/test_rehearsal.py
@@ -0,0 +1,262 @@
+"""Days on loopback: the bad day in its processes, plans, bench days, stand-ins and the command line."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ledgehitch.config import KINDS, BadInput, Day, Fault, read_day
+from ledgehitch.gateway.replay import replayed
+from ledgehitch.rehearsal.imported import KINDS_HERE, imported
+from ledgehitch.rehearsal.plan import site_of, steps_of
+from ledgehitch.standins.arrivals import fewest_held, visits
+from ledgehitch.standins.links import Fabric, Link
+from ledgehitch.standins.places import Places
+from ledgehitch.standins.viewers import offer_of
+from ledgehitch.standins.world import World
+
+ROOT = Path(__file__).parent.parent
+BAD_DAY = ROOT / "days" / "bad-day.json"
+
+
+def run(*words: str, timeout: float = 90.0) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "ledgehitch", *words]
+    return subprocess.run(command, capture_output=True, text=True, timeout=timeout, cwd=ROOT)
+
+
+def test_the_bad_day_keeps_all_six_rules_and_its_records_replay(tmp_path: Path) -> None:
+    day = run(
+        "--log-level", "error", "rehearse", str(BAD_DAY), "--tape", str(tmp_path / "d"), "--record", "--json"
+    )
+    assert day.returncode == 0, day.stdout[-3000:] + day.stderr[-3000:]
+    told = json.loads(day.stdout)
+    assert told["kept"] and told["breaches"] == {str(n): 0 for n in range(1, 7)}
+    assert len({f["kind"] for f in told["faults"]}) >= 6
+    held = told["tape"]
+    assert held["ask"] > 200 and held["answer"] > 200 and held["setup"] > 200, (
+        "a tape of nothing proves nothing"
+    )
+    assert held["down"] >= 3 and held["told"] > 27 and held["gateway"] >= 8
+    assert told["service"]["joined"] > 200 and set(told["exits"].values()) == {0}
+    records = sorted((tmp_path / "d" / "record").iterdir())
+    assert len(records) >= 5, "one a life of a gateway"
+    assert sum(replayed(r).decisions for r in records) > 300
+    assert [replayed(r).difference for r in records] == [""] * len(records)
+    again = run("check-tape", str(tmp_path / "d"), "--json")
+    assert again.returncode == 0 and json.loads(again.stdout)["tape"] == held
+    # The same tape with one answer taken out is found to be broken, by the command too.
+    path = tmp_path / "d" / "tape" / "viewers.tape"
+    lines = path.read_bytes().splitlines(keepends=True)
+    path.write_bytes(b"".join(x for i, x in enumerate(lines) if i != next(
+        i for i, x in enumerate(lines) if b'"answer"' in x)))  # fmt: skip
+    broken = run("check-tape", str(tmp_path / "d"))
+    assert broken.returncode == 1 and "rule 1: never answered" in broken.stdout
+    refused = run("rehearse", str(BAD_DAY), "--tape", str(tmp_path / "d"))
+    assert refused.returncode == 2 and "never written over" in refused.stderr
+
+
+def test_up_serves_a_first_viewing_and_ends_all_within_two_seconds() -> None:
+    child = subprocess.Popen(
+        [sys.executable, "-m", "ledgehitch", "--log-level", "error", "up", "--seed", "3"],
+        stdout=subprocess.PIPE, text=True, cwd=ROOT,
+    )  # fmt: skip
+    try:
+        assert child.stdout is not None
+        at = json.loads(child.stdout.readline())["gateway"]
+        statuses = []
+        for n in range(1, 21):
+            for package in ("recorded", "live"):
+                statuses.append(offered(at, f"/whep/{package}/clip-{n}", n))
+        assert set(statuses) == {201}
+        ours = subprocess.run(["pgrep", "-P", str(child.pid)], capture_output=True, text=True).stdout.split()
+        assert len(ours) == 2, "the media hosts' side and the gateway"
+    finally:
+        start = time.monotonic()
+        child.send_signal(signal.SIGINT)
+        assert child.wait(timeout=10) == 0
+    assert time.monotonic() - start < 2.0, "as the operators ask"
+    assert not [pid for pid in ours if os.path.exists(f"/proc/{pid}")]
+
+
+def offered(at: str, path: str, n: int) -> int:
+    headers = {"Content-Type": "application/sdp", "Authorization": f"Bearer viewer-{n}"}
+    request = urllib.request.Request(at + path, offer_of(n), headers)
+    try:
+        with urllib.request.urlopen(request, timeout=5) as response:
+            return int(response.status)
+    except urllib.error.HTTPError as refused:
+        return refused.code
+
+
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (["rehearse", "none.json"], "none.json: cannot be read"),
+        (["serve", "--site", "none.json"], "none.json: cannot be read"),
+        (["replay", "none"], "none: no record there"),
+        (["check-tape", "days"], "days: no tapes"),
+        (["import-day", "days/bad-day.json"], "no bench day: the field 'fam' is missing"),
+        (["standin", "fault", "127.0.0.1:1", "flood"], "no fault 'flood'"),
+        (["standin", "fault", "127.0.0.1:1", "crash"], "does not answer"),
+    ],
+)
+def test_bad_input_ends_with_words_and_no_traceback(words: list[str], said: str) -> None:
+    done = run(*words)
+    assert done.returncode in (1, 2) and said in done.stderr and "Traceback" not in done.stderr
+
+
+# ---- plans -------------------------------------------------------------------------------------------------
+
+
+def test_a_plan_is_the_same_for_the_same_seed_and_every_kind_is_played() -> None:
+    day = read_day(BAD_DAY)
+    site = site_of(day, 7, range(20001, 20011))
+    assert steps_of(day, site, 7) == steps_of(day, site, 7) != steps_of(day, site, 8)
+    assert list(visits(day, site, 7)) == list(visits(day, site, 7))
+    for name, kind in KINDS.items():
+        if kind.whom not in ("gateways", "viewers"):
+            assert callable(getattr(World, "_" + name)), name
+
+
+def test_bursts_and_crowds_change_who_comes() -> None:
+    day = read_day(BAD_DAY)
+    site = site_of(day, 7, range(20001, 20011))
+    came = list(visits(day, site, 7))
+    usual = sum(10 <= v.at < 14 for v in came)
+    burst = sum(19 <= v.at < 23 for v in came)
+    assert burst > 1.5 * usual
+    few = fewest_held(site)
+    crowd = [v.title == few for v in came if 22 <= v.at < 27]
+    before = [v.title == few for v in came if v.at < 22]
+    assert sum(crowd) / len(crowd) > 3 * sum(before) / len(before)
+
+
+def test_a_days_own_site_parts_are_checked() -> None:
+    raw = msgspec.to_builtins(read_day(BAD_DAY))
+    raw["site"] = {}
+    for part, value, said in (
+        ("packages", [{"name": "live", "join_target": 1, "patience": 2}], "sells no 'recorded'"),
+        ("terms", {"warm_up": -1}, "Expected `float` > 0"),
+        ("ladder", [], "Expected `array` of length >= 1"),
+    ):
+        day = msgspec.convert({**raw, "site": {part: msgspec.Raw(msgspec.json.encode(value))}}, Day)
+        with pytest.raises(BadInput) as wrong:
+            site_of(day, 1, range(20001, 20011))
+        assert said in str(wrong.value)
+
+
+def bench_day(**more: Any) -> dict[str, Any]:
+    """A small day in the bench's own form, with every kind of trouble."""
+    kinds = [*KINDS_HERE, "earthquake"]
+    troubles = [{"kind": k, "at": 1e6 * i, "len": 2e6, "size": 2.0, "extra": 0.5, "on": [0, 1], "steps": [],
+                 "how": "reset"} for i, k in enumerate(kinds)]  # fmt: skip
+    tier = {"kinds": [{"cores": 2}], "report_noise": 0.05, "stated_cold": 8e6, "stated_cold_from": 0.3}
+    return {
+        "site": "made",
+        "kind": "trouble",
+        "length": 5e7,
+        "zones": ["a", "b"],
+        "drain_grace": 1e6,
+        "fall_multiple": 3.0,
+        "fall_for": 2e6,
+        "traffic": {"load": 0.5},
+        "clients": {"honour": 0.5, "impatient": 0.0},
+        "discovery": {"notice": 1e6, "ask": True},
+        "allow": {"peer_delay": 3000, "probes": True, "peers": True, "retry_after": False, "max_attempts": 3},
+        "classes": [
+            {"name": "clip", "share": 1.0, "aim": 8e5, "deadline": 3e6, "worth": 1.0, "effect": "keyed"}
+        ],
+        "tiers": [tier],
+        "servers": [{"kind": 0}] * 48,
+        "balancers": [{}] * 16,
+        "fam": {
+            "racks": 8,
+            "core_kb": 2000.0,
+            "core_slots": 11.0,
+            "capacity": 8.0,
+            "life_s": 30.0,
+            "uses": [{"life": 1.0, "scale": 1.0, "floor": 0, "top": 3, "seats": 0, "live": False}],
+            "title_zipf": 0.8,
+            "small_screens": 0.2,
+            "returns": 0.9,
+            "rejoin_us": 1e6,
+            "titles": 200,
+            "uplink_kb": [20000.0] * 8,
+            "vary": 0.1,
+            "rates": [100.0, 200.0, 400.0],
+            "worth": [0.3, 0.6, 1.0],
+        },
+        "troubles": troubles,
+        **more,
+    }
+
+
+def test_a_bench_day_becomes_a_day_script_and_what_does_not_is_listed(tmp_path: Path) -> None:
+    path = tmp_path / "bench.json"
+    path.write_text(json.dumps(bench_day()))
+    day, skipped = imported(path, 8)
+    assert (day.shape.hosts, day.shape.gateways, day.length) == (6, 2, 50.0)
+    assert day.arrivals.rate == pytest.approx(0.5)
+    assert {f.kind for f in day.faults} == set(KINDS_HERE.values())
+    assert any("earthquake" in s for s in skipped) and any("effect keyed" in s for s in skipped)
+    site = site_of(day, 1, range(20001, 20008))
+    assert site.terms.warm_up == 8.0 and site.fleet.slots == {"std": 22} and steps_of(day, site, 1)
+    with pytest.raises(BadInput, match="1 or more"):
+        imported(path, 0.5)
+    path.write_text(json.dumps(bench_day(tiers=[])))
+    with pytest.raises(BadInput, match="no bench day"):
+        imported(path, 8)
+    out = tmp_path / "day.json"
+    path.write_text(json.dumps(bench_day()))
+    done = run("import-day", str(path), "--scale", "8", "--out", str(out))
+    assert done.returncode == 0 and "earthquake" in done.stderr
+    assert msgspec.structs.replace(read_day(out), site={}) == msgspec.structs.replace(day, site={})
+
+
+# ---- stand-ins ---------------------------------------------------------------------------------------------
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.floats(0, 1e4), st.floats(1, 5e3)), min_size=1, max_size=6), st.floats(1, 2e4))
+def test_all_on_a_place_get_the_same_cut_and_the_smaller_of_two(
+    hosts: list[tuple[float, float]], up: float
+) -> None:
+    fabric = Fabric({f"h{i}": Link(kb) for i, (_, kb) in enumerate(hosts)}, {0: Link(up)},
+                    {f"h{i}": 0 for i in range(len(hosts))})  # fmt: skip
+    asked = {f"h{i}": kb for i, (kb, _) in enumerate(hosts)}
+    told = fabric.deliveries(asked)
+    cuts = [min(1.0, link / kb if kb else 1.0) for kb, link in hosts]
+
+    def over_uplink(level: float) -> float:
+        return sum(kb * min(cut, level) for cut, (kb, _) in zip(cuts, hosts, strict=True))
+
+    low, high = 0.0, 1.0
+    for _ in range(100):  # plain water-filling: the highest cut for all that the uplink carries
+        level = (low + high) / 2
+        low, high = (level, high) if over_uplink(level) <= up else (low, level)
+    for i, cut in enumerate(cuts):
+        assert told[f"h{i}"].share == pytest.approx(min(cut, high), abs=1e-6)
+
+
+def test_a_cold_host_falls_over_only_above_its_budget() -> None:
+    places = Places(slots=20, warm_up=10.0, cold_share=0.5, multiple=2.0, window=2.0, started=0.0)
+    assert all(places.take(0.0 + n * 0.4) for n in range(12)), "at twice its pace it stands"
+    cold = Places(slots=20, warm_up=10.0, cold_share=0.5, multiple=2.0, window=2.0, started=0.0)
+    assert [cold.take(n / 1000) for n in range(8)].index(False) == 5
+    assert all(cold.take(10.0 + n / 1000) for n in range(50)) and cold.pace(10.0) is None
+
+
+def test_faults_have_a_middle_strength_when_none_is_given() -> None:
+    assert Fault(kind="neighbour", at=0).strength() == pytest.approx(0.475)
+    assert Fault(kind="burst", at=0).strength() == 2.0 and Fault(kind="crash", at=0).strength() == 0.0
