--- a/ledgehitch/standins/viewers.py
+++ b/ledgehitch/standins/viewers.py
@@ -224,6 +224,8 @@
         name, at = self.gateways[picked(place, self.lean)]
         package = self.packages[v.package]
         body = offer_of(v.number * 10 + self.chance.randrange(10), f"v{self._conns:x}")
+        if v.method == "whip":
+            body = body.replace(b"a=recvonly", b"a=sendonly")
         first = self._ask(v, name, at, body, package.patience, v.impatient_after)
         if not v.repeats:
             return first()
