A configuration language: typed records, units, includes, checker, formatter, diff, reload

The operators' first wish: one file edited by many hands breaks. Reloads are decided in a module free of I/O and checked in a child process. 68 broken files have their messages. Fifty reloads under load, ten of them bad, through the real gateway: all rules kept, every join within the target (simulated peers).

--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -8,7 +8,7 @@
 import structlog
 
 import ledgehitch
-from ledgehitch.cli import days, run, standins
+from ledgehitch.cli import config, days, run, standins
 from ledgehitch.config import BadInput
 from ledgehitch.gateway.record import BadRecord
 from ledgehitch.rehearsal.play import DidNotStart
@@ -52,6 +52,7 @@
     days.check_tape,
     days.replay,
     days.import_day,
+    config.config,
 ):
     root.add_command(command)
 
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -113,6 +113,11 @@
 
 
 def read_site(path: Path) -> Site:
+    """A site in the configuration language, or as JSON of the records (`.json`)."""
+    if path.suffix != ".json":
+        from ledgehitch.config.load import read_site_text  # it imports this module
+
+        return read_site_text(path)
     site = read_record(path, Site)
     check(site, str(path))
     return site
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -25,6 +25,7 @@
 from ledgehitch.gateway.mind import Mind
 from ledgehitch.gateway.peers import Peers
 from ledgehitch.gateway.record import Recorder
+from ledgehitch.gateway.versions import Compiled, Versions
 from ledgehitch.gateway.watch import Watch
 from ledgehitch.http import Limits, Server
 from ledgehitch.loop import Datagrams, Event, Loop, endpoint
@@ -65,6 +66,7 @@
         key = peer_key(site)
         self.peers = Peers(key, me, time.time_ns()) if key and terms.may_tell else None
         brain = Gateway(seed, time.monotonic(), ladder, packages, fleet, terms)
+        self.versions: Versions | None = None
         self.recorder = Recorder(record) if record is not None else None
         peer_socket = Datagrams(loop, endpoint(here.peer_at)) if self.peers and here.peer_at else None
         others = {i: endpoint(g.peer_via or g.peer_at) for i, g in enumerate(site.gateways)
@@ -89,6 +91,7 @@
     def state(self) -> dict[str, Any]:
         c = self.carrier
         return {
+            "config": self.versions.reloads.state() if self.versions is not None else None,
             "name": self.name,
             "boot": self.boot,
             "version": __version__,
@@ -109,6 +112,15 @@
             "peers_refused": dict(self.peers.refused) if self.peers else {},
         }
 
+    def place(self, site: Site) -> None:
+        """What a new version changes for new viewings: where titles lie."""
+        self.front.titles = {title: (t.first, t.spread) for title, t in site.titles.items()}
+
+    def drain(self, draining: bool) -> None:
+        self.front.draining = draining
+        if self.versions is not None:
+            self.versions.drains(draining)
+
     def _sweep(self) -> None:
         told = time.monotonic()
         while True:
@@ -132,9 +144,17 @@
     log.error("task failed", task=name, error=f"{type(error).__name__}: {error}", exc_info=error)
 
 
-def serve(site: Site, name: str, seed: int, state_dir: Path | None, record: Path | None,
-          ready: Callable[[str], None] | None = None) -> int:  # fmt: skip
-    """Runs until SIGTERM or SIGINT; SIGUSR1 drains. `ready` is told the address once it serves."""
+def serve(
+    site: Site,
+    name: str,
+    seed: int,
+    state_dir: Path | None,
+    record: Path | None,
+    ready: Callable[[str], None] | None = None,
+    source: tuple[Path, Compiled, Path | None] | None = None,
+) -> int:
+    """Runs until SIGTERM or SIGINT; SIGUSR1 drains, SIGHUP reloads where there is a `source` (the file, the
+    version that runs, where the last good one is kept). `ready` is told the address once it serves."""
     loop = Loop(_report)
     # Guards against pauses of the collector that grow with the viewings held: what is here at start stays,
     # and viewings are let go by count of references.
@@ -147,14 +167,19 @@
 
         def on(number: int) -> None:
             if number == signal.SIGUSR1:
-                running.front.draining = True
+                running.drain(True)
                 log.info("drains")
+            elif number == signal.SIGHUP:
+                if running.versions is not None:
+                    running.versions.reload()
             else:
                 over.set(number)
 
-        restore = loop.on_signals([signal.SIGTERM, signal.SIGINT, signal.SIGUSR1], on)
+        restore = loop.on_signals([signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP], on)
         try:
             running = Running(loop, site, name, seed, state_dir, record)
+            if source is not None:
+                running.versions = Versions(loop, source[0], source[1], source[2], running.place)
         except OSError as problem:
             print(f"ledgehitch: {name}: {problem}", file=sys.stderr)
             return 2
--- /dev/null
+++ b/ledgehitch/gateway/versions.py
@@ -0,0 +1,144 @@
+"""Carries out reloads: has a version checked in a child process, so that the loop never waits for it,
+puts it in place, and keeps the last good one on disk. What is done with a version is decided in `config/change.py`.
+"""
+
+import os
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from ledgehitch.config import BadInput, Site
+from ledgehitch.config.change import Apply, Keep, Refuse, Reloads, Version
+from ledgehitch.config.load import digest_of
+from ledgehitch.loop import Child, Loop, TimedOut
+
+CHECKED_WITHIN = 30.0  # seconds for a version to be read and checked
+log = structlog.get_logger("config")
+
+
+class Compiled(msgspec.Struct):
+    """A checked version as the child writes it and as it is kept on disk."""
+
+    digest: str = ""
+    data: Any = None
+    site: Site | None = None
+    mistakes: list[str] = []
+
+
+def compiled_in_child(path: Path) -> list[str]:
+    return [sys.executable, "-m", "ledgehitch", "--log-level", "error", "config", "compile", str(path)]
+
+
+class Versions:
+    """One gateway's versions. `apply` is called with the site that new viewings go by."""
+
+    def __init__(self, loop: Loop, source: Path, first: Compiled, kept: Path | None,
+                 apply: Callable[[Site], None]) -> None:  # fmt: skip
+        self.loop, self.source, self.kept, self.apply = loop, source, kept, apply
+        self.reloads = Reloads(Version(0, first.digest, first.data))
+        self._sites: dict[str, Compiled] = {first.digest: first}
+        self._serial = 0
+        self._keep(first)
+
+    def reload(self) -> None:
+        """Starts a reload; several may be on their way, the last one asked for counts."""
+        self._serial += 1
+        self.loop.spawn(self._check, self._serial, name=f"reload {self._serial}")
+
+    def drains(self, draining: bool) -> None:
+        self.reloads.drains(draining)
+        self._pull()
+
+    def _check(self, serial: int) -> None:
+        out = self.source.parent / f".{self.source.name}.{os.getpid()}.{serial}"
+        out = (self.kept.parent / out.name) if self.kept is not None else out
+        try:
+            descriptor = os.open(out, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+            try:
+                child = Child(self.loop, compiled_in_child(self.source), "check", descriptor, descriptor)
+            finally:
+                os.close(descriptor)
+            try:
+                with self.loop.deadline(CHECKED_WITHIN):
+                    child.wait()
+            except TimedOut:
+                child.end(0.5)
+            found = msgspec.json.decode(out.read_bytes(), type=Compiled)
+        except (OSError, msgspec.MsgspecError) as problem:
+            found = Compiled(mistakes=[f"{self.source} could not be checked: {problem}"])
+        finally:
+            out.unlink(missing_ok=True)
+        if found.site is not None:
+            self._sites[found.digest] = found
+        self.reloads.handed(Version(serial, found.digest, found.data), found.mistakes)
+        self._pull()
+
+    def _pull(self) -> None:
+        while (decision := self.reloads.decide()) is not None:
+            match decision:
+                case Apply(version, waits):
+                    site = self._sites[version.digest].site
+                    assert site is not None
+                    self.apply(site)
+                    log.info("a new version runs", digest=version.digest[:16], waits_for_restart=list(waits))
+                case Keep(version):
+                    self._keep(self._sites[version.digest])
+                case Refuse(digest, reason):
+                    log.error("a version is refused, the one that runs stays", digest=digest[:16], why=reason)
+        known = (self.reloads.running.digest, self.reloads.told.digest)
+        self._sites = {digest: one for digest, one in self._sites.items() if digest in known}
+
+    def _keep(self, one: Compiled) -> None:
+        if self.kept is None:
+            return
+        self.kept.parent.mkdir(parents=True, exist_ok=True)
+        partly = self.kept.with_suffix(".new")
+        partly.write_bytes(msgspec.json.encode(one))
+        os.replace(partly, self.kept)
+
+
+def last_good(kept: Path | None) -> Compiled | None:
+    """The version kept on disk, if it is whole: its digest is that of what it holds."""
+    if kept is None:
+        return None
+    try:
+        one = msgspec.json.decode(kept.read_bytes(), type=Compiled)
+    except (OSError, msgspec.MsgspecError):
+        return None
+    return one if one.site is not None and digest_of(one.data) == one.digest else None
+
+
+def first_version(source: Path, kept: Path | None, check: Callable[[Path], Compiled]) -> Compiled:
+    """What a gateway starts with: its files, or loudly the last good version where they are broken."""
+    found = check(source)
+    if not found.mistakes and found.site is not None:
+        return found
+    old = last_good(kept)
+    if old is None:
+        raise BadInput("\n".join(found.mistakes) or f"{source}: nothing there")
+    log.error(
+        "THE FILES ARE BROKEN, the last good version is used", digest=old.digest[:16], mistakes=found.mistakes
+    )
+    return old
+
+
+def checked(source: Path) -> Compiled:
+    """Reads and checks a version in this process."""
+    from ledgehitch.config import read_site
+    from ledgehitch.config.load import load
+
+    if source.suffix != ".json":
+        loaded = load(source)
+        if loaded.mistakes or loaded.site is None:
+            return Compiled(mistakes=[m.told() for m in loaded.mistakes] or [f"{source}: nothing there"])
+        return Compiled(loaded.digest(), loaded.data, loaded.site)
+    try:
+        site = read_site(source)
+    except BadInput as wrong:
+        return Compiled(mistakes=[str(wrong)])
+    data = msgspec.to_builtins(site)
+    return Compiled(digest_of(data), data, site)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,566 @@
+"""The configuration language: broken files with their messages, and what must hold of every text."""
+
+import json
+import os
+import random
+import time
+from fractions import Fraction
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ledgehitch.config import BadInput, read_site
+from ledgehitch.config.change import Apply, Keep, Refuse, Reloads, Version, applied, changes, leaves
+from ledgehitch.config.explain import found, origins, reference
+from ledgehitch.config.layout import laid_out
+from ledgehitch.config.load import Loaded, digest_of, load, load_text
+from ledgehitch.config.quantities import Quantity, quantity, spelt
+from ledgehitch.config.syntax import MOST_BYTES, Malformed
+from ledgehitch.config.values import Clash, Value, bound, choice, exactly, meet, of_kind
+
+GOOD = """\
+name: "demo"
+ladder: [{ kb: 150kB/s, earns: 25% }, { kb: 300kB/s, earns: 50% }, { kb: 1200kB/s, earns: 100% }]
+#Quick: { patience: 3s, join_target: 800ms }
+packages: {
+	recorded: #Quick
+	live: #Quick & { value: 3 }
+}
+fleet: { link_unit: 6MB/s, slots: { std: 60 } }
+terms: warm_up: 6s
+pools: all: { first: 0, spread: 3 }
+routes: easter: { titles: ["lamb", "tsoureki"], pool: "all" }
+titles: other: { first: 1, spread: 2 }
+racks: [rack=string]: { uplink: 14MB/s, hosts: [host=string]: zone: "hall-\\(rack)" }
+racks: a: hosts: { h0: at: "127.0.0.1:0", h1: at: "127.0.0.1:0" }
+racks: b: hosts: { h2: at: "127.0.0.1:0" }
+gateways: g0: { at: "127.0.0.1:8080" }
+list_at: "127.0.0.1:8081"
+"""
+
+# What is put in place of what, and what is said of it: line:column, and words that must be there.
+BROKEN: list[tuple[str, str, str, str]] = [
+    ("warm_up: 6s", "warm_up: 6", "9:17", "6 has no unit; a duration is meant, as 800ms, 3s, 2min"),
+    ("warm_up: 6s", "warm_up: 6sec", "9:17", "'sec' is no unit; units are: duration us, ms, s"),
+    ("warm_up: 6s", "warm_up: 1h30min", "9:17", "1h30min has two units"),
+    ("warm_up: 6s", "warm_up: -6s", "9:18", "-6s is not >0s"),
+    ("warm_up: 6s", "warm_up: 1e400s", "9:17", "larger or finer than any number"),
+    ("warm_up: 6s", "warm_up: 6MB/s", "9:17", "6MB/s is a rate; a duration is meant"),
+    ("warm_up: 6s", "warm_up: 60%", "9:17", "60% is a share; a duration is meant"),
+    ("warm_up: 6s", 'warm_up: "6s"', "9:17", '"6s" is a string, a duration as'),
+    ("warm_up: 6s", "warm_up: true", "9:17", "true is a bool"),
+    ("warm_up: 6s", "warm_up: { s: 6 }", "9:19", "is a record or list in one place and not in another"),
+    ("warm_up: 6s", "warm_upp: 6s", "9:8", "#Terms has no field 'warm_upp' (is 'warm_up' meant?)"),
+    ("warm_up: 6s", "cold_share: 0.3", "9:20", "0.3 has no unit; a share is meant, as 95%"),
+    ("warm_up: 6s", "cold_share: 130%", "9:20", "130% is not"),
+    ("warm_up: 6s", "tune_ins: 2.5", "9:18", "2.5 is no whole number"),
+    ("warm_up: 6s", "tune_ins: 0", "9:18", "0 is not int & >=1"),
+    ("warm_up: 6s", "tune_ins: 3s", "9:18", "a bare number is meant"),
+    ("warm_up: 6s", "warm_up: 6s + 1", "9:22", "6s + 1: a duration and a number cannot be added"),
+    ("warm_up: 6s", "warm_up: 6s * 2s", "9:22", "make nothing known"),
+    ("warm_up: 6s", "warm_up: 6s / 0", "9:22", "division by zero"),
+    ("warm_up: 6s", "warm_up: 6s & 7s", "9:22", "terms.warm_up: 6s and 7s are different"),
+    ("warm_up: 6s", "warm_up: 6s\nterms: warm_up: 7s", "10:17", "6s and 7s are different (text:9:17 says 6s"),
+    (
+        "join_target: 800ms",
+        "join_target: >=2s",
+        "3:38",
+        "packages.recorded.join_target is not given; it is >=2s",
+    ),
+    ("warm_up: 6s", "warm_up: longer", "9:17", "nothing is called 'longer' here"),
+    ("warm_up: 6s", "warm_up: list_att", "9:17", "nothing is called 'list_att' here (is 'list_at' meant?)"),
+    ("warm_up: 6s", "warm_up: pools.all.frist", "9:17", "pools.all has no field 'frist' (is 'first' meant?)"),
+    ("warm_up: 6s", "warm_up: terms.warm_up", "9:17", "itself"),
+    ("warm_up: 6s", "warm_up: 6s | { a: 1 }", "9:24", "a choice is between plain values"),
+    ("warm_up: 6s", "warm_up: )", "9:17", "')' is not expected here"),
+    ("warm_up: 6s", "warm_up:", "10:1", "record or list in one place and not in another"),
+    ("warm_up: 6s", "warm_up 6s", "9:16", "'6s' is not expected here (what can follow: "),
+    ("warm_up: 6s", "warm_up: $", "9:17", "'$' has no meaning here"),
+    ("warm_up: 6s", 'warm_up: "6s', "9:17", "this string does not end on its line"),
+    ('name: "demo"', 'name: "de\\qmo"', "1:7", "in this string: Invalid \\escape"),
+    ('name: "demo"', 'name: "de\\(nobody)mo"', "1:12", "nothing is called 'nobody' here"),
+    ('name: "demo"', "name: 7", "1:7", "7 is a number, a string is meant"),
+    ('name: "demo"', "", "1:1", "name is not given; it is string"),
+    ('name: "demo"', 'naem: "demo"', "1:1", "#Site has no field 'naem' (is 'name' meant?)"),
+    ('name: "demo"', 'name: "demo"\nname: "other"', "2:7", '"demo" and "other" are different'),
+    ('name: "demo"', 'name: "d e"', "1:1", "Expected `str` matching regex"),
+    ("{ kb: 300kB/s", "{ kb: 100kB/s", "2:45", "ladder.1.kb: rungs must rise, 100 kB/s follows 150 kB/s"),
+    ("{ kb: 300kB/s", "{ kb: 300", "2:45", "300 has no unit; a rate is meant, as 450kB/s, 3MB/s"),
+    ("earns: 25%", "earns: 0.25", "2:32", "ladder.0.earns: 0.25 has no unit"),
+    ("earns: 25% }", "earns: 25%, colour: 1 }", "2:37", "#Rung has no field 'colour' (there are earns, kb)"),
+    ("#Quick & { value: 3 }", "#Quick & { value: 0 }", "6:26", "packages.live.value: 0 is not"),
+    (
+        "#Quick & { value: 3 }",
+        "#Quick & { patience: 4s }",
+        "3:21",
+        "4s and 3s are different (text:6:29 says 4s",
+    ),
+    ("#Quick & { value: 3 }", "#Quikc", "6:8", "nothing is called '#Quikc' here (is '#Quick' meant?)"),
+    (
+        "#Quick & { value: 3 }",
+        '#Quick & { effect: "never" }',
+        "6:27",
+        'is none of "by_key", "once", "repeatable"',
+    ),
+    (
+        "#Quick & { value: 3 }",
+        "#Quick & { floor: 7 }",
+        "6:26",
+        "packages.live.floor: rung 7 is above the highest, 2",
+    ),
+    ("#Quick & { value: 3 }", "#Quick & { floor: 1, top: 0 }", "6:26", "rung 1 is above the highest, 0"),
+    ("#Quick & { value: 3 }", '#Quick & { effect: "by_key" }', "1:1", "needs a window above 0"),
+    (
+        "join_target: 800ms",
+        "join_target: 8s",
+        "3:38",
+        "packages.recorded.join_target: the join target is longer",
+    ),
+    (
+        "#Quick: { patience: 3s",
+        "#Quick: { again: #Quick, patience: 3s",
+        "3:18",
+        "#Quick holds itself and never ends",
+    ),
+    ("#Quick: { patience", "#A: #B\n#B: #A\n#Quick: { patience", "3:5", "itself"),
+    ('pool: "all"', 'pool: "al"', "11:55", "routes.easter.pool: no pool 'al' (is 'all' meant?)"),
+    ('"tsoureki"]', '"lamb"]', "11:36", "'lamb' is placed by route easter already"),
+    ('"tsoureki"]', '"other"]', "11:36", "'other' is placed by titles already"),
+    ('["lamb", "tsoureki"]', '"lamb"', "11:27", "record or list in one place and not in another"),
+    (
+        "{ first: 1, spread: 2 }",
+        "{ first: 9, spread: 2 }",
+        "12:25",
+        "titles.other.first: 9 is no cell, there are 4",
+    ),
+    ("{ first: 1, spread: 2 }", "{ first: 1 }", "12:18", "titles.other.spread is not given"),
+    ("b: hosts: { h2", "b: hosts: { h1", "15:24", "'h1' stands in rack a already"),
+    ("h2: at:", 'h2: kind: "big", h2: at:', "15:30", "no places are given for 'big' (known are std)"),
+    ("uplink: 14MB/s, ", "", "14:11", "racks.a.uplink is not given; it is"),
+    ("h1: at:", "h1: weihgt: 2, h1: at:", "14:47", "has no field 'weihgt' (is 'weight' meant?)"),
+    ("gateways: g0: {", "gateways: g0: { prot: 1,", "16:17", "#Gateway has no field 'prot'"),
+    ("gateways: g0", "#gateways: g0", "1:1", "gateways: there must be one at least"),
+    ("list_at:", 'include "other.lh"\nlist_at:', "17:9", "a text that is no file cannot include others"),
+    ("}\nfleet", "\nfleet", "17:26", "the text ends inside a record, list or value"),
+]
+
+
+def messages(loaded: Loaded) -> str:
+    return "\n".join(m.told() for m in loaded.mistakes)
+
+
+def test_the_good_file_comes_to_a_site() -> None:
+    loaded = load_text(GOOD)
+    assert messages(loaded) == "" and loaded.site is not None
+    site = loaded.site
+    assert [(h.name, h.cell, h.zone) for h in site.hosts] == [
+        ("h0", 0, "hall-a"),
+        ("h2", 1, "hall-b"),
+        ("h1", 2, "hall-a"),
+    ]
+    assert (site.fleet.cells, site.fleet.racks, site.fleet.uplink_kb) == (4, 2, 14000.0)
+    assert site.titles["lamb"].spread == 3 and site.terms.warm_up == 6.0 and site.terms.drain_grace == 1.0
+    assert [p.value for p in site.packages] == [1.0, 3.0]
+
+
+@pytest.mark.parametrize(("old", "new", "at", "words"), BROKEN)
+def test_a_broken_file_is_told_where_and_why(old: str, new: str, at: str, words: str) -> None:
+    assert old in GOOD
+    told = messages(load_text(GOOD.replace(old, new, 1)))
+    assert words in told, told
+    assert f"text:{at}:" in told, told
+
+
+def test_many_mistakes_are_found_in_one_go() -> None:
+    text = (
+        GOOD.replace("6s", "6").replace('["lamb"', "[7").replace("#Rung", "").replace("first: 1", "frist: 1")
+    )
+    told = messages(load_text(text + "\noops oops\nname: 3\n"))
+    for words in ("6 has no unit", "7 is a number", "'frist'", "'oops' is not expected", "name: "):
+        assert words in told, told
+
+
+def test_broken_files_of_every_other_kind(tmp_path: Path) -> None:
+    root = tmp_path / "site"
+    root.mkdir()
+
+    def told(name: str) -> str:
+        return messages(load(root / name))
+
+    def write(name: str, text: str) -> None:
+        (root / name).write_text(text)
+
+    write("one.lh", 'include "one.lh"\n')
+    assert "one.lh:1:9: files include one another in a loop: one.lh -> one.lh" in told("one.lh")
+    write("a.lh", 'include "b.lh"\n')
+    write("b.lh", 'include "a.lh"\n')
+    assert "a.lh -> b.lh -> a.lh" in told("a.lh")
+    for i in range(5):
+        write(f"l{i}.lh", f'include "l{(i + 1) % 5}.lh"\n')
+    assert "l0.lh -> l1.lh -> l2.lh -> l3.lh -> l4.lh -> l0.lh" in told("l0.lh")
+    write("twice.lh", 'include "part.lh"\ninclude "part.lh"\ninclude "p*.lh"\n')
+    write("part.lh", GOOD)
+    assert told("twice.lh") == "", "the same file twice is once"
+    write("none.lh", 'include "nothing*.lh"\ninclude "/etc/passwd"\ninclude "missing.lh"\n')
+    out = told("none.lh")
+    assert "no file is called 'nothing*.lh'" in out and "relative to its own file" in out
+    assert "missing.lh cannot be read: No such file" in out
+    (tmp_path / "outside.lh").write_text(GOOD)
+    write("up.lh", 'include "../outside.lh"\n')
+    assert "lies outside site/, where the first file is" in told("up.lh")
+    os.symlink(tmp_path / "outside.lh", root / "link.lh")
+    write("via.lh", 'include "link.lh"\n')
+    assert "link.lh lies outside site/" in told("via.lh")
+    (root / "bytes.lh").write_bytes(b'name: "x"\n\xff\n')
+    assert "bytes.lh:2:1: byte 10 is not UTF-8" in told("bytes.lh")
+    write("cut.lh", GOOD[: len(GOOD) // 2])
+    assert told("cut.lh")
+    write("big.lh", "// " + "x" * (10 << 20))
+    assert f"a file may have {MOST_BYTES}; split it" in told("big.lh")
+    write("deep.lh", "a: " + "{ a: " * 10000 + "1" + "}" * 10000)
+    assert "deep.lh:1:1: more than 60 records and lists inside one another" in told("deep.lh")
+    for i, value in enumerate(("3s", "4s", "5s")):
+        write(f"c{i}.lh", f"terms: warm_up: {value}\n")
+    write("three.lh", GOOD.replace("terms: warm_up: 6s", "") + 'include "c*.lh"\n')
+    out = told("three.lh")
+    assert "c1.lh:1:17: terms.warm_up: 3s and 4s are different (c0.lh:1:17 says 3s" in out
+
+
+def test_a_file_swapped_while_it_is_read_is_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "s.lh"
+    path.write_text(GOOD.replace("6s", "5s"))
+    real, swapped = os.stat, list[int]()
+
+    def stat(target: Any, **more: Any) -> Any:
+        result = real(target, **more)
+        if target == path and not swapped:
+            swapped.append(1)
+            new = tmp_path / "new"
+            new.write_text(GOOD + "// longer\n")
+            os.replace(new, path)
+        return result
+
+    monkeypatch.setattr("ledgehitch.config.load.os.stat", stat)
+    loaded = load(path)
+    assert messages(loaded) == "" and loaded.data["terms"]["warm_up"] == 6
+
+
+def test_a_definition_that_grows_without_end_is_stopped(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("ledgehitch.config.evaluate.MOST_VERTICES", 20_000)
+    grows = (
+        "".join(f"#D{i}: {{ a: #D{i + 1}, b: #D{i + 1}, c: #D{i + 1} }}\n" for i in range(14))
+        + "#D14: { x: 1 }\n"
+    )
+    told = messages(load_text(grows + "y: #D0\n", kind=""))
+    assert "expands to more than 20000 places" in told
+    assert "holds itself and never ends" in messages(
+        load_text("#A: { n: #B }\n#B: { n: #A }\ny: #A\n", kind="")
+    )
+
+
+# ---- values ------------------------------------------------------------------------------------------------
+
+POINTS = [Quantity(Fraction(n, 2), k) for n in range(-4, 9) for k in ("number", "duration")] + [
+    "a",
+    "b",
+    "c",
+    True,
+    None,
+]
+atoms = st.one_of(
+    st.sampled_from(POINTS).map(lambda p: exactly(p)),
+    st.sampled_from(["number", "int", "duration", "string", "bool"]).map(of_kind),
+    st.tuples(st.sampled_from([">=", "<=", ">", "<", "!="]), st.sampled_from(POINTS[:26])).map(
+        lambda t: bound(*t)
+    ),
+    st.sampled_from(["a", "b"]).map(lambda s: bound("!=", s)),
+)
+values = st.one_of(atoms, st.lists(st.tuples(st.booleans(), atoms), min_size=1, max_size=3).map(choice))
+
+
+def allows(value: Value, point: Any) -> bool:
+    """The plain reference: whether a value allows one exact point, alternative by alternative."""
+    for alt in value.alts:
+        kind = (
+            point.kind
+            if isinstance(point, Quantity)
+            else ("bool" if isinstance(point, bool) else "string" if isinstance(point, str) else "null")
+        )
+        if alt.kind and alt.kind != kind or alt.is_exact and alt.exact != point:
+            continue
+        if alt.is_exact and isinstance(alt.exact, bool) != isinstance(point, bool):
+            continue
+        if not isinstance(point, Quantity):
+            if alt.low is None and alt.high is None and not alt.whole and point not in alt.never:
+                return True
+            continue
+        number = point.value
+        if alt.low is not None and (number < alt.low or number == alt.low and alt.low_open):
+            continue
+        if alt.high is not None and (number > alt.high or number == alt.high and alt.high_open):
+            continue
+        if alt.whole and number.denominator != 1 or number in alt.never:
+            continue
+        return True
+    return False
+
+
+def met(a: Value | None, b: Value | None) -> Value | None:
+    if a is None or b is None:
+        return None
+    try:
+        return meet(a, b)
+    except Clash:
+        return None
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(values, values, values)
+def test_meeting_is_commutative_associative_idempotent_and_agrees_with_the_reference(
+    a: Value, b: Value, c: Value
+) -> None:
+    assert met(a, b) == met(b, a)
+    assert met(a, a) == a or met(met(a, a), a) == met(a, a)
+    left, right = met(met(a, b), c), met(a, met(b, c))
+    for point in POINTS:
+        both = allows(a, point) and allows(b, point)
+        one = met(a, b)
+        assert (one is not None and allows(one, point)) == both, (point, str(a), str(b), str(one))
+        assert (left is not None and allows(left, point)) == (right is not None and allows(right, point))
+
+
+@settings(max_examples=30, deadline=None, derandomize=True)
+@given(st.randoms(use_true_random=False))
+def test_the_order_of_saying_makes_no_difference(chance: random.Random) -> None:
+    parts = GOOD.split("\n", 7)
+    head = "\n".join(parts[3:7])
+    statements = [*parts[:3], head, *parts[7].splitlines()]
+    chance.shuffle(statements)
+    again = load_text("\n".join([*statements, chance.choice(statements)]))
+    assert messages(again) == "" and again.digest() == load_text(GOOD).digest()
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.fractions(0, 10**6, max_denominator=1000), st.sampled_from(["duration", "rate", "size", "share"]))
+def test_a_quantity_is_spelt_as_it_is_read(value: Fraction, kind: str) -> None:
+    text = spelt(Quantity(value, kind))
+    if value:
+        assert abs(quantity(text).value - value) <= max(value, Fraction(1)) / 10**6, text
+
+
+# ---- layout, difference, fuzz ------------------------------------------------------------------------------
+
+PIECES = [
+    " ",
+    "\n",
+    "\n\n\n",
+    "// note\n",
+    "\t",
+    "{",
+    "}",
+    "[",
+    "]",
+    ",",
+    ":",
+    "a",
+    "#A",
+    '"s"',
+    "3s",
+    "5",
+    "*",
+    "|",
+    "&",
+    ">=",
+    "include",
+    "...",
+    "?",
+    "=",
+    "string",
+    "(",
+    ")",
+    "-",
+    "+",
+    ".",
+    "95%",
+    "true",
+]
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.sampled_from(PIECES), max_size=12), st.integers(0, len(GOOD)), st.integers(0, 6))
+def test_layout_is_idempotent_keeps_meaning_and_nothing_crashes(
+    pieces: list[str], at: int, gone: int
+) -> None:
+    text = GOOD[:at] + "".join(pieces) + GOOD[at + gone :]
+    before = load_text(text)
+    try:
+        new = laid_out(text)
+    except Malformed:
+        assert before.mistakes
+        return
+    assert laid_out(new) == new
+    after = load_text(new)
+    assert bool(after.mistakes) == bool(before.mistakes)
+    assert after.data == before.data
+    assert text.count("//") == new.count("//") and text.count("note") == new.count("note")
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    st.one_of(
+        st.binary(max_size=300),
+        st.lists(st.sampled_from(PIECES), max_size=60).map(lambda p: "".join(p).encode()),
+    )
+)
+def test_any_bytes_are_read_or_refused(data: bytes) -> None:
+    loaded = load_text(data.decode("utf-8", "replace"))
+    assert loaded.mistakes and all(m.at.line >= 1 and m.reason for m in loaded.mistakes)
+
+
+def test_layout_of_a_file_that_nobody_laid_out() -> None:
+    messy = 'name:"demo"   // who\n\n\n\nterms :{warm_up:6s,\n   cold_share :  30%\n}\nx:*1|>=2&<-3\n'
+    assert laid_out(messy) == (
+        'name: "demo" // who\n\nterms: { warm_up: 6s,\n\tcold_share: 30%\n}\nx: *1 | >=2 & <-3\n'
+    )
+
+
+def test_a_difference_is_empty_for_the_same_and_makes_one_of_the_other() -> None:
+    a = load_text(GOOD).data
+    b = load_text(
+        GOOD.replace("warm_up: 6s", "warm_up: 9s, may_probe: true").replace('"tsoureki"', '"melomakarona"')
+        .replace("titles: other: { first: 1, spread: 2 }", "").replace("h1: at", "h9: at")
+        .replace("value: 3", "value: 3, seats: 4").replace("patience: 3s", "patience: 2s")
+    ).data  # fmt: skip
+    assert changes(a, a) == []
+    found_ = changes(a, b, {"other": 12})
+    assert applied(a, found_) == {".".join(p): v for p, v in leaves(b)}
+    by_path = {c.path: c for c in found_}
+    assert by_path["terms.warm_up"].effect == "restart" and "rule 4" in by_path["terms.warm_up"].risk
+    assert by_path["routes.easter.titles.1"].effect == "new viewings"
+    assert "'other' is not placed any more" in by_path["titles.other.first"].risk
+    assert "12 viewings hold it now" in by_path["titles.other.first"].risk
+    assert "the cells after it move" in by_path["racks.a.hosts.h1.at"].risk
+    assert (
+        "seats" in by_path["packages.live.seats"].path
+        and "hold more keep them" in by_path["packages.live.seats"].risk
+    )
+    assert "more of them blocked" in by_path["packages.recorded.patience"].risk
+
+
+def test_explain_names_every_place_that_said_something() -> None:
+    loaded = load_text(GOOD)
+    assert loaded.vertex is not None
+    vertex = found(loaded.evaluation, loaded.vertex, ["packages", "live", "patience"])
+    assert vertex is not None
+    said = list(origins(vertex))
+    assert said[0] == ("text:3:21", "3s", "#Quick") and any(through == "#Package" for _, _, through in said)
+    assert found(loaded.evaluation, loaded.vertex, ["packages", "gold"]) is None
+
+
+def test_the_reference_page_is_the_schema_s() -> None:
+    page = Path(__file__).parent.parent / "docs" / "config-reference.md"
+    assert page.read_text() == reference() + "\n", "make it anew: ledgehitch config reference"
+
+
+def test_commands_read_the_language_and_json(tmp_path: Path) -> None:
+    path = tmp_path / "site.lh"
+    path.write_text(GOOD)
+    assert read_site(path).name == "demo"
+    path.write_text(GOOD.replace("6s", "6"))
+    with pytest.raises(BadInput, match="site.lh:9:17: .*6 has no unit"):
+        read_site(path)
+    as_json = load_text(json.dumps({"name": "x", "terms": {"warm_up": 6}}), "x.json")
+    assert "name" not in messages(as_json) and "6 has no unit" not in messages(as_json)
+
+
+def test_a_large_site_is_checked_in_time_that_grows_with_its_text(tmp_path: Path) -> None:
+    def write(name: str, hosts: int, routes: int, files: int) -> Path:
+        root = tmp_path / name
+        (root / "parts").mkdir(parents=True)
+        lines = [
+            f'racks: r{i % 10}: hosts: host-{i}: {{ at: "127.0.0.1:{i}", weight: 2 }}' for i in range(hosts)
+        ]
+        lines += [f'routes: route-{i}: {{ titles: ["t{i}"], pool: "all" }}' for i in range(routes)]
+        for i in range(files - 1):
+            (root / "parts" / f"p{i:03}.lh").write_text("\n".join(lines[i :: files - 1]) + "\n")
+        (root / "site.lh").write_text(GOOD + 'include "parts/*.lh"\n')
+        return root / "site.lh"
+
+    def seconds(path: Path) -> float:
+        start = time.process_time()
+        loaded = load(path)
+        assert messages(loaded) == "" and loaded.site is not None
+        return time.process_time() - start
+
+    small, large = write("small", 140, 300, 60), write("large", 1400, 3000, 60)
+    seconds(small)
+    ratio = seconds(large) / min(seconds(small) for _ in range(3))
+    assert ratio < 20, f"ten times the text took {ratio:.1f} times as long"
+
+
+# ---- reloads -----------------------------------------------------------------------------------------------
+
+
+def version(serial: int, **terms: Any) -> Version:
+    spread = terms.pop("n", 1)
+    data = {"terms": {"warm_up": 6, **terms}, "titles": {"a": {"first": 0, "spread": spread}}}
+    return Version(serial, digest_of(data), data)
+
+
+def pulled(r: Reloads) -> list[Any]:
+    out = []
+    while (decision := r.decide()) is not None:
+        out.append(decision)
+    return out
+
+
+def test_each_case_of_reloads_has_one_result() -> None:
+    first, second, third = version(1), version(2, n=2), version(3, warm_up=9)
+    r = Reloads(first)
+    r.handed(second, ["x.lh:1:1: wrong"])
+    assert [type(d) for d in pulled(r)] == [Refuse] and r.running == first, "a bad one is refused whole"
+    r.handed(second, [])
+    assert pulled(r) == [Apply(second, ()), Keep(second)]
+    r.handed(third, [])
+    assert pulled(r) == [Apply(third, ("terms.warm_up",)), Keep(third)], "the module knows after a restart"
+    r.handed(second, [])
+    assert [type(d) for d in pulled(r)] == [Refuse] and r.running == third, "older than what was told"
+    same = Version(4, third.digest, third.data)
+    r.handed(same, [])
+    assert pulled(r) == [] and r.state()["lags"] is False, "the same again: nothing to do"
+    r.drains(True)
+    back = version(5)
+    r.handed(back, [])
+    assert pulled(r) == [] and r.state()["lags"] is True, "nothing is applied during a drain"
+    r.handed(Version(6, third.digest, third.data), [])
+    r.drains(False)
+    assert pulled(r) == [] and r.running.serial == 6, (
+        "taken back before it was applied: nothing is left of it"
+    )
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(1, 12), st.integers(0, 3), st.booleans(), st.booleans()), max_size=25))
+def test_reloads_never_go_back_and_end_at_the_newest_good_one(
+    steps: list[tuple[int, int, bool, bool]],
+) -> None:
+    r, newest = Reloads(version(0)), version(0)
+    applied_: list[int] = [0]
+    for serial, n, bad, drain in steps:
+        one = version(serial, n=n)
+        if not bad and serial > newest.serial:
+            newest = one
+        r.handed(one, ["bad"] if bad else [])
+        r.drains(drain)
+        for decision in pulled(r):
+            if isinstance(decision, Apply):
+                applied_.append(decision.version.serial)
+        assert applied_ == sorted(applied_)
+    r.drains(False)
+    pulled(r)
+    assert r.running.digest == newest.digest and not r.state()["lags"]
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -16,15 +16,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ledgehitch.config import KINDS, BadInput, Day, Fault, read_day
+from ledgehitch.config import KINDS, BadInput, Day, Fault, Site, read_day
+from ledgehitch.config.load import digest_of
 from ledgehitch.gateway.replay import replayed
+from ledgehitch.gateway.versions import checked, first_version, last_good
+from ledgehitch.loop import Loop
+from ledgehitch.proof.check import figures_of, judged_tape
 from ledgehitch.rehearsal.imported import KINDS_HERE, imported
 from ledgehitch.rehearsal.plan import site_of, steps_of
+from ledgehitch.rehearsal.play import Stage
 from ledgehitch.standins.arrivals import fewest_held, visits
 from ledgehitch.standins.links import Fabric, Link
 from ledgehitch.standins.places import Places
 from ledgehitch.standins.viewers import offer_of
 from ledgehitch.standins.world import World
+from tests.test_config import GOOD
 
 ROOT = Path(__file__).parent.parent
 BAD_DAY = ROOT / "days" / "bad-day.json"
@@ -260,3 +266,89 @@
 def test_faults_have_a_middle_strength_when_none_is_given() -> None:
     assert Fault(kind="neighbour", at=0).strength() == pytest.approx(0.475)
     assert Fault(kind="burst", at=0).strength() == 2.0 and Fault(kind="crash", at=0).strength() == 0.0
+
+
+def test_fifty_reloads_under_load_ten_of_them_bad_lose_nothing(tmp_path: Path) -> None:
+    raw = {**msgspec.to_builtins(read_day(BAD_DAY)), "faults": [], "length": 10.0, "settle": 0.5, "site": {},
+           "shape": {"gateways": 1, "hosts": 4, "rack": 2, "link_kb": 1e5}}  # fmt: skip
+    day = msgspec.convert(raw, Day)
+    loop = Loop()
+    told: dict[str, Any] = {}
+
+    def main() -> Any:
+        stage = Stage(loop, day, 3, tmp_path)
+        site_file = tmp_path / "site.json"
+        good = json.loads(site_file.read_text())
+        try:
+            stage.start_world()
+            stage.start_gateway("g0")
+            stage._start(
+                "viewers",
+                "standin",
+                "viewers",
+                "--site",
+                str(site_file),
+                "--day",
+                f"{tmp_path}/day.json",
+                "--seed",
+                "3",
+                "--tape",
+                f"{stage.tapes}/viewers.tape",
+                "--out",
+                f"{tmp_path}/s.json",
+            )
+            for n in range(50):
+                changed = json.loads(json.dumps(good))
+                changed["titles"][f"new-{n}"] = {"first": n % 4, "spread": 3}
+                text = json.dumps(changed) if n % 5 != 2 else json.dumps({**changed, "ladder": "none"})
+                (tmp_path / "new").write_text(text)
+                (tmp_path / "new").replace(site_file)
+                stage.children["g0"].signal(signal.SIGHUP)
+                loop.sleep(0.15)
+            last = digest_of(msgspec.to_builtins(msgspec.convert(changed, Site)))
+            for _ in range(100):
+                told.update(stage.state_of("g0") or {})
+                if told["config"]["runs"] == last:
+                    break
+                loop.sleep(0.1)
+            assert told["config"]["runs"] == last and not told["config"]["lags"]
+            stage.children["viewers"].wait()
+        finally:
+            told["exits"] = stage.end()
+        return stage.site
+
+    site = loop.run(main)
+    breaches, held = judged_tape(tmp_path / "tape", figures_of(site))
+    assert breaches == [] and held["ask"] > 80
+    assert told["config"]["refused"] >= 1 and "ladder" in told["config"]["last_refusal"]
+    service = json.loads((tmp_path / "s.json").read_text())
+    assert service["joined_in_time"] == service["joined"] > 80, "joins stay within the target"
+    kept = last_good(tmp_path / "state" / "g0.site.json")
+    assert kept is not None and kept.digest == told["config"]["runs"]
+    # The files are broken at the next start: the last good version is used, and said loudly.
+    (tmp_path / "site.json").write_text("{")
+    found = first_version(tmp_path / "site.json", tmp_path / "state" / "g0.site.json", checked)
+    assert found.digest == kept.digest
+    (tmp_path / "state" / "g0.site.json").write_bytes(msgspec.json.encode(kept).replace(b"new-49", b"new-77"))
+    with pytest.raises(BadInput, match="not JSON"):
+        first_version(tmp_path / "site.json", tmp_path / "state" / "g0.site.json", checked)
+
+
+def test_config_commands_end_with_their_codes(tmp_path: Path) -> None:
+    a, b = tmp_path / "a.lh", tmp_path / "b.lh"
+    a.write_text(GOOD)
+    b.write_text(GOOD.replace("6s", "7s"))
+    assert run("config", "check", str(a)).stdout.startswith("good: 1 files, digest")
+    shown = run("config", "show", str(a))
+    assert json.loads(shown.stdout)["terms"]["warm_up"] == 6 and "blake3" in shown.stderr
+    differs = run("config", "diff", str(a), str(b), "--json")
+    assert differs.returncode == 1 and [c["path"] for c in json.loads(differs.stdout)] == ["terms.warm_up"]
+    assert run("config", "diff", str(a), str(a)).stdout == "the same in meaning\n"
+    assert "a.lh:9:17: 6s" in run("config", "explain", str(a), "terms.warm_up").stdout
+    b.write_text("x:1  //c\n")
+    assert run("config", "fmt", "--check", str(b)).returncode == 1
+    assert run("config", "fmt", str(b)).returncode == 0 and b.read_text() == "x: 1 //c\n"
+    broken = run("config", "check", str(b))
+    assert broken.returncode == 1 and "^" in broken.stderr and "Traceback" not in broken.stderr
+    status = run("config", "status", "http://127.0.0.1:1")
+    assert status.returncode == 1 and "does not answer" in status.stdout
