--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -680,4 +680,3 @@
 
     def _below(self, v: Viewing, kb: float) -> int:
         return max(v.package.floor, min(v.top, bisect_right(v.rates, kb) - 1))
-
--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -8,7 +8,7 @@
 import structlog
 
 import ledgehitch
-from ledgehitch.cli import config, days, run, standins
+from ledgehitch.cli import config, days, quality, run, standins
 from ledgehitch.config import BadInput
 from ledgehitch.gateway.record import BadRecord
 from ledgehitch.rehearsal.play import DidNotStart
@@ -53,6 +53,7 @@
     days.replay,
     days.import_day,
     config.config,
+    quality.quality,
 ):
     root.add_command(command)
 
--- a/ledgehitch/gateway/carry.py
+++ b/ledgehitch/gateway/carry.py
@@ -43,6 +43,7 @@
     title: str
     offer: bytes | None  # let go when it plays
     read: Offer | None
+    asked_at: float = 0.0
     rung: int = 0
     tune_ins: int = 0
     task: Task | None = None  # the tune-in that is out
--- a/ledgehitch/gateway/front.py
+++ b/ledgehitch/gateway/front.py
@@ -18,6 +18,7 @@
 from blake3 import blake3
 
 from ledgehitch.gateway.carry import LAYER, Carrier, Viewing
+from ledgehitch.gateway.reports import RELATION, Reports
 from ledgehitch.http import Feed, NoAnswer, Refused, Request, Response, problem
 from ledgehitch.http.events import event
 from ledgehitch.interface import Package
@@ -46,6 +47,8 @@
         self.loop, self.carrier = loop, carrier
         self.packages, self.titles, self.rates, self.state = packages, titles, rates, state
         self.draining = False
+        self.reports: Reports | None = None
+        self.rack_of: Callable[[str], str] = lambda host: ""
         self._conns = itertools.count(1)
         self._vws = itertools.count(1)
 
@@ -62,6 +65,15 @@
                 self._only(request, "POST")
                 self._viewing(resource)
                 raise Refused(409, "the gateway sets the rate of this viewing; ask with ?top=N for less")
+            case ["viewings", resource, "reports"] if self.reports is not None:
+                self._only(request, "POST")
+                return self.reports.post(request, resource)
+            case ["quality", "tables"] if self.reports is not None:
+                self._only(request, "GET")
+                return self.reports.tables()
+            case ["quality", "report"] if self.reports is not None:
+                self._only(request, "GET")
+                return self.reports.report()
             case ["health"]:
                 self._only(request, "GET", "HEAD")
                 return _json(200, {"serves": not self.draining})
@@ -103,7 +115,7 @@
         for part in (method, package, title, token, str(top)):
             digest.update(part.encode() + b"\0")
         digest.update(request.body)
-        viewing = Viewing(token, method, sold, title, request.body, offer)
+        viewing = Viewing(token, method, sold, title, request.body, offer, asked_at=request.arrived)
         patience = request.arrived + wait
         event = self.carrier.ask(conn, digest.digest(16), vw, viewing, cells, top, patience, offer.ufrag)
         request.hung_up(lambda: self.carrier.hung_up(conn))
@@ -160,6 +172,12 @@
                 ("Accept-Patch", FRAGMENT),
                 *_cors(),
             ]
+            playing = self.carrier.viewings.get(vw)
+            if self.reports is not None and playing is not None:
+                took = self.loop.now - playing.asked_at
+                rack, target = self.rack_of(playing.host), playing.package.join_target
+                token = self.reports.admitted(entry.resource, rack, playing.title, took, target)
+                fields += [("Link", f'<{at}/reports>; rel="{RELATION}"'), ("Report-Token", token)]
             response = Response(201, fields, settled.answer.encode())
         elif settled.kind == "blocked":
             fields = [("Retry-After", str(math.ceil(settled.advice)))] if settled.advice > 0 else []
@@ -255,7 +273,7 @@
 
 
 def _cors() -> list[tuple[str, str]]:
-    exposed = "Location, ETag, Link, Retry-After"
+    exposed = "Location, ETag, Link, Report-Token, Retry-After"
     return [("Access-Control-Allow-Origin", "*"), ("Access-Control-Expose-Headers", exposed)]
 
 
--- /dev/null
+++ b/ledgehitch/gateway/reports.py
@@ -0,0 +1,159 @@
+"""Players' reports at the gateway: taken in, counted, exchanged with others, kept, judged now and then."""
+
+import json
+import math
+import secrets
+import time
+from pathlib import Path
+
+import msgspec
+import structlog
+
+from ledgehitch.http import Client, ConnectFailed, Interrupted, Refused, Request, Response, problem
+from ledgehitch.loop import Loop, TimedOut
+from ledgehitch.quality import BadPass, Judge, Passes, Seen, Tally, reports_in
+from ledgehitch.quality.keep import Keep
+from ledgehitch.quality.limits import Limits
+from ledgehitch.quality.tally import KEPT, WINDOW, Cell
+
+KEPT_EVERY = 2.0  # seconds of counts that a kill may lose at most
+EXCHANGED_EVERY = 5.0
+JUDGED_EVERY = WINDOW
+JUDGED_OVER = 6  # windows that a look goes over
+RELATION = "urn:ledgehitch:reports"
+log = structlog.get_logger("quality")
+
+
+class Told(msgspec.Struct):
+    """One gateway's table of one window, as it is told to others."""
+
+    source: str
+    window: int
+    life: int
+    version: int
+    table: dict[str, Cell]
+
+
+class Reports:
+    def __init__(self, loop: Loop, name: str, others: dict[str, str], state_dir: Path | None) -> None:
+        """`others`: addresses of the other gateways by name."""
+        self.loop, self.name, self.others = loop, name, others
+        self.keep = Keep(state_dir / f"{name}.quality") if state_dir is not None else None
+        self.passes = Passes(secrets.token_bytes(32), time.time())
+        self.limits = Limits(secrets.token_bytes(32))
+        self.judge = Judge()
+        self.client = Client(loop)
+        life, held = time.time_ns(), self.keep.read() if self.keep is not None else None
+        self.tally = Tally.thawed(held, life) if held is not None else Tally(name, life)
+        self._kept_at_counts = -1
+        self.refused = 0
+
+    def start(self) -> None:
+        """Spawns the tasks that exchange, keep and judge."""
+        self.loop.spawn(self._keep, name="keep quality")
+        self.loop.spawn(self._exchange, name="exchange quality")
+        self.loop.spawn(self._judge, name="judge quality")
+
+    # ---- viewings ------------------------------------------------------------------------------------------
+
+    def admitted(self, resource: str, rack: str, title: str, asked_ago: float, join_target: float) -> str:
+        """A viewing plays: its players may report from now on. Gives the token that they report with."""
+        now = time.time()
+        if resource not in self.tally.clocks:
+            self.tally.admitted(resource, Seen(rack, title, now - asked_ago, now, join_target))
+        return self.passes.issue(now, resource)
+
+    def post(self, request: Request, resource: str) -> Response:
+        scheme, _, token = request.headers.get("authorization", "").partition(" ")
+        now = time.time()
+        try:
+            if scheme.lower() != "bearer":
+                raise BadPass("a report comes with the token of its viewing's answer")
+            self.passes.check(now, token.strip(), resource)
+        except BadPass as why:
+            self.refused += 1
+            raise Refused(401, f"the token is refused: {why}", [("WWW-Authenticate", "Bearer")]) from None
+        try:
+            good, bad = reports_in(request.body)
+        except ValueError as wrong:
+            raise Refused(400, str(wrong)) from None
+        wait = self.limits.asks(now, resource, len(good) + len(bad))
+        if wait:
+            raise Refused(
+                429, "more reports than one client may send", [("Retry-After", str(math.ceil(wait)))]
+            )
+        became: dict[str, int] = {}
+        for report in sorted(good, key=lambda r: r.sn):
+            word = self.tally.reported(now, resource, report)
+            became[word] = became.get(word, 0) + 1
+        if bad:
+            return problem(
+                422,
+                f"{len(bad)} of {len(good) + len(bad)} reports are not counted",
+                errors=bad,
+                became=became,
+            )
+        return Response(200, [("Content-Type", "application/json")], json.dumps(became).encode())
+
+    # ---- others --------------------------------------------------------------------------------------------
+
+    def tables(self) -> Response:
+        told = [Told(*one) for one in self.tally.summaries()]
+        return Response(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+
+    def _exchange(self) -> None:
+        while True:
+            self.loop.sleep(EXCHANGED_EVERY)
+            for at in self.others.values():
+                try:
+                    with self.loop.deadline(2.0):
+                        answer = self.client.request(at, "GET", "/quality/tables")
+                    for told in msgspec.json.decode(answer.body, type=list[Told]):
+                        self.tally.merge(told.source, told.window, told.life, told.version, told.table)
+                except (TimedOut, ConnectFailed, Interrupted, ValueError, msgspec.MsgspecError):
+                    continue  # it is told all of it the next time
+
+    def _keep(self) -> None:
+        while True:
+            self.loop.sleep(KEPT_EVERY)
+            taken = self.tally.counts.taken + self.tally.counts.doubles
+            if self.keep is not None and taken != self._kept_at_counts:
+                self._kept_at_counts = taken
+                self.keep.write(self.tally.frozen())
+
+    def _judge(self) -> None:
+        while True:
+            self.loop.sleep(JUDGED_EVERY)
+            before = self.judge.verdict.culprits
+            verdict = self.judge.looked(self._window(JUDGED_OVER))
+            if [(c.kind, c.name) for c in verdict.culprits] != [(c.kind, c.name) for c in before]:
+                log.warning("verdict", word=verdict.word)
+
+    def _window(self, windows: int) -> dict[str, Cell]:
+        last = int(time.time() // WINDOW) + 1
+        return self.tally.total(last - windows, last)
+
+    def report(self) -> Response:
+        """All that people are shown, over all gateways as far as this one has heard."""
+        verdict = Judge.look_once(self._window(KEPT))
+        last = int(time.time() // WINDOW) + 1
+        series = {}
+        for w in range(last - KEPT, last):
+            table = self.tally.total(w, w + 1)
+            if table:
+                series[str(int(w * WINDOW))] = _by_group(table)
+        told = {
+            "gateway": self.name, "verdict": msgspec.to_builtins(verdict), "counts": self.tally.counts,
+            "standing": msgspec.to_builtins(self.judge.verdict), "groups": _by_group(self._window(KEPT)),
+            "series": series, "heard_of": sorted(self.tally.others),
+        }  # fmt: skip
+        return Response(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+
+
+def _by_group(table: dict[str, Cell]) -> dict[str, dict[str, Cell]]:
+    out: dict[str, dict[str, Cell]] = {"rack": {}, "title": {}}
+    for key, cell in table.items():
+        rack, _, title = key.partition("\t")
+        out["rack"].setdefault(rack, Cell()).add(cell)
+        out["title"].setdefault(title, Cell()).add(cell)
+    return out
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -25,6 +25,7 @@
 from ledgehitch.gateway.mind import Mind
 from ledgehitch.gateway.peers import Peers
 from ledgehitch.gateway.record import Recorder
+from ledgehitch.gateway.reports import Reports
 from ledgehitch.gateway.versions import Compiled, Versions
 from ledgehitch.gateway.watch import Watch
 from ledgehitch.http import Limits, Server
@@ -80,6 +81,10 @@
         titles = {title: (t.first, t.spread) for title, t in site.titles.items()}
         front = Front(loop, self.carrier, {p.name: p for p in packages}, titles, ladder.kb, self.state)
         self.front = front
+        others_at = {g.name: g.at for i, g in enumerate(site.gateways) if i != me}
+        self.reports = front.reports = Reports(loop, name, others_at, state_dir)
+        front.rack_of = self.rack_of
+        self.reports.start()
         kept = state_dir / f"{name}.hosts.json" if state_dir is not None else None
         self.listing = Listing(loop, self.carrier, site.list_at, name, kept)
         self.server = Server(loop, endpoint(here.at), front.handle, limits or Limits(), _report)
@@ -112,6 +117,11 @@
             "peers_refused": dict(self.peers.refused) if self.peers else {},
         }
 
+    def rack_of(self, host: str) -> str:
+        """The rack that a media host stands in, by its cell as the list names it."""
+        line = self.listing.roll.lines.get(host)
+        return f"rack-{line.cell % max(1, self.site.fleet.racks)}" if line is not None else "?"
+
     def place(self, site: Site) -> None:
         """What a new version changes for new viewings: where titles lie."""
         self.front.titles = {title: (t.first, t.spread) for title, t in site.titles.items()}
@@ -136,6 +146,7 @@
     def stop(self) -> None:
         self.server.close()
         self.carrier.client.close()
+        self.reports.client.close()
         if self.recorder is not None:
             self.recorder.close()
 
--- /dev/null
+++ b/ledgehitch/quality/judge.py
@@ -0,0 +1,210 @@
+"""Which rack and which title are to blame, or that none is. Free of I/O and chance: same counts, same word.
+
+A rack is compared with the other racks on the same titles only, and a title with the other titles on the same
+racks only (Mantel-Haenszel over the strata), so that a bad title held by one rack is not laid at the rack's
+door. The clearest culprit is taken first; what its cells show is set aside before the next one is looked for.
+Errors over all groups are controlled together (Bonferroni), and a verdict must hold for several looks.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import numpy as np
+from numpy.typing import NDArray
+from scipy.stats import norm
+
+from ledgehitch.quality.tally import OTHERS, Cell
+
+ALPHA = 0.002  # chance of a false culprit in one look at a healthy fleet, over all groups together
+LEAST = 0.02  # share of bad viewings more than usual under which nobody is blamed, however sure
+FEW = 30  # viewings of a group under which nothing is said of it
+MOST_CULPRITS = 12
+ALL_BAD = 0.3  # share of bad viewings from which everything is slow
+SET, CLEARED = 2, 3  # looks running that set a verdict, and that clear it
+Floats = NDArray[np.float64]
+
+
+@dataclass(frozen=True)
+class Culprit:
+    """A rack or title to blame: how many of its viewings are bad beyond what the others on the same ground
+    show, the least that this can be (95%), and the counts it rests on."""
+
+    kind: str  # "rack" or "title"
+    name: str
+    excess: float
+    least: float
+    viewings: int
+    bad: int
+    sure: float  # 1 minus the chance of so much by accident, over all groups
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What one look found. `word` is one line for people."""
+
+    culprits: tuple[Culprit, ...] = ()
+    viewings: int = 0
+    bad_share: float = 0.0
+    unclear: tuple[str, ...] = ()  # racks and titles that cannot be told apart, or had no reports
+    word: str = ""
+
+
+@dataclass
+class _Side:
+    names: list[str]
+    index: NDArray[np.int64] = field(default_factory=lambda: np.zeros(0, np.int64))
+
+
+def look(table: Mapping[str, Cell], expected: Mapping[str, Any] | None = None) -> Verdict:
+    """One look at counts by rack and title. `expected`: racks that should report; silent ones are named."""
+    keys = sorted(table)
+    pairs = [key.partition("\t")[::2] for key in keys]
+    n = np.array([table[k].viewings for k in keys], float)
+    bad = np.minimum(np.array([table[k].bad for k in keys], float), n)
+    total, all_bad = float(n.sum()), float(bad.sum())
+    silent = sorted(set(expected or ()) - {rack for rack, _ in pairs})
+    unclear = [f"rack {rack} sent no report" for rack in silent]
+    if total < FEW:
+        return Verdict(
+            (), int(total), all_bad / max(1.0, total), tuple(unclear), "too few viewings to say anything"
+        )
+    sides = {"rack": _side([r for r, _ in pairs]), "title": _side([t for _, t in pairs])}
+    open_cells = n > 0
+    found: list[Culprit] = []
+    taken: set[tuple[str, str]] = set()
+    groups = sum(int((np.bincount(s.index, n, len(s.names)) >= FEW).sum()) for s in sides.values())
+    least_z = float(norm.isf(ALPHA / 2 / max(1, groups)))
+    while len(found) < MOST_CULPRITS:
+        best: tuple[float, Culprit] | None = None
+        for kind, other in (("rack", "title"), ("title", "rack")):
+            side, strata = sides[kind], sides[other]
+            z, excess, error = _compared(side, strata, n, bad, open_cells)
+            for g, name in enumerate(side.names):
+                mine = (side.index == g) & open_cells
+                count = float(n[mine].sum())
+                if (kind, name) in taken or name == OTHERS or count < FEW or not z[g] > least_z:
+                    continue
+                if excess[g] < LEAST:
+                    continue
+                sure = 1 - min(1.0, float(norm.sf(z[g])) * groups)
+                low = max(0.0, excess[g] - 1.645 * error[g])
+                one = Culprit(
+                    kind, name, float(excess[g]), float(low), int(count), int(bad[mine].sum()), sure
+                )
+                if best is None or z[g] > best[0]:
+                    best = float(z[g]), one
+        if best is None:
+            break
+        culprit = best[1]
+        found.append(culprit)
+        taken.add((culprit.kind, culprit.name))
+        mine = sides[culprit.kind].index == sides[culprit.kind].names.index(culprit.name)
+        open_cells &= ~mine
+    unclear += _confounded(found, sides, n)
+    share = all_bad / total
+    return Verdict(tuple(found), int(total), share, tuple(unclear), _word(found, share, int(total)))
+
+
+def _side(names: list[str]) -> _Side:
+    distinct = sorted(set(names))
+    at = {name: i for i, name in enumerate(distinct)}
+    return _Side(distinct, np.array([at[name] for name in names], np.int64))
+
+
+def _compared(side: _Side, strata: _Side, n: Floats, bad: Floats, open_cells: NDArray[np.bool_]
+              ) -> tuple[Floats, Floats, Floats]:  # fmt: skip
+    """For each group: z of the Mantel-Haenszel test, its excess share of bad ones, and the error of that.
+
+    In each stratum the group's cell is held against all other cells that are open there."""
+    on, ob = np.where(open_cells, n, 0.0), np.where(open_cells, bad, 0.0)
+    stratum_n = np.bincount(strata.index, on, len(strata.names))[strata.index]
+    stratum_b = np.bincount(strata.index, ob, len(strata.names))[strata.index]
+    others = stratum_n - on
+    use = open_cells & (on > 0) & (others > 0)
+    t = np.where(use, stratum_n, 1.0)
+    expected = np.where(use, on * stratum_b / t, 0.0)
+    variance = np.where(
+        use & (t > 1), on * others * stratum_b * (t - stratum_b) / (t * t * np.maximum(t - 1, 1)), 0.0
+    )  # fmt: skip
+    size = len(side.names)
+    over = np.bincount(side.index, np.where(use, ob - expected, 0.0), size)
+    spread = np.sqrt(np.bincount(side.index, variance, size))
+    with np.errstate(divide="ignore", invalid="ignore"):
+        z = np.where(spread > 0, (over - 0.5) / spread, 0.0)
+        weight = np.where(use, on * others / t, 0.0)
+        other_share = np.where(use, (stratum_b - ob) / np.where(others > 0, others, 1.0), 0.0)
+        own_share = np.where(use, ob / np.where(on > 0, on, 1.0), 0.0)
+        weights = np.bincount(side.index, weight, size)
+        excess = np.where(
+            weights > 0, np.bincount(side.index, weight * (own_share - other_share), size) / weights, 0.0
+        )
+        error = np.where(np.abs(z) > 0, np.abs(excess) / np.maximum(np.abs(z), 1e-9), 1.0)
+    return z, excess, error
+
+
+def _confounded(found: list[Culprit], sides: dict[str, _Side], n: Floats) -> list[str]:
+    """Groups that share nearly all their viewings with one of the other kind: either may be meant."""
+    told = []
+    for c in found:
+        side = sides[c.kind]
+        other = sides["title" if c.kind == "rack" else "rack"]
+        mine = side.index == side.names.index(c.name)
+        counts = np.bincount(other.index, np.where(mine, n, 0.0), len(other.names))
+        top = int(counts.argmax())
+        of_other = float(np.where(other.index == top, n, 0.0).sum())
+        if counts[top] > 0.9 * counts.sum() and counts[top] > 0.9 * of_other:
+            kind = "title" if c.kind == "rack" else "rack"
+            told.append(f"{c.kind} {c.name} and {kind} {other.names[top]} cannot be told apart")
+    return told
+
+
+def _word(found: list[Culprit], share: float, total: int) -> str:
+    if found:
+        names = ", ".join(f"{c.kind} {c.name} (+{100 * c.excess:.0f}% bad)" for c in found)
+        return f"to blame: {names}; {100 * share:.1f}% of {total} viewings are bad"
+    if share > ALL_BAD:
+        return (
+            f"{100 * share:.0f}% of {total} viewings are bad everywhere alike: no rack or title is to blame"
+        )
+    return f"healthy: {100 * share:.1f}% of {total} viewings are bad, no rack or title stands out"
+
+
+class Judge:
+    """Verdicts that do not flap: a culprit is named after `SET` looks running, and let go after `CLEARED`."""
+
+    def __init__(self) -> None:
+        self.named: dict[tuple[str, str], Culprit] = {}
+        self._seen: dict[tuple[str, str], int] = {}
+        self._missed: dict[tuple[str, str], int] = {}
+        self.verdict = Verdict()
+
+    @staticmethod
+    def look_once(table: Mapping[str, Cell]) -> Verdict:
+        """A look without memory, for a report over a longer time."""
+        return look(table)
+
+    def looked(self, table: Mapping[str, Cell], expected: Mapping[str, Any] | None = None) -> Verdict:
+        found = look(table, expected)
+        now = {(c.kind, c.name): c for c in found.culprits}
+        for key, culprit in now.items():
+            self._seen[key] = self._seen.get(key, 0) + 1
+            self._missed.pop(key, None)
+            if self._seen[key] >= SET or key in self.named:
+                self.named[key] = culprit
+        for key in [k for k in self._seen if k not in now]:
+            self._missed[key] = self._missed.get(key, 0) + 1
+            if key not in self.named or self._missed[key] >= CLEARED:
+                for held in (self.named, self._seen, self._missed):
+                    held.pop(key, None)
+        named = sorted(self.named.values(), key=lambda c: (-c.excess, c.kind, c.name))
+        self.verdict = Verdict(
+            tuple(named),
+            found.viewings,
+            found.bad_share,
+            found.unclear,
+            found.word
+            if not found.viewings or not named and found.word.startswith("too few")
+            else _word(named, found.bad_share, found.viewings),
+        )
+        return self.verdict
--- /dev/null
+++ b/ledgehitch/quality/limits.py
@@ -0,0 +1,33 @@
+"""How often a client may report, in memory that no flood can grow. Free of I/O, clock and chance.
+
+Token buckets in a fixed number of cells, by a keyed hash of the client (a viewing, by its token): who shares
+a cell by chance shares its rate until the key changes.
+"""
+
+from blake3 import blake3
+
+CELLS = 65536
+RATE, BURST = 5.0, 200.0  # reports a second and at once, for one client
+REKEY = 60.0  # seconds after which cells are shared anew
+
+
+class Limits:
+    def __init__(self, secret: bytes) -> None:
+        self._secret, self._era = secret, -1
+        self._left = [BURST] * CELLS
+        self._at = [0.0] * CELLS
+
+    def asks(self, now: float, client: str, reports: int) -> float:
+        """Seconds to stay away; 0 where so many reports are let in now (and counted)."""
+        era = int(now // REKEY)
+        if era != self._era:
+            self._era = era
+            self._left, self._at = [BURST] * CELLS, [now] * CELLS
+        digest = blake3(era.to_bytes(8, "big") + client.encode(), key=self._secret).digest(4)
+        i = int.from_bytes(digest, "big") % CELLS
+        self._left[i] = min(BURST, self._left[i] + (now - self._at[i]) * RATE)
+        self._at[i] = max(self._at[i], now)
+        if self._left[i] >= reports:
+            self._left[i] -= reports
+            return 0.0
+        return (reports - self._left[i]) / RATE
--- /dev/null
+++ b/ledgehitch/quality/tally.py
@@ -0,0 +1,289 @@
+"""Reports into counts by window, rack and title, in bounded memory. Free of I/O, clock and chance.
+
+A viewing counts once a window, as good or bad, so that no player moves a count by more than one. Players'
+clocks are used for differences only, each held against the gateway's own time. Tables of one gateway are
+replaced by newer ones of the same gateway: merging is commutative, associative and idempotent.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from blake3 import blake3
+from rbloom import Bloom
+
+from ledgehitch.quality.facts import Report
+
+WINDOW = 10.0  # seconds of the gateway's time in one window
+ALLOWANCE = 30.0  # seconds by which a report may be late and still count
+KEPT = 60  # windows that are kept
+MOST_VIEWINGS = 50_000  # whose clocks are followed; the one heard of longest ago is let go
+MOST_CELLS = 20_000  # of rack and title in a window; further titles count as OTHERS
+OTHERS = "(others)"
+DOUBLES, ERROR = 400_000, 1e-4  # reports remembered by each of two filters; share wrongly taken for doubles
+RUNS, JUMPS = 0.05, 2.0  # a clock that runs so much too fast or slow, or jumps so many seconds, is marked
+LONG_ENOUGH = 8.0  # seconds over which a clock's rate is judged
+STALLED = 0.01  # share of the time in stalls from which a viewing is bad
+SLOW_START = 2.0  # join targets from which a start is bad
+MANY_DROPS = 2  # rung drops in one report from which it is bad
+
+
+class Cell(msgspec.Struct):
+    """Counts of one rack and title in one window. `start` sums milliseconds over `starts`."""
+
+    viewings: int = 0
+    bad: int = 0
+    stalled: int = 0
+    slow: int = 0
+    dropped: int = 0
+    starts: int = 0
+    start: int = 0
+
+    def add(self, other: "Cell") -> None:
+        for name in self.__struct_fields__:
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+
+
+Table = dict[str, Cell]  # by "rack\ttitle"
+
+
+@dataclass(slots=True)
+class Seen:
+    """What the gateway knows of a viewing: where and what it plays, and when it was asked and answered."""
+
+    rack: str
+    title: str
+    asked_at: float
+    answered_at: float
+    join_target: float = 0.8
+
+
+@dataclass(slots=True)
+class _Clock:
+    seen: Seen
+    offset: float | None = None  # least of (gateway's time - player's time): the delay-free one
+    first_ts: float = 0.0
+    first_at: float = 0.0
+    last_ts: float = 0.0
+    last_sn: int = -1
+    reported_to: float = 0.0  # up to where, in the gateway's time, stalls were reported
+    marked: str = ""
+    windows: dict[int, int] = field(default_factory=dict)  # what it counts as, by window: bits
+    stalls: dict[int, float] = field(default_factory=dict)
+
+
+BITS = {"stalled": 1, "slow": 2, "dropped": 4}
+
+
+@dataclass
+class Counts:
+    taken: int = 0
+    doubles: int = 0
+    late: int = 0
+    unknown: int = 0
+    marked: dict[str, int] = field(default_factory=dict)  # reports of players whose clocks cannot be used
+    impossible: int = 0  # durations longer than the time that passed
+
+
+class Tally:
+    """One gateway's counts, and the newest tables that others told. `life` rises with each start."""
+
+    def __init__(self, source: str, life: int) -> None:
+        self.source, self.life = source, life
+        self.counts = Counts()
+        self.clocks: OrderedDict[str, _Clock] = OrderedDict()
+        self.windows: dict[int, Table] = {}
+        self.versions: dict[int, int] = {}
+        self.others: dict[
+            str, dict[int, tuple[int, int, Table]]
+        ] = {}  # by source, window: life, version, table
+        self._doubles = Bloom(DOUBLES, ERROR, _hash), Bloom(DOUBLES, ERROR, _hash)
+        self._remembered = 0
+
+    # ---- reports -------------------------------------------------------------------------------------------
+
+    def admitted(self, viewing: str, seen: Seen) -> None:
+        self.clocks[viewing] = _Clock(seen)
+        self.clocks.move_to_end(viewing)
+        while len(self.clocks) > MOST_VIEWINGS:
+            self.clocks.popitem(last=False)
+
+    def left(self, viewing: str) -> None:
+        """Its late reports still count for as long as it is not pushed out by others."""
+        if viewing in self.clocks:
+            self.clocks.move_to_end(viewing, last=False)
+
+    def reported(self, now: float, viewing: str, report: Report) -> str:
+        """Takes one report; what became of it: taken, double, late, unknown, or why it is marked."""
+        clock = self.clocks.get(viewing)
+        if clock is None:
+            self.counts.unknown += 1
+            return "unknown"
+        if self._double(viewing, report.sn):
+            self.counts.doubles += 1
+            return "double"
+        at = self._when(now, clock, report)
+        self._held_against(now, clock, report)
+        if clock.marked:
+            self.counts.marked[clock.marked] = self.counts.marked.get(clock.marked, 0) + 1
+            return clock.marked
+        if at < now - ALLOWANCE:
+            self.counts.late += 1
+            return "late"
+        self._count(clock, report, at)
+        self.counts.taken += 1
+        return "taken"
+
+    def _double(self, viewing: str, sn: int) -> bool:
+        key = f"{viewing}/{sn}"
+        new, old = self._doubles
+        if key in new or key in old:
+            return True
+        new.add(key)
+        self._remembered += 1
+        if self._remembered >= DOUBLES:
+            self._remembered = 0
+            self._doubles = Bloom(DOUBLES, ERROR, _hash), new
+        return False
+
+    def _when(self, now: float, clock: _Clock, report: Report) -> float:
+        """When the report was made, in the gateway's time: by the least delay seen, never in the future."""
+        ts = report.ts / 1000
+        offset = now - ts
+        if clock.offset is None:
+            clock.offset, clock.first_ts, clock.first_at = offset, ts, now
+        elif offset < clock.offset:
+            clock.offset = offset
+        return max(min(now, ts + clock.offset), clock.seen.answered_at)
+
+    def _held_against(self, now: float, clock: _Clock, report: Report) -> None:
+        ts = report.ts / 1000
+        newer = report.sn > clock.last_sn
+        if clock.last_sn >= 0 and newer:
+            if ts < clock.last_ts - JUMPS:
+                clock.marked = clock.marked or "its clock jumps back"
+            elif ts == clock.last_ts:
+                clock.marked = clock.marked or "its clock stands still"
+        ran, passed = ts - clock.first_ts, now - clock.first_at
+        if passed > LONG_ENOUGH and newer and ran > passed * (1 + RUNS) + JUMPS:
+            clock.marked = clock.marked or "its clock runs fast or jumps ahead"
+        if newer:
+            clock.last_sn, clock.last_ts = report.sn, ts
+        if report.msd is not None and report.msd / 1000 > now - clock.seen.asked_at + 0.5:
+            self.counts.impossible += 1
+            clock.marked = clock.marked or "it started before it asked"
+        if sum(report.bsd) / 1000 > now - clock.seen.answered_at + 0.5:
+            self.counts.impossible += 1
+            clock.marked = clock.marked or "it stalls longer than it plays"
+
+    def _count(self, clock: _Clock, report: Report, at: float) -> None:
+        window = int(at // WINDOW)
+        seen = clock.seen
+        bits = 0
+        clock.stalls[window] = clock.stalls.get(window, 0.0) + sum(report.bsd) / 1000
+        if clock.stalls[window] > STALLED * WINDOW:
+            bits |= BITS["stalled"]
+        slow = report.msd is not None and report.msd / 1000 > SLOW_START * seen.join_target
+        bits |= BITS["slow"] * slow | BITS["dropped"] * (report.drops >= MANY_DROPS)
+        before = clock.windows.get(window, -1)
+        cell = self._cell(window, seen)
+        if before < 0:
+            cell.viewings += 1
+        had = max(0, before)
+        cell.bad += bool(bits) and not had
+        for name, bit in BITS.items():
+            if bits & bit and not had & bit:
+                setattr(cell, name, getattr(cell, name) + 1)
+        if report.msd is not None and report.sn == 0:
+            cell.starts += 1
+            cell.start += report.msd
+        clock.windows[window] = had | bits
+        while len(clock.windows) > 6:
+            oldest = min(clock.windows)
+            del clock.windows[oldest]
+            clock.stalls.pop(oldest, None)
+        self.versions[window] = self.versions.get(window, 0) + 1
+
+    def _cell(self, window: int, seen: Seen) -> Cell:
+        table = self.windows.get(window)
+        if table is None:
+            table = self.windows[window] = {}
+            while len(self.windows) > KEPT:
+                oldest = min(self.windows)
+                del self.windows[oldest], self.versions[oldest]
+        key = f"{seen.rack}\t{seen.title}"
+        if key not in table and len(table) >= MOST_CELLS:
+            key = f"{seen.rack}\t{OTHERS}"
+        return table.setdefault(key, Cell())
+
+    # ---- exchange ------------------------------------------------------------------------------------------
+
+    def summaries(self) -> Iterator[tuple[str, int, int, int, Table]]:
+        """Own tables as they are told to others: source, window, life, version, table."""
+        for window, table in self.windows.items():
+            yield self.source, window, self.life, self.versions.get(window, 0), table
+
+    def merge(self, source: str, window: int, life: int, version: int, table: Mapping[str, Cell]) -> bool:
+        """Takes another gateway's table if it is newer than what is known; whether it was."""
+        if source == self.source:
+            return False
+        held = self.others.setdefault(source, {})
+        known = held.get(window)
+        if known is not None and (life, version) <= known[:2]:
+            return False
+        held[window] = life, version, dict(table)
+        while len(held) > KEPT:
+            del held[min(held)]
+        return True
+
+    def total(self, first: int, last: int) -> Table:
+        """Counts of all gateways over windows from `first` up to `last`, not included."""
+        out: Table = {}
+        tables = [t for w, t in self.windows.items() if first <= w < last]
+        tables += [t[2] for held in self.others.values() for w, t in held.items() if first <= w < last]
+        for table in tables:
+            for key, cell in table.items():
+                out.setdefault(key, Cell()).add(cell)
+        return out
+
+    # ---- for the file --------------------------------------------------------------------------------------
+
+    def frozen(self) -> dict[str, Any]:
+        """All that a restart needs so that nothing counts twice: tables, filters, clocks."""
+        return {
+            "source": self.source, "life": self.life, "windows": self.windows, "versions": self.versions,
+            "others": self.others, "counts": self.counts, "remembered": self._remembered,
+            "doubles": [f.save_bytes() for f in self._doubles],
+            "clocks": {name: clock for name, clock in self.clocks.items()},
+        }  # fmt: skip
+
+    @classmethod
+    def thawed(cls, held: Any, life: int) -> "Tally":
+        """What was kept, in a new life: own tables are told anew under it and replace what others hold."""
+        data = msgspec.convert(held, _Kept)
+        tally = cls(data.source, max(life, data.life + 1))
+        tally.windows, tally.versions, tally.others = data.windows, data.versions, data.others
+        tally.counts, tally._remembered = data.counts, data.remembered
+        new, old = (Bloom.load_bytes(raw, _hash) for raw in data.doubles)
+        tally._doubles = new, old
+        tally.clocks = OrderedDict(data.clocks)
+        return tally
+
+
+class _Kept(msgspec.Struct):
+    source: str
+    life: int
+    windows: dict[int, Table]
+    versions: dict[int, int]
+    others: dict[str, dict[int, tuple[int, int, Table]]]
+    counts: Counts
+    remembered: int
+    doubles: list[bytes]
+    clocks: dict[str, _Clock]
+
+
+def _hash(key: Any) -> int:
+    """The same in every process: what Python hashes strings to is not."""
+    return int.from_bytes(blake3(key.encode()).digest(16), "big", signed=True)
--- a/ledgehitch/rehearsal/up.py
+++ b/ledgehitch/rehearsal/up.py
@@ -15,7 +15,7 @@
 DAY = {
     "name": "up", "length": 1e9, "settle": 0.0,
     "arrivals": {"rate": 1.0, "mix": [{"package": "recorded"}, {"package": "live"}]},
-    "shape": {"gateways": 1, "hosts": 6, "titles": 20, "rack": 3, "peer_loss": 0.0},
+    "shape": {"gateways": 1, "hosts": 6, "titles": 20, "rack": 3, "peer_loss": 0.0, "link_kb": 60000.0},
 }  # fmt: skip
 
 
--- /dev/null
+++ b/tests/test_quality.py
@@ -0,0 +1,327 @@
+"""Quality by rack and title: reports, lying clocks, merging, kills at any byte, verdicts, the whole path."""
+
+import json
+import os
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.worlds import each_alone, ours, scored, world
+from ledgehitch.http import Response
+from ledgehitch.loop import connect, endpoint
+from ledgehitch.quality import BadPass, Judge, Passes, Report, Seen, Tally, reports_in
+from ledgehitch.quality.judge import CLEARED, look
+from ledgehitch.quality.keep import Keep
+from ledgehitch.quality.limits import BURST, Limits
+from ledgehitch.quality.passes import OVERLAP, VALID
+from ledgehitch.quality.tally import ALLOWANCE, MOST_VIEWINGS, OTHERS, WINDOW, Cell
+from tests.rig import Rig, answer, request
+
+T = 100_000.0
+
+
+def tally(source: str = "g0", life: int = 1) -> Tally:
+    t = Tally(source, life)
+    for n in range(4):
+        t.admitted(f"v{n}", Seen(f"r{n % 2}", f"t{n}", T - 0.1, T))
+    return t
+
+
+def report(sn: int, at: float, **more: Any) -> Report:
+    return Report(sn=sn, ts=int(at * 1000), **more)
+
+
+def plain(t: Tally) -> Any:
+    return msgspec.to_builtins(t.total(0, 10**9))
+
+
+def test_a_batch_counts_its_good_reports_and_names_the_bad_ones() -> None:
+    good, bad = reports_in(
+        b'[{"sn":0,"ts":1,"msd":300},{"sn":-1,"ts":1},{"sn":2,"ts":1,"bsd":[-4]},{"ts":1},7]'
+    )
+    assert good == [Report(sn=0, ts=1, msd=300)]
+    assert [(b["report"], b["field"]) for b in bad] == [
+        (1, "sn"), (2, "bsd[0]"), (3, "the whole report"), (4, "the whole report")]  # fmt: skip
+    for body in (b"{}", b"nonsense", b"[" + b'{"sn":0,"ts":1},' * 300 + b'{"sn":0,"ts":1}]'):
+        with pytest.raises(ValueError, match="batch"):
+            reports_in(body)
+
+
+def test_double_and_delayed_reports_change_no_count() -> None:
+    once, often = tally(), tally()
+    sent = [(f"v{n % 4}", report(n // 4, T + 2 * n, bsd=[500] if n % 4 == 1 else [])) for n in range(40)]
+    for n, (viewing, one) in enumerate(sent):
+        once.reported(T + 2 * n + 0.05, viewing, one)
+    chance = random.Random(1)
+    for n, (viewing, one) in enumerate(sent):
+        often.reported(T + 2 * n + 0.05, viewing, one)
+        for _ in range(10):
+            again = chance.randrange(max(0, n - 12), n + 1)
+            often.reported(T + 2 * n + 0.06, *sent[again])
+    assert plain(often) == plain(once) and often.counts.doubles == 400
+    assert once.counts.taken == 40 and once.counts.marked == {}
+
+
+def test_reports_late_within_the_allowance_count_where_they_belong_and_later_ones_are_counted_as_late() -> (
+    None
+):
+    t = tally()
+    t.reported(T + 1.0, "v0", report(0, T + 1.0))
+    assert t.reported(T + 1.0 + ALLOWANCE, "v0", report(1, T + 2.0, bsd=[900])) == "taken"
+    assert t.windows[int(T // WINDOW)]["r0\tt0"].stalled == 1, "in the window in which it was made"
+    assert t.reported(T + 50, "v0", report(2, T + 3.0, bsd=[900])) == "late"
+    assert t.counts.late == 1 and t.reported(T, "nobody", report(0, T)) == "unknown"
+
+
+@pytest.mark.parametrize(
+    ("clock", "marked"),
+    [
+        (lambda s: s, ""),
+        (lambda s: s + 3600, ""),
+        (lambda s: s * 1.1, "its clock runs fast or jumps ahead"),
+        (lambda s: s if s < 12 else s - 9, "its clock jumps back"),
+        (lambda s: 7.0, "its clock stands still"),
+        (lambda s: s if s < 12 else s + 500, "its clock runs fast or jumps ahead"),
+    ],
+)
+def test_players_that_lie_about_their_clocks_are_marked_and_move_nothing(clock: Any, marked: str) -> None:
+    t = tally()
+    words = [
+        t.reported(
+            T + 2 * n, "v0", report(n, 1000 + clock(2.0 * n), bsd=[10_000] if marked and n > 25 else [])
+        )
+        for n in range(30)
+    ]
+    assert (words[-1] == marked) if marked else set(words) == {"taken"}
+    assert sum(c.bad for w in t.windows.values() for c in w.values()) == 0
+
+
+def test_what_cannot_have_happened_is_marked_and_a_flood_of_stalls_is_one_bad_viewing() -> None:
+    t = tally()
+    assert t.reported(T + 1, "v0", report(0, 5, bsd=[60_000])) == "it stalls longer than it plays"
+    assert t.reported(T + 1, "v1", report(0, 5, msd=9_000)) == "it started before it asked"
+    for n in range(100):
+        t.reported(T + 1 + n / 50, "v2", report(n, 5 + n / 50, bsd=[900]))
+    cell = t.windows[int(T // WINDOW)]["r0\tt2"]
+    assert (cell.viewings, cell.bad, cell.stalled) == (1, 1, 1)
+
+
+def test_memory_is_bounded_by_viewings_and_titles(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("ledgehitch.quality.tally.MOST_VIEWINGS", 500)
+    monkeypatch.setattr("ledgehitch.quality.tally.MOST_CELLS", 200)
+    t = Tally("g0", 1)
+    for n in range(3000):
+        t.admitted(f"v{n}", Seen("r0", f"t{n}", T, T))
+        t.reported(T + 1, f"v{n}", report(0, 1))
+    assert len(t.clocks) == 500 and MOST_VIEWINGS > 500
+    table = t.windows[int((T + 1) // WINDOW)]
+    assert len(table) == 201 and table[f"r0\t{OTHERS}"].viewings == 2800
+    for n in range(200):
+        t.admitted("x", Seen("r0", "t", T + 10 * n, T + 10 * n))
+        t.reported(T + 10 * n + 1, "x", report(n, n * 10))
+    assert len(t.windows) <= 60 and set(t.versions) == set(t.windows)
+
+
+@settings(max_examples=80, deadline=None, derandomize=True)
+@given(st.randoms(use_true_random=False))
+def test_merging_obeys_its_laws_and_agrees_with_all_raw_reports(chance: random.Random) -> None:
+    raw: list[tuple[str, str, Report, float]] = []
+    sources = {name: tally(name) for name in ("a", "b", "c")}
+    told: list[Any] = []
+    for n in range(40):
+        name, viewing = chance.choice("abc"), f"v{chance.randrange(4)}"
+        at = T + n * 0.9
+        one = report(n, at, bsd=[500] if chance.random() < 0.3 else [])
+        raw.append((name, viewing, one, at))
+        sources[name].reported(at, viewing, one)
+        if chance.random() < 0.4:
+            told += msgspec.json.decode(msgspec.json.encode(list(sources[name].summaries())))
+    for t in sources.values():
+        told += msgspec.json.decode(msgspec.json.encode(list(t.summaries())))
+    whole = None
+    for _ in range(2):
+        chance.shuffle(told)
+        reader = Tally("reader", 1)
+        for source, window, life, version, table in [*told, *told[:7]]:
+            reader.merge(source, window, life, version, msgspec.convert(table, dict[str, Cell]))
+        assert whole is None or plain(reader) == whole
+        whole = plain(reader)
+    counted: dict[str, set[tuple[str, str, int]]] = {}
+    for name, viewing, _, at in raw:
+        key = f"r{int(viewing[1]) % 2}\tt{viewing[1]}"
+        counted.setdefault(key, set()).add((name, viewing, int(at // WINDOW)))
+    assert whole is not None
+    assert {k: c["viewings"] for k, c in whole.items()} == {k: len(v) for k, v in counted.items()}
+
+
+def test_a_restart_in_mid_window_counts_nothing_twice_and_replaces_what_others_hold() -> None:
+    t = tally()
+    for n in range(5):
+        t.reported(T + n, "v0", report(n, T + n))
+    kept = msgspec.msgpack.decode(msgspec.msgpack.encode(t.frozen()))
+    t.reported(T + 5, "v1", report(0, T + 5))
+    other = Tally("g1", 1)
+    for one in t.summaries():
+        other.merge(*one)
+    again = Tally.thawed(kept, 1)
+    assert again.life > t.life
+    for n in range(5):
+        assert again.reported(T + 6, "v0", report(n, T + n)) == "double"
+    assert again.reported(T + 6, "v1", report(0, T + 5)) == "taken", "what was lost may be sent again"
+    for one in again.summaries():
+        assert other.merge(*one)
+    for one in t.summaries():
+        assert not other.merge(*one), "an old summary after a new one"
+    assert plain(other) == plain(again) and plain(again)["r1\tt1"]["viewings"] == 1
+
+
+def test_a_kill_at_any_byte_leaves_the_snapshot_before(tmp_path: Path) -> None:
+    keep = Keep(tmp_path / "q")
+    keep.write({"n": 1})
+    keep.write({"n": 2})
+    whole = (tmp_path / "q.0").read_bytes()
+    chance = random.Random(2)
+    for _ in range(1000):
+        cut = chance.randrange(len(whole))
+        spoilt = bytearray(whole[:cut]) if chance.random() < 0.7 else bytearray(whole)
+        if len(spoilt) == len(whole):
+            spoilt[cut] ^= 1 + chance.randrange(255)
+        (tmp_path / "q.0").write_bytes(spoilt)
+        assert Keep(tmp_path / "q").read() == {"n": 1}
+    (tmp_path / "q.0").write_bytes(whole)
+    later = Keep(tmp_path / "q")
+    assert later.read() == {"n": 2}
+    later.write({"n": 3})
+    assert Keep(tmp_path / "q").read() == {"n": 3} and not os.path.exists(tmp_path / "q.1.new")
+    assert Keep(tmp_path / "none").read() is None
+
+
+def test_tokens_are_for_one_viewing_expire_and_outlive_a_key() -> None:
+    passes = Passes(bytes(32), T)
+    token = passes.issue(T, "v1")
+    passes.check(T + 1, token, "v1")
+    passes.rotate(bytes(range(32)), T + 10)
+    passes.check(T + 11, token, "v1")
+    passes.check(T + 11, passes.issue(T + 11, "v2"), "v2")
+
+    def refused(now: float, some: str, viewing: str) -> str:
+        with pytest.raises(BadPass) as why:
+            passes.check(now, some, viewing)
+        return str(why.value)
+
+    assert refused(T + 1, token, "v2") == "it is for another viewing"
+    assert refused(T + VALID, token, "v1") == "it has expired"
+    assert refused(T + 10 + OVERLAP, token, "v1") == "its key is not used any more"
+    assert refused(T, "nonsense", "v1") == "it is no token of ours"
+    assert refused(T, token[:-6] + "AAAAAA", "v1") == "it was not issued here"
+
+
+def test_limits_are_per_client_and_tell_when_to_return() -> None:
+    limits = Limits(bytes(32))
+    assert limits.asks(T, "a", int(BURST)) == 0.0
+    wait = limits.asks(T, "a", 10)
+    assert wait > 0 and limits.asks(T, "b", 10) == 0.0
+    assert limits.asks(T + wait, "a", 10) == 0.0, "the time told is right"
+
+
+# ---- verdicts ----------------------------------------------------------------------------------------------
+
+
+def test_verdicts_in_seeded_worlds_beside_a_baseline() -> None:
+    worlds = [world(seed) for seed in range(40)]
+    mine, other = scored("ours", ours, worlds), scored("each alone", each_alone, worlds)
+    assert mine["precision"] >= 0.95 and mine["recall_from_10%"] >= 0.95 and mine["healthy_clean"] == 1.0
+    assert other["precision"] < 0.6, "a test of each group alone blames the innocent that share its ground"
+
+
+def cells(**shares: tuple[int, int]) -> dict[str, Cell]:
+    return {k.replace("__", "\t"): Cell(viewings=n, bad=b) for k, (n, b) in shares.items()}
+
+
+def test_confounded_faults_are_told_apart_or_said_not_to_be() -> None:
+    # A bad title held mostly by a good rack: the title, not the rack.
+    table = cells(r0__bad=(800, 200), r1__bad=(100, 25), r0__a=(300, 6), r1__a=(900, 18), r2__a=(900, 18),
+                  r2__bad=(60, 15))  # fmt: skip
+    assert [(c.kind, c.name) for c in look(table).culprits] == [("title", "bad")]
+    # A bad rack that plays mostly one title: the rack.
+    table = cells(r0__a=(900, 200), r0__b=(80, 18), r1__a=(400, 8), r1__b=(500, 10), r2__b=(800, 16))
+    assert [(c.kind, c.name) for c in look(table).culprits] == [("rack", "r0")]
+    # Everything slow: nobody. Too few: said so. A rack without reports: named.
+    everywhere = look(cells(r0__a=(500, 250), r1__a=(500, 250), r0__b=(500, 250), r1__b=(500, 250)))
+    assert everywhere.culprits == () and "everywhere alike" in everywhere.word
+    assert look(cells(r0__a=(5, 5))).word.startswith("too few")
+    assert look(cells(r0__a=(500, 1)), {"r0": 1, "r9": 1}).unclear == ("rack r9 sent no report",)
+    assert look(cells(r0__a=(500, 10), r1__a=(500, 10), r1__one=(1, 1))).culprits == ()
+
+
+def test_a_verdict_does_not_flap() -> None:
+    judge = Judge()
+    bad = cells(r0__a=(500, 100), r1__a=(500, 10), r2__a=(500, 10))
+    fine = cells(r0__a=(500, 10), r1__a=(500, 10), r2__a=(500, 10))
+    assert judge.looked(bad).culprits == (), "one look is not enough"
+    assert [c.name for c in judge.looked(bad).culprits] == ["r0"]
+    for _ in range(CLEARED - 1):
+        assert [c.name for c in judge.looked(fine).culprits] == ["r0"]
+    assert judge.looked(fine).culprits == ()
+    assert judge.looked(bad).culprits == ()
+
+
+# ---- the whole path ----------------------------------------------------------------------------------------
+
+
+def test_players_report_through_the_gateway_and_the_faulty_rack_and_title_are_singled_out() -> None:
+    def day(rig: Rig) -> None:
+        def post(place: str, token: str, body: bytes) -> Response:
+            stream = connect(rig.loop, endpoint(rig.at))
+            try:
+                stream.send(request(rig.at, method="POST", path=f"{place}/reports", body=body, token=token))
+                return answer(stream)
+            finally:
+                stream.close()
+
+        first = rig.offer(0, token="t0")
+        place, token = str(first.header("location")), str(first.header("report-token"))
+        assert "/reports>" in str(first.header("link")) and "urn:ledgehitch:reports" in str(
+            first.header("link")
+        )
+        good = json.dumps([{"sn": 0, "ts": 5, "msd": 1}, {"sn": 1, "ts": 9}]).encode()
+        assert json.loads(post(place, token, good).body) == {"taken": 2}
+        assert json.loads(post(place, token, good).body) == {"double": 2}
+        half = post(place, token, b'[{"sn":2,"ts":12},{"sn":"x","ts":1}]')
+        told = json.loads(half.body)
+        assert half.status == 422 and told["errors"][0]["field"] == "sn" and told["became"] == {"taken": 1}
+        assert post(place, "forged", good).status == 401
+        assert post(place, token, b"{}").status == 400
+        flood = json.dumps([{"sn": n, "ts": n} for n in range(10, 200)]).encode()
+        statuses = [post(place, token, flood) for _ in range(2)]
+        assert statuses[1].status == 429 and int(str(statuses[1].header("retry-after"))) >= 1
+
+        titles = sorted(rig.gateway.front.titles)
+        for n in range(1, 361):
+            title = titles[n % 3]
+            plays = rig.offer(n, token=f"t{n}", title=title)
+            assert plays.status == 201
+            vw = max(rig.gateway.carrier.viewings)
+            rack = rig.gateway.rack_of(rig.gateway.carrier.viewings[vw].host)
+            faulty = (rack == "rack-1") * 3 + (title == titles[1]) * 3
+            stalls = [400] if n % 10 < faulty else []
+            rig.loop.sleep(0.0)
+            # The time that the stall takes has passed for the gateway too.
+            rig.gateway.reports.tally.clocks[
+                str(plays.header("location")).split("/")[2]
+            ].seen.answered_at -= 5.0
+            body = json.dumps([{"sn": 0, "ts": 1, "bsd": stalls}]).encode()
+            assert post(str(plays.header("location")), str(plays.header("report-token")), body).status == 200
+        report = json.loads(rig.client.request(rig.at, "GET", "/quality/report").body)
+        named = {(c["kind"], c["name"]) for c in report["verdict"]["culprits"]}
+        assert named == {("rack", "rack-1"), ("title", titles[1])}, report["verdict"]["word"]
+        assert report["counts"]["doubles"] >= 2 and report["groups"]["rack"]["rack-0"]["viewings"] > 30
+        tables = json.loads(rig.client.request(rig.at, "GET", "/quality/tables").body)
+        assert tables and tables[0]["source"] == "g0"
+
+    Rig(hosts=6, fleet={"racks": 3}).run(day)
