--- a/ledgehitch/gateway/reports.py
+++ b/ledgehitch/gateway/reports.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import os
 import secrets
 import time
 from pathlib import Path
@@ -10,14 +11,17 @@
 import structlog
 
 from ledgehitch.http import Client, ConnectFailed, Interrupted, Refused, Request, Response, problem
-from ledgehitch.loop import Loop, TimedOut
-from ledgehitch.quality import BadPass, Judge, Passes, Seen, Tally, reports_in
+from ledgehitch.loop import Loop, TimedOut, forked
+from ledgehitch.loop.kernel import void
+from ledgehitch.quality import BadPass, Judge, Passes, Seen, Tally, Verdict, reports_in
+from ledgehitch.quality.judge import look
 from ledgehitch.quality.keep import Keep
 from ledgehitch.quality.limits import Limits
 from ledgehitch.quality.tally import KEPT, WINDOW, Cell
 
 KEPT_EVERY = 2.0  # seconds of counts that a kill may lose at most
 EXCHANGED_EVERY = 5.0
+SMALL = 500  # viewings up to which a snapshot is written in place
 JUDGED_EVERY = WINDOW
 JUDGED_OVER = 6  # windows that a look goes over
 RELATION = "urn:ledgehitch:reports"
@@ -119,23 +123,50 @@
             taken = self.tally.counts.taken + self.tally.counts.doubles
             if self.keep is not None and taken != self._kept_at_counts:
                 self._kept_at_counts = taken
-                self.keep.write(self.tally.frozen())
+                self._write(self.keep)
+
+    def _write(self, keep: Keep) -> None:
+        if len(self.tally.clocks) <= SMALL:
+            keep.write(self.tally.frozen())
+            return
+        # Guards against set-ups waiting for a large snapshot: a copy of the process writes it.
+        if forked(self.loop, lambda: keep.write(self.tally.frozen())) == 0:
+            keep.serial += 1
+        else:
+            log.error("the snapshot was not written", path=str(keep.path))
 
     def _judge(self) -> None:
         while True:
             self.loop.sleep(JUDGED_EVERY)
             before = self.judge.verdict.culprits
-            verdict = self.judge.looked(self._window(JUDGED_OVER))
+            verdict = self.judge.heard(self._look(self._window(JUDGED_OVER)))
             if [(c.kind, c.name) for c in verdict.culprits] != [(c.kind, c.name) for c in before]:
                 log.warning("verdict", word=verdict.word)
 
+    def _look(self, table: dict[str, Cell]) -> Verdict:
+        """A look; at a large table in a copy of the process, so that set-ups do not wait for it."""
+        if len(table) <= SMALL:
+            return look(table)
+        ours, theirs = os.pipe()
+        try:
+            told = lambda: void(os.write(theirs, msgspec.json.encode(look(table))[:65536]))  # noqa: E731
+            code = forked(self.loop, told)
+            return (
+                msgspec.json.decode(os.read(ours, 65536), type=Verdict) if code == 0 else self.judge.verdict
+            )
+        except msgspec.MsgspecError:
+            return self.judge.verdict  # too many culprits to be told: the one that stands goes on standing
+        finally:
+            os.close(ours)
+            os.close(theirs)
+
     def _window(self, windows: int) -> dict[str, Cell]:
         last = int(time.time() // WINDOW) + 1
         return self.tally.total(last - windows, last)
 
     def report(self) -> Response:
         """All that people are shown, over all gateways as far as this one has heard."""
-        verdict = Judge.look_once(self._window(KEPT))
+        verdict = self._look(self._window(KEPT))
         last = int(time.time() // WINDOW) + 1
         series = {}
         for w in range(last - KEPT, last):
--- a/ledgehitch/loop/__init__.py
+++ b/ledgehitch/loop/__init__.py
@@ -5,11 +5,12 @@
 """
 
 from ledgehitch.loop.channel import Channel, Closed
-from ledgehitch.loop.children import Child
+from ledgehitch.loop.children import Child, forked
 from ledgehitch.loop.kernel import Cancelled, Event, Loop, Task, TimedOut
 from ledgehitch.loop.sockets import Datagrams, Endpoint, Listener, Stream, connect, endpoint
 
 __all__ = [
     "Cancelled", "Channel", "Child", "Closed", "Datagrams", "Endpoint", "Event", "Listener", "Loop", "Stream",
     "Task", "TimedOut", "connect", "endpoint",
+    "forked",
 ]  # fmt: skip
--- a/ledgehitch/loop/children.py
+++ b/ledgehitch/loop/children.py
@@ -3,7 +3,7 @@
 import os
 import signal
 import subprocess
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from ledgehitch.loop.kernel import Event, Loop, TimedOut
 
@@ -66,3 +66,25 @@
             line += got
         self.loop.forget(fd)
         return line
+
+
+def forked(loop: Loop, call: Callable[[], None]) -> int:
+    """Runs a call in a copy of this process, as it is now, and waits for it: the loop goes on meanwhile.
+
+    The call may only compute and write files. Gives the exit code, 0 when it came through."""
+    pid = os.fork()
+    if pid == 0:
+        code = 1
+        try:
+            call()
+            code = 0
+        finally:
+            os._exit(code)
+    fd = os.pidfd_open(pid)
+    try:
+        loop.wait_readable(fd)
+    finally:
+        loop.forget(fd)
+        os.close(fd)
+        _, status = os.waitpid(pid, 0)
+    return os.waitstatus_to_exitcode(status)
--- a/ledgehitch/quality/judge.py
+++ b/ledgehitch/quality/judge.py
@@ -6,18 +6,23 @@
 Errors over all groups are controlled together (Bonferroni), and a verdict must hold for several looks.
 """
 
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
-import numpy as np
-from numpy.typing import NDArray
-from scipy.stats import norm
+# The gateway has no threads: the algebra library would start some when it is loaded.
+os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
 
-from ledgehitch.quality.tally import OTHERS, Cell
+import numpy as np  # noqa: E402
+from numpy.typing import NDArray  # noqa: E402
+from scipy.stats import norm, poisson  # noqa: E402
+
+from ledgehitch.quality.tally import OTHERS, Cell  # noqa: E402
 
 ALPHA = 0.002  # chance of a false culprit in one look at a healthy fleet, over all groups together
 LEAST = 0.02  # share of bad viewings more than usual under which nobody is blamed, however sure
+SMALL_COUNT = 50  # expected bad viewings under which the exact tail counts
 FEW = 30  # viewings of a group under which nothing is said of it
 MOST_CULPRITS = 12
 ALL_BAD = 0.3  # share of bad viewings from which everything is slow
@@ -80,20 +85,16 @@
         for kind, other in (("rack", "title"), ("title", "rack")):
             side, strata = sides[kind], sides[other]
             z, excess, error = _compared(side, strata, n, bad, open_cells)
-            for g, name in enumerate(side.names):
-                mine = (side.index == g) & open_cells
-                count = float(n[mine].sum())
-                if (kind, name) in taken or name == OTHERS or count < FEW or not z[g] > least_z:
-                    continue
-                if excess[g] < LEAST:
+            counts = np.bincount(side.index, np.where(open_cells, n, 0.0), len(side.names))
+            # A few groups pass; only these are looked at one by one, so that a look stays short.
+            for g in np.flatnonzero((z > least_z) & (excess >= LEAST) & (counts >= FEW)):
+                name = side.names[g]
+                if (kind, name) in taken or name == OTHERS or (best is not None and z[g] <= best[0]):
                     continue
                 sure = 1 - min(1.0, float(norm.sf(z[g])) * groups)
-                low = max(0.0, excess[g] - 1.645 * error[g])
-                one = Culprit(
-                    kind, name, float(excess[g]), float(low), int(count), int(bad[mine].sum()), sure
-                )
-                if best is None or z[g] > best[0]:
-                    best = float(z[g]), one
+                low = max(0.0, float(excess[g] - 1.645 * error[g]))
+                its_bad = int(bad[(side.index == g) & open_cells].sum())
+                best = float(z[g]), Culprit(kind, name, float(excess[g]), low, int(counts[g]), its_bad, sure)
         if best is None:
             break
         culprit = best[1]
@@ -128,10 +129,15 @@
         use & (t > 1), on * others * stratum_b * (t - stratum_b) / (t * t * np.maximum(t - 1, 1)), 0.0
     )  # fmt: skip
     size = len(side.names)
-    over = np.bincount(side.index, np.where(use, ob - expected, 0.0), size)
+    seen = np.bincount(side.index, np.where(use, ob, 0.0), size)
+    due = np.bincount(side.index, expected, size)
+    over = seen - due
     spread = np.sqrt(np.bincount(side.index, variance, size))
+    # Guards against the normal tail calling a handful of bad viewings sure: small counts go by Poisson's.
+    exact = norm.isf(np.clip(poisson.sf(seen - 1, np.maximum(due, 1e-9)), 1e-300, 1.0))
     with np.errstate(divide="ignore", invalid="ignore"):
         z = np.where(spread > 0, (over - 0.5) / spread, 0.0)
+        z = np.where(due < SMALL_COUNT, np.minimum(z, exact), z)
         weight = np.where(use, on * others / t, 0.0)
         other_share = np.where(use, (stratum_b - ob) / np.where(others > 0, others, 1.0), 0.0)
         own_share = np.where(use, ob / np.where(on > 0, on, 1.0), 0.0)
@@ -179,13 +185,11 @@
         self._missed: dict[tuple[str, str], int] = {}
         self.verdict = Verdict()
 
-    @staticmethod
-    def look_once(table: Mapping[str, Cell]) -> Verdict:
-        """A look without memory, for a report over a longer time."""
-        return look(table)
-
     def looked(self, table: Mapping[str, Cell], expected: Mapping[str, Any] | None = None) -> Verdict:
-        found = look(table, expected)
+        return self.heard(look(table, expected))
+
+    def heard(self, found: Verdict) -> Verdict:
+        """What one look found; the verdict that stands after it."""
         now = {(c.kind, c.name): c for c in found.culprits}
         for key, culprit in now.items():
             self._seen[key] = self._seen.get(key, 0) + 1
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -20,6 +20,7 @@
     TimedOut,
     connect,
     endpoint,
+    forked,
 )
 from ledgehitch.loop.kernel import TaskCancelled
 from ledgehitch.loop.lag import Lag
@@ -296,3 +297,28 @@
         assert stubborn.end(within=0.2) == -signal.SIGKILL
 
     loop.run(main)
+
+
+def test_a_copy_of_the_process_works_while_the_loop_goes_on(tmp_path: Any) -> None:
+    loop = Loop()
+
+    def main() -> None:
+        ticks = 0
+
+        def tick() -> None:
+            nonlocal ticks
+            while True:
+                loop.sleep(0.01)
+                ticks += 1
+
+        def slow() -> None:
+            time.sleep(0.2)
+            (tmp_path / "out").write_text("done")
+
+        task = loop.spawn(tick)
+        assert forked(loop, slow) == 0 and (tmp_path / "out").read_text() == "done"
+        assert ticks >= 5, "others ran meanwhile"
+        assert forked(loop, lambda: os._exit(7)) == 7
+        task.cancel()
+
+    loop.run(main)
