--- a/ledgehitch/gateway/reports.py
+++ b/ledgehitch/gateway/reports.py
@@ -24,6 +24,7 @@
 SMALL = 500  # viewings up to which a snapshot is written in place
 JUDGED_EVERY = WINDOW
 JUDGED_OVER = 6  # windows that a look goes over
+ROTATED_EVERY = 12 * 3600.0  # seconds that one key signs tokens
 RELATION = "urn:ledgehitch:reports"
 log = structlog.get_logger("quality")
 
@@ -47,11 +48,18 @@
         self.limits = Limits(secrets.token_bytes(32))
         self.judge = Judge()
         self.client = Client(loop)
-        life, held = time.time_ns(), self.keep.read() if self.keep is not None else None
-        self.tally = Tally.thawed(held, life) if held is not None else Tally(name, life)
+        self.tally = self._from_file(time.time_ns())
         self._kept_at_counts = -1
         self.refused = 0
 
+    def _from_file(self, life: int) -> Tally:
+        held = self.keep.read() if self.keep is not None else None
+        try:
+            return Tally.thawed(held, life) if held is not None else Tally(self.name, life)
+        except (msgspec.MsgspecError, ValueError) as wrong:  # of another version of the program
+            log.error("the kept quality does not read, counting starts anew", why=str(wrong))
+            return Tally(self.name, life)
+
     def start(self) -> None:
         """Spawns the tasks that exchange, keep and judge."""
         self.loop.spawn(self._keep, name="keep quality")
@@ -120,6 +128,8 @@
     def _keep(self) -> None:
         while True:
             self.loop.sleep(KEPT_EVERY)
+            if time.time() - self.passes.keys[-1].since > ROTATED_EVERY:
+                self.passes.rotate(secrets.token_bytes(32), time.time())
             taken = self.tally.counts.taken + self.tally.counts.doubles
             if self.keep is not None and taken != self._kept_at_counts:
                 self._kept_at_counts = taken
--- a/ledgehitch/quality/tally.py
+++ b/ledgehitch/quality/tally.py
@@ -110,11 +110,6 @@
         while len(self.clocks) > MOST_VIEWINGS:
             self.clocks.popitem(last=False)
 
-    def left(self, viewing: str) -> None:
-        """Its late reports still count for as long as it is not pushed out by others."""
-        if viewing in self.clocks:
-            self.clocks.move_to_end(viewing, last=False)
-
     def reported(self, now: float, viewing: str, report: Report) -> str:
         """Takes one report; what became of it: taken, double, late, unknown, or why it is marked."""
         clock = self.clocks.get(viewing)
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -12,8 +12,9 @@
 from hypothesis import strategies as st
 
 from benchmarks.worlds import each_alone, ours, scored, world
+from ledgehitch.gateway.reports import Reports
 from ledgehitch.http import Response
-from ledgehitch.loop import connect, endpoint
+from ledgehitch.loop import Loop, connect, endpoint
 from ledgehitch.quality import BadPass, Judge, Passes, Report, Seen, Tally, reports_in
 from ledgehitch.quality.judge import CLEARED, look
 from ledgehitch.quality.keep import Keep
@@ -202,6 +203,12 @@
     assert Keep(tmp_path / "none").read() is None
 
 
+def test_what_another_version_kept_starts_the_count_anew(tmp_path: Path) -> None:
+    Keep(tmp_path / "g0.quality").write({"of": "another version"})
+    reports = Reports(Loop(), "g0", {}, tmp_path)
+    assert reports.tally.source == "g0" and reports.tally.counts.taken == 0
+
+
 def test_tokens_are_for_one_viewing_expire_and_outlive_a_key() -> None:
     passes = Passes(bytes(32), T)
     token = passes.issue(T, "v1")
