Reloads place titles before others are withdrawn; a gateway that holds viewings stays

A version without this gateway is refused while viewings are held here, and what happens to titles has a stated order: placed, moved, withdrawn.

--- a/ledgehitch/config/change.py
+++ b/ledgehitch/config/change.py
@@ -111,10 +111,12 @@
 
 @dataclass(frozen=True)
 class Apply:
-    """Make this version the one that new viewings go by. `waits`: changes that need a restart."""
+    """Make this version the one that new viewings go by. `waits`: changes that need a restart. `steps`: what
+    is done, in this order: titles placed, titles moved, titles withdrawn."""
 
     version: Version
     waits: tuple[str, ...]
+    steps: tuple[tuple[str, str], ...] = field(default=(), compare=False)
 
 
 @dataclass(frozen=True)
@@ -135,18 +137,44 @@
 Decision = Apply | Keep | Refuse
 
 
+def _gateways(data: Any) -> list[str]:
+    """Names of the gateways, in the language's form (by name) or JSON's (a list of records)."""
+    some = data.get("gateways", {})
+    return list(some) if isinstance(some, dict) else [g["name"] for g in some]
+
+
+def placed(before: Any, after: Any) -> tuple[tuple[str, str], ...]:
+    """What happens to titles, in the order in which it is safe: first what is added, last what is withdrawn,
+    so that none that both versions place is missing in between."""
+    old, new = _titles(before), _titles(after)
+    steps = [("place", t) for t in sorted(new.keys() - old.keys())]
+    steps += [("move", t) for t in sorted(new.keys() & old.keys()) if new[t] != old[t]]
+    steps += [("withdraw", t) for t in sorted(old.keys() - new.keys())]
+    return tuple(steps)
+
+
+def _titles(data: Any) -> dict[str, Any]:
+    """Where each title lies: its own entry, or the pool of its route."""
+    held = dict(data.get("titles", {}))
+    for route in data.get("routes", {}).values():
+        for title in route["titles"]:
+            held[title] = data["pools"].get(route["pool"])
+    return held
+
+
 class Reloads:
     """What one gateway runs, what it was told, and what it does about the difference.
 
     - A version that does not check is refused whole, with the checker's words.
     - Of two that overlap, the one handed in last counts: an earlier one that comes later is refused.
+    - One without this gateway is refused while viewings are held here: it is drained first.
     - During a drain nothing is applied; the newest is told and counts if the drain is taken back.
     - The digest that runs already is neither applied nor refused: there is nothing to do.
     - A change that is taken back before it was applied leaves nothing behind.
     """
 
-    def __init__(self, running: Version) -> None:
-        self.running = running
+    def __init__(self, running: Version, gateway: str = "") -> None:
+        self.running, self.gateway = running, gateway
         self.told = running
         self.draining = False
         self.refused = 0
@@ -154,12 +182,18 @@
         self._started = running.data  # what the module was told at start
         self._due: list[Decision] = []
 
-    def handed(self, version: Version, mistakes: list[str]) -> None:
+    def handed(self, version: Version, mistakes: list[str], held: int = 0) -> None:
+        """A version, with what the checker says of it; `held`: viewings of this gateway now."""
         if version.serial <= self.told.serial:
             self._refuse(version.digest, f"it is older than what was told already ({version.serial} <= "
                          f"{self.told.serial})")  # fmt: skip
         elif mistakes:
             self._refuse(version.digest, "; ".join(mistakes[:3]))
+        elif held and self.gateway and self.gateway not in _gateways(version.data):
+            self._refuse(
+                version.digest,
+                f"it has no gateway {self.gateway}, which holds {held} viewings: drain it first",
+            )
         else:
             self.told = version
             self._settle()
@@ -179,8 +213,9 @@
         if self.told.digest == self.running.digest:
             self.running = self.told
             return
+        steps = placed(self.running.data, self.told.data)
         self.running = self.told
-        self._due += [Apply(self.told, self.waits()), Keep(self.told)]
+        self._due += [Apply(self.told, self.waits(), steps), Keep(self.told)]
 
     def waits(self) -> tuple[str, ...]:
         """Paths whose newest value the module will only know after a restart."""
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -190,7 +190,9 @@
         try:
             running = Running(loop, site, name, seed, state_dir, record)
             if source is not None:
-                running.versions = Versions(loop, source[0], source[1], source[2], running.place)
+                running.versions = Versions(
+                    loop, *source, running.place, name, lambda: len(running.carrier.viewings)
+                )
         except OSError as problem:
             print(f"ledgehitch: {name}: {problem}", file=sys.stderr)
             return 2
--- a/ledgehitch/gateway/versions.py
+++ b/ledgehitch/gateway/versions.py
@@ -36,10 +36,19 @@
 class Versions:
     """One gateway's versions. `apply` is called with the site that new viewings go by."""
 
-    def __init__(self, loop: Loop, source: Path, first: Compiled, kept: Path | None,
-                 apply: Callable[[Site], None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        source: Path,
+        first: Compiled,
+        kept: Path | None,
+        apply: Callable[[Site], None],
+        gateway: str = "",
+        held: Callable[[], int] = lambda: 0,
+    ) -> None:
         self.loop, self.source, self.kept, self.apply = loop, source, kept, apply
-        self.reloads = Reloads(Version(0, first.digest, first.data))
+        self.held = held
+        self.reloads = Reloads(Version(0, first.digest, first.data), gateway)
         self._sites: dict[str, Compiled] = {first.digest: first}
         self._serial = 0
         self._keep(first)
@@ -74,17 +83,22 @@
             out.unlink(missing_ok=True)
         if found.site is not None:
             self._sites[found.digest] = found
-        self.reloads.handed(Version(serial, found.digest, found.data), found.mistakes)
+        self.reloads.handed(Version(serial, found.digest, found.data), found.mistakes, self.held())
         self._pull()
 
     def _pull(self) -> None:
         while (decision := self.reloads.decide()) is not None:
             match decision:
-                case Apply(version, waits):
+                case Apply(version, waits, steps):
                     site = self._sites[version.digest].site
                     assert site is not None
                     self.apply(site)
-                    log.info("a new version runs", digest=version.digest[:16], waits_for_restart=list(waits))
+                    log.info(
+                        "a new version runs",
+                        digest=version.digest[:16],
+                        waits_for_restart=list(waits),
+                        titles=[f"{step} {title}" for step, title in steps[:20]],
+                    )
                 case Keep(version):
                     self._keep(self._sites[version.digest])
                 case Refuse(digest, reason):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -16,7 +16,7 @@
 from ledgehitch.config import BadInput, read_site
 from ledgehitch.config import day as days
 from ledgehitch.config import site as sites
-from ledgehitch.config.change import Apply, Keep, Refuse, Reloads, Version, applied, changes, leaves
+from ledgehitch.config.change import Apply, Keep, Refuse, Reloads, Version, applied, changes, leaves, placed
 from ledgehitch.config.evaluate import Evaluation, plain_data
 from ledgehitch.config.explain import found, origins, reference
 from ledgehitch.config.layout import laid_out
@@ -603,3 +603,15 @@
             if default is not msgspec.NODEFAULT and default is not None and exact is not None:
                 found_ = plain_data(exact.exact)
                 assert found_ == (pytest.approx(default) if isinstance(default, float) else default), field
+
+
+def test_titles_are_placed_before_others_are_withdrawn_and_a_gateway_that_holds_viewings_stays() -> None:
+    a = load_text(GOOD).data
+    b = load_text(GOOD.replace('"tsoureki"', '"melomakarona"').replace("first: 1", "first: 0")).data
+    assert placed(a, b) == (("place", "melomakarona"), ("move", "other"), ("withdraw", "tsoureki"))
+    r = Reloads(Version(0, digest_of(a), a), "g0")
+    gone = load_text(GOOD.replace("gateways: g0", "gateways: g7")).data
+    r.handed(Version(1, digest_of(gone), gone), [], held=3)
+    assert [type(d) for d in pulled(r)] == [Refuse] and "drain it first" in r.last_refusal
+    r.handed(Version(2, digest_of(gone), gone), [], held=0)
+    assert [type(d) for d in pulled(r)] == [Apply, Keep]
