--- a/ledgehitch/cli/config.py
+++ b/ledgehitch/cli/config.py
@@ -17,7 +17,6 @@
 from ledgehitch.config.layout import laid_out
 from ledgehitch.config.load import Loaded, canonical, load
 from ledgehitch.config.syntax import Malformed
-from ledgehitch.gateway.versions import checked
 
 PATH = click.Path(path_type=Path)
 
@@ -150,6 +149,8 @@
 @click.argument("file", type=PATH)
 def compile_command(file: Path) -> None:
     """A checked version as a gateway takes it: JSON with digest, data, site, or the mistakes."""
+    from ledgehitch.gateway.versions import checked  # the other commands need no gateway
+
     sys.stdout.buffer.write(msgspec.json.encode(checked(file)))
 
 
--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -1,5 +1,6 @@
 """The root command: logging, versions, and errors that people made turned into exit code 2."""
 
+import importlib
 import logging
 import sys
 from typing import Any
@@ -8,17 +9,37 @@
 import structlog
 
 import ledgehitch
-from ledgehitch.cli import config, days, quality, run, standins
-from ledgehitch.config import BadInput
-from ledgehitch.gateway.record import BadRecord
-from ledgehitch.rehearsal.play import DidNotStart
+from ledgehitch.config.read import BadInput
+
+# Each command's module is loaded when it is called: `config check` needs no statistics, `up` no parser.
+COMMANDS = {
+    "up": ("run", "up"),
+    "serve": ("run", "serve_command"),
+    "standin": ("standins", "standin"),
+    "rehearse": ("days", "rehearse_command"),
+    "check-tape": ("days", "check_tape"),
+    "replay": ("days", "replay"),
+    "import-day": ("days", "import_day"),
+    "config": ("config", "config"),
+    "quality": ("quality", "quality"),
+}
 
 
 class Root(click.Group):
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in COMMANDS:
+            return None
+        module, name = COMMANDS[cmd_name]
+        command: click.Command = getattr(importlib.import_module(f"ledgehitch.cli.{module}"), name)
+        return command
+
     def invoke(self, ctx: click.Context) -> Any:
         try:
             return super().invoke(ctx)
-        except (BadInput, BadRecord, DidNotStart) as wrong:
+        except BadInput as wrong:
             click.echo(f"ledgehitch: {wrong}", err=True)
             ctx.exit(2)
 
@@ -26,8 +47,12 @@
 @click.group(cls=Root, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(ledgehitch.__version__, prog_name="ledgehitch")
 @click.option("--log", "style", type=click.Choice(["json", "text"]), default="json", show_default=True)
-@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info",
-              show_default=True)  # fmt: skip
+@click.option(
+    "--log-level",
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    default="info",
+    show_default=True,
+)
 def root(style: str, log_level: str) -> None:
     """A session front: admits viewers to media hosts and sets the rate at which they play."""
     last: Any = structlog.processors.JSONRenderer() if style == "json" else structlog.dev.ConsoleRenderer()
@@ -44,19 +69,5 @@
     )
 
 
-for command in (
-    run.up,
-    run.serve_command,
-    standins.standin,
-    days.rehearse_command,
-    days.check_tape,
-    days.replay,
-    days.import_day,
-    config.config,
-    quality.quality,
-):
-    root.add_command(command)
-
-
 def main() -> None:
     root(prog_name="ledgehitch")
--- a/ledgehitch/gateway/record.py
+++ b/ledgehitch/gateway/record.py
@@ -25,13 +25,14 @@
 from ledgehitch import brain as brain_file
 from ledgehitch import interface
 from ledgehitch.brain import Gateway
+from ledgehitch.config.read import BadInput
 
 MAGIC = b"ledgehitch record 1\n"
 FRAME = struct.Struct(">II")
 MOST_ENTRY = 1 << 28
 
 
-class BadRecord(Exception):
+class BadRecord(BadInput):
     """A file that is no record, or of another version of the format."""
 
 
--- a/ledgehitch/gateway/reports.py
+++ b/ledgehitch/gateway/reports.py
@@ -13,11 +13,12 @@
 from ledgehitch.http import Client, ConnectFailed, Interrupted, Refused, Request, Response, problem
 from ledgehitch.loop import Loop, TimedOut, forked
 from ledgehitch.loop.kernel import void
-from ledgehitch.quality import BadPass, Judge, Passes, Seen, Tally, Verdict, reports_in
-from ledgehitch.quality.judge import look
+from ledgehitch.quality.facts import reports_in
+from ledgehitch.quality.judge import Judge, Verdict, look
 from ledgehitch.quality.keep import Keep
 from ledgehitch.quality.limits import Limits
-from ledgehitch.quality.tally import KEPT, WINDOW, Cell
+from ledgehitch.quality.passes import BadPass, Passes
+from ledgehitch.quality.tally import KEPT, WINDOW, Cell, Seen, Tally
 
 KEPT_EVERY = 2.0  # seconds of counts that a kill may lose at most
 EXCHANGED_EVERY = 5.0
--- a/ledgehitch/rehearsal/play.py
+++ b/ledgehitch/rehearsal/play.py
@@ -16,7 +16,7 @@
 import msgspec
 import structlog
 
-from ledgehitch.config import Day, Fault, Site
+from ledgehitch.config import BadInput, Day, Fault, Site
 from ledgehitch.http import Client, ConnectFailed, Interrupted
 from ledgehitch.loop import Child, Loop, TimedOut
 from ledgehitch.proof.check import Breach, figures_of, judged_tape
@@ -27,7 +27,7 @@
 log = structlog.get_logger("rehearsal")
 
 
-class DidNotStart(Exception):
+class DidNotStart(BadInput):
     """A process of the day did not come up; the text has its last words."""
 
 
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -15,13 +15,13 @@
 from ledgehitch.gateway.reports import Reports
 from ledgehitch.http import Response
 from ledgehitch.loop import Loop, connect, endpoint
-from ledgehitch.quality import BadPass, Judge, Passes, Report, Seen, Tally, reports_in
-from ledgehitch.quality.judge import CLEARED, look
+from ledgehitch.quality.facts import Report, reports_in
+from ledgehitch.quality.judge import CLEARED, Judge, look
 from ledgehitch.quality.keep import Keep
 from ledgehitch.quality.limits import BURST, Limits
 from ledgehitch.quality.page import page
-from ledgehitch.quality.passes import OVERLAP, VALID
-from ledgehitch.quality.tally import ALLOWANCE, MOST_VIEWINGS, OTHERS, WINDOW, Cell
+from ledgehitch.quality.passes import OVERLAP, VALID, BadPass, Passes
+from ledgehitch.quality.tally import ALLOWANCE, MOST_VIEWINGS, OTHERS, WINDOW, Cell, Seen, Tally
 from tests.rig import Rig, answer, request
 
 T = 100_000.0
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -72,7 +72,7 @@
     assert refused.returncode == 2 and "never written over" in refused.stderr
 
 
-def test_up_serves_a_first_viewing_and_ends_all_within_two_seconds() -> None:
+def test_up_serves_a_first_viewing_and_ends_all_within_two_seconds(tmp_path: Path) -> None:
     child = subprocess.Popen(
         [sys.executable, "-m", "ledgehitch", "--log-level", "error", "up", "--seed", "3"],
         stdout=subprocess.PIPE, text=True, cwd=ROOT,
@@ -85,6 +85,12 @@
             for package in ("recorded", "live"):
                 statuses.append(offered(at, f"/whep/{package}/clip-{n}", n))
         assert set(statuses) == {201}
+        shown = run("quality", "report", at, "--html", str(tmp_path / "page.html"))
+        assert shown.returncode == 0 and "too few viewings" in shown.stdout
+        assert "<svg" in (tmp_path / "page.html").read_text()
+        assert "too few" in run("quality", "watch", at, "--times", "1").stdout
+        lags = run("config", "status", at)
+        assert lags.returncode == 0 and "up to date" in lags.stdout
         ours = subprocess.run(["pgrep", "-P", str(child.pid)], capture_output=True, text=True).stdout.split()
         assert len(ours) == 2, "the media hosts' side and the gateway"
     finally:
