--- a/ledgehitch/config/evaluate.py
+++ b/ledgehitch/config/evaluate.py
@@ -35,7 +35,6 @@
 MOST_VERTICES = 400_000  # places of one result
 MOST_DEPTH = 100  # references through references, records within records
 MOST_TEXT = 10_000  # characters of one string that is put together
-KINDS_OF_VALUE = "a plain value", "a record", "a list"
 
 
 @dataclass(eq=False)
--- a/ledgehitch/standins/media.py
+++ b/ledgehitch/standins/media.py
@@ -50,7 +50,7 @@
 
 
 class Session:
-    __slots__ = ("id", "key", "gateway", "vw", "package", "title", "rung", "factor", "seen", "host")
+    __slots__ = ("id", "key", "gateway", "vw", "package", "title", "rung", "factor", "seen")
 
     def __init__(self, id: str, key: str, gateway: str, vw: int, package: str, title: str, rung: int,
                  factor: float, now: float) -> None:  # fmt: skip
