--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -136,9 +136,83 @@
     return {"rate": rate, "answers": answers, "ms": {str(q): at_share(q) for q in (0.5, 0.9, 0.99, 1.0)}}
 
 
+def reporting(at: str, viewings: int) -> None:
+    """Sets up viewings, then for each line "POSTS BATCH SECONDS" of the input posts so many batches a second
+    of so many reports, each viewing in its turn, and says what became of them."""
+    loop = Loop()
+    to = endpoint(at)
+    held: list[tuple[str, str]] = []
+    pool: list[Stream] = []
+    sent: list[int] = [0] * viewings
+    became: dict[str, int] = {}
+
+    def asked(head: str, body: bytes) -> Response:
+        stream = pool.pop() if pool else connect(loop, to)
+        reader, response = ResponseReader(), None
+        stream.send(f"{head}Host: {at}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        while response is None:
+            data = stream.receive()
+            if not data:
+                raise OSError("ended")
+            response = reader.feed(data)
+        pool.append(stream)
+        return response
+
+    def watch(number: int) -> None:
+        head = (
+            f"POST /whep/recorded/clip-{number % 20 + 1} HTTP/1.1\r\nContent-Type: application/sdp\r\n"
+            f"Authorization: Bearer r-{number}\r\n"
+        )
+        response = asked(head, offer_of(number, f"r{number}"))
+        held.append((response.header("location") or "", response.header("report-token") or ""))
+
+    def post(i: int, batch: int) -> None:
+        place, token = held[i]
+        now = int(time.monotonic() * 1000)
+        body = [
+            {"sn": sent[i] + n, "ts": now - 10 * (batch - n), "com.ledgehitch-rung": 2} for n in range(batch)
+        ]
+        sent[i] += batch
+        try:
+            with loop.deadline(5.0):
+                answer = asked(
+                    f"POST {place}/reports HTTP/1.1\r\nAuthorization: Bearer {token}\r\n",
+                    json.dumps(body).encode(),
+                )
+            told = json.loads(answer.body) if answer.status == 200 else {str(answer.status): 1}
+        except (OSError, TimedOut):
+            told = {"none": 1}
+        for word, n in told.items():
+            became[word] = became.get(word, 0) + n
+
+    def main() -> None:
+        for number in range(viewings):
+            loop.spawn(watch, number)
+            loop.sleep(0.0025)
+        loop.sleep(2.0)
+        print("{}", flush=True)
+        turn = 0
+        for line in sys.stdin:
+            posts, batch, seconds = line.split()
+            became.clear()
+            start = time.monotonic()
+            for n in range(int(float(seconds) * int(posts))):
+                wait = start + n / int(posts) - time.monotonic()
+                if wait > 0.0005:
+                    loop.sleep(wait)
+                turn += 1
+                loop.spawn(post, turn % len(held), int(batch))
+            loop.sleep(1.0)
+            print(json.dumps(became), flush=True)
+
+    loop.run(main)
+
+
 if __name__ == "__main__":
     words = sys.argv[2:]
     if sys.argv[1] == "hosts":
         hosts(words[0])
     elif sys.argv[1] == "load":
         print(json.dumps(load(words[0], float(words[1]), float(words[2]), words[3], int(words[4]))))
+    elif sys.argv[1] == "reports":
+        reporting(words[0], int(words[1]))
--- a/ledgehitch/cli/quality.py
+++ b/ledgehitch/cli/quality.py
@@ -38,14 +38,16 @@
     blamed = {(c["kind"], c["name"]): c for c in verdict["culprits"]}
     parts: list[Any] = [Text(verdict["word"], style="bold red" if blamed else "bold")]
     parts += [Text(f"unclear: {line}") for line in verdict["unclear"]]
-    for kind in ("rack", "title"):
-        table = Table(kind, "viewings", "bad", "stalled", "slow start", "drops", "mean start", "", box=None)
+    for kind in ("rack", "title", "package", "rung"):
+        table = Table(
+            kind, "viewings", "bad", "stalled", "slow start", "drops", "start p50", "p95", "", box=None
+        )
         groups = told["groups"][kind]
         worst = sorted(groups, key=lambda g: (-groups[g]["bad"] / max(1, groups[g]["viewings"]), g))
         for name in worst[:SHOWN]:
             g = groups[name]
             n = max(1, g["viewings"])
-            start = f"{g['start'] / g['starts']:.0f} ms" if g["starts"] else "-"
+            starts = ("-" if g[at] is None else f"{g[at]:.0f} ms" for at in ("start_p50", "start_p95"))
             mark = blamed.get((kind, name))
             word = (
                 f"to blame, +{100 * mark['excess']:.0f}% (at least {100 * mark['least']:.0f}%)"
@@ -59,7 +61,7 @@
                 f"{100 * g['stalled'] / n:.1f}%",
                 f"{100 * g['slow'] / n:.1f}%",
                 f"{100 * g['dropped'] / n:.1f}%",
-                start,
+                *starts,
                 word,
                 style="red" if mark else "",
             )
--- a/ledgehitch/config/change.py
+++ b/ledgehitch/config/change.py
@@ -48,17 +48,30 @@
 def changes(before: Any, after: Any, held: Mapping[str, int] | None = None) -> list[Change]:
     """What differs, by path. `held`: viewings held now by title, for what a change may break."""
     old, new = dict(leaves(before)), dict(leaves(after))
+    called_anew = _renamed(before, after)
     found = []
     for path in [*old, *(p for p in new if p not in old)]:
         if path in old and path in new and _same(old[path], new[path]):
             continue
         name = ".".join(path)
         effect = next(e for pattern, e in EFFECTS if fnmatch.fnmatchcase(name, pattern))
+        if path[0] == "racks" and len(path) > 1 and path[1] in called_anew:
+            found.append(Change(name, old.get(path), new.get(path), "at once"))
+            continue
         risk = _risk(path, old.get(path), new.get(path), before, after, held or {})
         found.append(Change(name, old.get(path), new.get(path), effect, risk))
     return found
 
 
+def _renamed(before: Any, after: Any) -> set[str]:
+    """Names of racks, old and new, that differ in nothing but the name: they stand where they stood."""
+    old, new = before.get("racks") or {}, after.get("racks") or {}
+    if not isinstance(old, Mapping) or not isinstance(new, Mapping) or len(old) != len(new):
+        return set()
+    pairs = zip(old.items(), new.items(), strict=True)
+    return {name for (a, x), (b, y) in pairs if a != b and x == y for name in (a, b)}
+
+
 def _same(a: Any, b: Any) -> bool:
     return bool(a == b) and isinstance(a, bool) == isinstance(b, bool)
 
--- a/ledgehitch/config/compiled.py
+++ b/ledgehitch/config/compiled.py
@@ -101,6 +101,7 @@
     fleet |= {
         "cells": cells,
         "racks": len(racks),
+        "rack_names": list(racks),
         "link_unit_kb": unit,
         "uplink_kb": sum(uplinks) / len(uplinks) if uplinks else 0.0,
     }
--- a/ledgehitch/config/day.py
+++ b/ledgehitch/config/day.py
@@ -52,6 +52,8 @@
     ),
     "burst": Kind("viewers", "viewers come at `size` times the rate", (1, 100)),
     "crowd": Kind("viewers", "`size` of the viewers want one title that few hold", (0, 1)),
+    "rack_stalls": Kind("viewers", "`size` of the reports of players fed from one rack tell stalls", (0, 1)),
+    "title_stalls": Kind("viewers", "`size` of the reports of players of one title tell stalls", (0, 1)),
     "gateways_killed": Kind(
         "gateways",
         "gateways are killed in waves, `size` of them at a time, and start again after `extra` s",
@@ -112,6 +114,15 @@
     leave_under: Share = 0.75  # delivered share under which viewers begin to leave
 
 
+class Reporting(Record, kw_only=True, frozen=True):
+    """How players report to their gateways; `every` 0: they do not."""
+
+    every: Amount = 0.0
+    copies: Annotated[int, msgspec.Meta(ge=1, le=20)] = 1  # of each report that are sent
+    late: Amount = 0.0  # seconds by which each is sent late, by chance up to it
+    lying: Share = 0.0  # players that invent stalls
+
+
 class Shape(Record, kw_only=True, frozen=True):
     """How many of what the day needs, and how its media hosts behave."""
 
@@ -139,6 +150,7 @@
     arrivals: Arrivals
     faults: list[Fault] = []
     shape: Shape = Shape()
+    reporting: Reporting = Reporting()
     settle: Amount = 2.0  # seconds between the last start and the first viewer
     seed: int = 1
     site: dict[str, msgspec.Raw] = {}  # parts of the site file that this day wants otherwise
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -46,6 +46,7 @@
 class FleetRecord(Record, kw_only=True, frozen=True):
     cells: Count
     racks: Count
+    rack_names: list[str] = []  # for people, by number; without one it is rack-N
     link_unit_kb: Amount
     uplink_kb: Amount
     slots: dict[str, Annotated[int, msgspec.Meta(ge=1)]]
--- a/ledgehitch/gateway/front.py
+++ b/ledgehitch/gateway/front.py
@@ -70,7 +70,7 @@
                 return self.reports.post(request, resource)
             case ["quality", "tables"] if self.reports is not None:
                 self._only(request, "GET")
-                return self.reports.tables()
+                return self.reports.tables(request.query("mark") or "")
             case ["quality", "report"] if self.reports is not None:
                 self._only(request, "GET")
                 return self.reports.report()
@@ -176,7 +176,9 @@
             if self.reports is not None and playing is not None:
                 took = self.loop.now - playing.asked_at
                 rack, target = self.rack_of(playing.host), playing.package.join_target
-                token = self.reports.admitted(entry.resource, rack, playing.title, took, target)
+                token = self.reports.admitted(
+                    entry.resource, rack, playing.title, took, target, playing.package.name
+                )
                 fields += [("Link", f'<{at}/reports>; rel="{RELATION}"'), ("Report-Token", token)]
             response = Response(201, fields, settled.answer.encode())
         elif settled.kind == "blocked":
--- a/ledgehitch/gateway/reports.py
+++ b/ledgehitch/gateway/reports.py
@@ -5,7 +5,9 @@
 import os
 import secrets
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import structlog
@@ -14,11 +16,11 @@
 from ledgehitch.loop import Loop, TimedOut, forked
 from ledgehitch.loop.kernel import void
 from ledgehitch.quality.facts import reports_in
-from ledgehitch.quality.judge import Judge, Verdict, look
+from ledgehitch.quality.judge import FEW, Judge, Verdict, look
 from ledgehitch.quality.keep import Keep
 from ledgehitch.quality.limits import Limits
 from ledgehitch.quality.passes import BadPass, Passes
-from ledgehitch.quality.tally import KEPT, WINDOW, Cell, Seen, Tally
+from ledgehitch.quality.tally import KEPT, WINDOW, Cell, Seen, Side, Tally, Window
 
 KEPT_EVERY = 2.0  # seconds of counts that a kill may lose at most
 EXCHANGED_EVERY = 5.0
@@ -27,17 +29,18 @@
 JUDGED_OVER = 6  # windows that a look goes over
 ROTATED_EVERY = 12 * 3600.0  # seconds that one key signs tokens
 RELATION = "urn:ledgehitch:reports"
+MARK = "Quality-Mark"  # life and changes up to which the tables of an answer go
 log = structlog.get_logger("quality")
 
 
 class Told(msgspec.Struct):
-    """One gateway's table of one window, as it is told to others."""
+    """One gateway's counts of one window, as they are told to others."""
 
     source: str
     window: int
     life: int
     version: int
-    table: dict[str, Cell]
+    counts: Window
 
 
 class Reports:
@@ -45,12 +48,17 @@
         """`others`: addresses of the other gateways by name."""
         self.loop, self.name, self.others = loop, name, others
         self.keep = Keep(state_dir / f"{name}.quality") if state_dir is not None else None
+        self.keys = Keep(state_dir / f"{name}.passes", private=True) if state_dir is not None else None
         self.passes = Passes(secrets.token_bytes(32), time.time())
+        self._keys_from_file()
         self.limits = Limits(secrets.token_bytes(32))
         self.judge = Judge()
         self.client = Client(loop)
         self.tally = self._from_file(time.time_ns())
+        self.rack_name: Callable[[str], str] = lambda rack: rack
+        self.playing: Callable[[], dict[str, int]] = dict  # viewings that play now, by rack
         self._kept_at_counts = -1
+        self._marks: dict[str, str] = {}  # up to where each gateway's tables are known
         self.refused = 0
 
     def _from_file(self, life: int) -> Tally:
@@ -61,6 +69,16 @@
             log.error("the kept quality does not read, counting starts anew", why=str(wrong))
             return Tally(self.name, life)
 
+    def _keys_from_file(self) -> None:
+        held = self.keys.read() if self.keys is not None else None
+        try:
+            if held is not None:
+                self.passes.thawed(held, time.time())
+        except msgspec.MsgspecError as wrong:
+            log.error("the kept keys do not read, tokens of before are refused", why=str(wrong))
+        if self.keys is not None:
+            self.keys.write(self.passes.frozen())
+
     def start(self) -> None:
         """Spawns the tasks that exchange, keep and judge."""
         self.loop.spawn(self._keep, name="keep quality")
@@ -69,11 +87,12 @@
 
     # ---- viewings ------------------------------------------------------------------------------------------
 
-    def admitted(self, resource: str, rack: str, title: str, asked_ago: float, join_target: float) -> str:
+    def admitted(self, resource: str, rack: str, title: str, asked_ago: float, join_target: float,
+                 package: str) -> str:  # fmt: skip
         """A viewing plays: its players may report from now on. Gives the token that they report with."""
         now = time.time()
         if resource not in self.tally.clocks:
-            self.tally.admitted(resource, Seen(rack, title, now - asked_ago, now, join_target))
+            self.tally.admitted(resource, Seen(rack, title, now - asked_ago, now, join_target, package))
         return self.passes.issue(now, resource)
 
     def post(self, request: Request, resource: str) -> Response:
@@ -110,27 +129,36 @@
 
     # ---- others --------------------------------------------------------------------------------------------
 
-    def tables(self) -> Response:
-        told = [Told(*one) for one in self.tally.summaries()]
-        return Response(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+    def tables(self, mark: str) -> Response:
+        """Own windows; to who names a mark of ours only those that changed since."""
+        life, _, after = mark.partition(".")
+        known = (int(life), int(after)) if life.isdigit() and after.isdigit() else (0, 0)
+        told = [Told(*one) for one in self.tally.summaries(*known)]
+        fields = [("Content-Type", "application/json"), (MARK, f"{self.tally.life}.{self.tally.changes}")]
+        return Response(200, fields, msgspec.json.encode(told))
 
     def _exchange(self) -> None:
         while True:
             self.loop.sleep(EXCHANGED_EVERY)
-            for at in self.others.values():
+            for name, at in self.others.items():
                 try:
                     with self.loop.deadline(2.0):
-                        answer = self.client.request(at, "GET", "/quality/tables")
+                        mark = self._marks.get(name, "")
+                        answer = self.client.request(at, "GET", f"/quality/tables?mark={mark}")
                     for told in msgspec.json.decode(answer.body, type=list[Told]):
-                        self.tally.merge(told.source, told.window, told.life, told.version, told.table)
+                        self.tally.merge(told.source, told.window, told.life, told.version, told.counts)
+                    self._marks[name] = answer.header(MARK.lower()) or ""
                 except (TimedOut, ConnectFailed, Interrupted, ValueError, msgspec.MsgspecError):
-                    continue  # it is told all of it the next time
+                    continue  # it is told all since its mark the next time
+            self.tally.forget(int(time.time() // WINDOW) - KEPT)
 
     def _keep(self) -> None:
         while True:
             self.loop.sleep(KEPT_EVERY)
             if time.time() - self.passes.keys[-1].since > ROTATED_EVERY:
                 self.passes.rotate(secrets.token_bytes(32), time.time())
+                if self.keys is not None:
+                    self.keys.write(self.passes.frozen())
             taken = self.tally.counts.taken + self.tally.counts.doubles
             if self.keep is not None and taken != self._kept_at_counts:
                 self._kept_at_counts = taken
@@ -156,11 +184,12 @@
 
     def _look(self, table: dict[str, Cell]) -> Verdict:
         """A look; at a large table in a copy of the process, so that set-ups do not wait for it."""
+        expected = {self.rack_name(r): n for r, n in self.playing().items() if n >= FEW}
         if len(table) <= SMALL:
-            return look(table)
+            return look(table, expected)
         ours, theirs = os.pipe()
         try:
-            told = lambda: void(os.write(theirs, msgspec.json.encode(look(table))[:65536]))  # noqa: E731
+            told = lambda: void(os.write(theirs, msgspec.json.encode(look(table, expected))[:65536]))  # noqa: E731
             code = forked(self.loop, told)
             return (
                 msgspec.json.decode(os.read(ours, 65536), type=Verdict) if code == 0 else self.judge.verdict
@@ -172,8 +201,19 @@
             os.close(theirs)
 
     def _window(self, windows: int) -> dict[str, Cell]:
+        """Counts of so many windows up to now. Racks are counted by number and named here, so that one that
+        a reload renames is the same rack still."""
         last = int(time.time() // WINDOW) + 1
-        return self.tally.total(last - windows, last)
+        table = self.tally.total(last - windows, last)
+        return {self._named(key): cell for key, cell in table.items()}
+
+    def _named(self, key: str) -> str:
+        rack, _, title = key.partition("\t")
+        return f"{self.rack_name(rack)}\t{title}"
+
+    def _groups(self, first: int, last: int) -> dict[str, dict[str, Side]]:
+        groups = self.tally.groups(first, last)
+        return groups | {"rack": {self.rack_name(rack): side for rack, side in groups["rack"].items()}}
 
     def report(self) -> Response:
         """All that people are shown, over all gateways as far as this one has heard."""
@@ -181,21 +221,24 @@
         last = int(time.time() // WINDOW) + 1
         series = {}
         for w in range(last - KEPT, last):
-            table = self.tally.total(w, w + 1)
-            if table:
-                series[str(int(w * WINDOW))] = _by_group(table)
+            groups = self._groups(w, w + 1)
+            if groups["rack"]:
+                series[str(int(w * WINDOW))] = _shown(groups)
         told = {
             "gateway": self.name, "verdict": msgspec.to_builtins(verdict), "counts": self.tally.counts,
-            "standing": msgspec.to_builtins(self.judge.verdict), "groups": _by_group(self._window(KEPT)),
-            "series": series, "heard_of": sorted(self.tally.others),
+            "standing": msgspec.to_builtins(self.judge.verdict),
+            "groups": _shown(self._groups(last - KEPT, last)), "series": series,
+            "heard_of": sorted(self.tally.others),
         }  # fmt: skip
         return Response(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
 
 
-def _by_group(table: dict[str, Cell]) -> dict[str, dict[str, Cell]]:
-    out: dict[str, dict[str, Cell]] = {"rack": {}, "title": {}}
-    for key, cell in table.items():
-        rack, _, title = key.partition("\t")
-        out["rack"].setdefault(rack, Cell()).add(cell)
-        out["title"].setdefault(title, Cell()).add(cell)
-    return out
+def _shown(groups: dict[str, dict[str, Side]]) -> dict[str, dict[str, dict[str, Any]]]:
+    """Counts by kind and name; of start times the median and the 95th percentile, milliseconds."""
+    out: dict[str, dict[str, dict[str, Any]]] = {}
+    for kind, sides in groups.items():
+        for name, side in sides.items():
+            told = {f: getattr(side, f) for f in Cell.__struct_fields__}
+            told |= {"start_p50": side.start_at(0.5), "start_p95": side.start_at(0.95)}
+            out.setdefault(kind, {})[name] = told
+    return {kind: out.get(kind, {}) for kind in groups}
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -84,6 +84,8 @@
         others_at = {g.name: g.at for i, g in enumerate(site.gateways) if i != me}
         self.reports = front.reports = Reports(loop, name, others_at, state_dir)
         front.rack_of = self.rack_of
+        self.rack_names = site.fleet.rack_names
+        self.reports.rack_name, self.reports.playing = self.rack_name, self.playing
         self.reports.start()
         kept = state_dir / f"{name}.hosts.json" if state_dir is not None else None
         self.listing = Listing(loop, self.carrier, site.list_at, name, kept)
@@ -118,13 +120,27 @@
         }
 
     def rack_of(self, host: str) -> str:
-        """The rack that a media host stands in, by its cell as the list names it."""
+        """The number of the rack that a media host stands in, by its cell as the list names it."""
         line = self.listing.roll.lines.get(host)
-        return f"rack-{line.cell % max(1, self.site.fleet.racks)}" if line is not None else "?"
+        return str(line.cell % max(1, self.site.fleet.racks)) if line is not None else "?"
+
+    def rack_name(self, rack: str) -> str:
+        names = self.rack_names
+        return names[int(rack)] if rack.isdigit() and int(rack) < len(names) else f"rack-{rack}"
+
+    def playing(self) -> dict[str, int]:
+        """Viewings that play here now, by rack."""
+        out: dict[str, int] = {}
+        for host, viewings in self.carrier.playing_at.items():
+            rack = self.rack_of(host)
+            out[rack] = out.get(rack, 0) + len(viewings)
+        return out
 
     def place(self, site: Site) -> None:
-        """What a new version changes for new viewings: where titles lie."""
+        """What a new version changes at once: where titles lie for new viewings, what racks are called."""
         self.front.titles = {title: (t.first, t.spread) for title, t in site.titles.items()}
+        if site.fleet.racks == self.site.fleet.racks:
+            self.rack_names = site.fleet.rack_names
 
     def drain(self, draining: bool) -> None:
         self.front.draining = draining
--- a/ledgehitch/quality/keep.py
+++ b/ledgehitch/quality/keep.py
@@ -19,8 +19,8 @@
 class Keep:
     """Two files, `PATH.0` and `PATH.1`; the one with the higher serial that is whole counts."""
 
-    def __init__(self, path: Path) -> None:
-        self.path = path
+    def __init__(self, path: Path, private: bool = False) -> None:
+        self.path, self.private = path, private
         self.serial = max((s for s, _ in self._whole()), default=0)
 
     def write(self, thing: Any) -> None:
@@ -31,7 +31,9 @@
         slot = self.path.with_name(f"{self.path.name}.{self.serial % 2}")
         slot.parent.mkdir(parents=True, exist_ok=True)
         partly = slot.with_name(slot.name + ".new")
-        partly.write_bytes(data)
+        mode = 0o600 if self.private else 0o644
+        with open(os.open(partly, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, mode), "wb") as file:
+            file.write(data)
         os.replace(partly, slot)
 
     def read(self) -> Any:
--- a/ledgehitch/quality/page.py
+++ b/ledgehitch/quality/page.py
@@ -17,7 +17,7 @@
     ("bad viewings, %", lambda g: _share(g, "bad")),
     ("viewings with stalls, %", lambda g: _share(g, "stalled")),
     ("viewings with rung drops, %", lambda g: _share(g, "dropped")),
-    ("mean start, ms", lambda g: g["start"] / g["starts"] if g["starts"] else None),
+    ("median start, ms", lambda g: g["start_p50"]),
 )
 HEAD = """<!doctype html><html lang="en"><meta charset="utf-8"><title>Quality by rack and title</title>
 <style>body{font-family:sans-serif;max-width:70rem;margin:2rem auto;padding:0 1rem}
@@ -40,10 +40,12 @@
     parts += [f"<p>unclear: {html.escape(line)}</p>" for line in verdict["unclear"]]
     heard = ", ".join([told["gateway"], *told["heard_of"]])
     parts.append(f"<p>As {html.escape(told['gateway'])} knows it; counts of {html.escape(heard)}.</p>")
-    for kind in ("rack", "title"):
+    for kind in ("rack", "title", "package", "rung"):
         groups = told["groups"][kind]
         worst = sorted(groups, key=lambda g: ((kind, g) not in blamed, -(_share(groups[g], "bad") or 0.0), g))
         parts.append(f"<h2>By {kind}</h2>" + _table(kind, groups, worst[:SHOWN], blamed))
+        if kind in ("package", "rung"):
+            continue
         parts.append('<div class="charts">')
         parts += [f"<div>{_chart(told['series'], kind, worst[:CHARTED], blamed, *m)}</div>" for m in MEASURES]
         parts.append("</div>")
@@ -51,10 +53,16 @@
 
 
 def _table(kind: str, groups: dict[str, Group], names: list[str], blamed: dict[tuple[str, str], Any]) -> str:
-    rows = [f"<tr><th>{kind}<th>viewings<th>bad<th>stalls<th>slow start<th>drops<th>to blame"]
+    rows = [
+        f"<tr><th>{kind}<th>viewings<th>bad<th>stalls<th>slow start<th>drops<th>start p50, ms<th>p95"
+        "<th>to blame"
+    ]
     for name in names:
         g, culprit = groups[name], blamed.get((kind, name))
         shares = "".join(f"<td>{_share(g, what) or 0:.1f}%" for what in ("bad", "stalled", "slow", "dropped"))
+        shares += "".join(
+            f"<td>{g[at]:.0f}" if g[at] is not None else "<td>-" for at in ("start_p50", "start_p95")
+        )
         word = f"+{100 * culprit['excess']:.0f}%, at least {100 * culprit['least']:.0f}%" if culprit else ""
         mark = ' class="blamed"' if culprit else ""
         rows.append(f"<tr{mark}><td>{html.escape(name)}<td>{g['viewings']}{shares}<td>{word}")
--- a/ledgehitch/quality/passes.py
+++ b/ledgehitch/quality/passes.py
@@ -3,7 +3,9 @@
 import base64
 import struct
 from dataclasses import dataclass
+from typing import Any
 
+import msgspec
 from blake3 import blake3
 
 HEAD = struct.Struct(">HId")  # key number, length of the viewing's name, when it expires (wall clock)
@@ -35,6 +37,16 @@
         self.keys[-1] = Key(old.number, old.secret, old.since, now + OVERLAP)
         self.keys = [k for k in self.keys if k.until > now] + [Key(old.number + 1, secret, now)]
 
+    def frozen(self) -> Any:
+        """The keys, for a file that nobody else reads: tokens outlive a restart."""
+        return msgspec.to_builtins(self.keys, builtin_types=(bytes,))
+
+    def thawed(self, held: Any, now: float) -> None:
+        """Takes up kept keys in place of the first one; those that are over are left out."""
+        keys = [k for k in msgspec.convert(held, list[Key]) if k.until > now]
+        if keys:
+            self.keys = keys
+
     def issue(self, now: float, viewing: str) -> str:
         key = self.keys[-1]
         name = viewing.encode()
--- a/ledgehitch/quality/tally.py
+++ b/ledgehitch/quality/tally.py
@@ -6,12 +6,13 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 from blake3 import blake3
+from ddsketch.mapping import LogarithmicMapping
 from rbloom import Bloom
 
 from ledgehitch.quality.facts import Report
@@ -21,7 +22,9 @@
 KEPT = 60  # windows that are kept
 MOST_VIEWINGS = 50_000  # whose clocks are followed; the one heard of longest ago is let go
 MOST_CELLS = 20_000  # of rack and title in a window; further titles count as OTHERS
+MOST_SIDES = 2_000  # groups of one kind in a window whose start times are kept as sketches; the same
 OTHERS = "(others)"
+FORM = 2  # of what is kept on disk; another form is not read
 DOUBLES, ERROR = 400_000, 1e-4  # reports remembered by each of two filters; share wrongly taken for doubles
 RUNS, JUMPS = 0.05, 2.0  # a clock that runs so much too fast or slow, or jumps so many seconds, is marked
 LONG_ENOUGH = 8.0  # seconds over which a clock's rate is judged
@@ -47,6 +50,42 @@
 
 
 Table = dict[str, Cell]  # by "rack\ttitle"
+KINDS = ("rack", "title", "package", "rung")
+STARTS = LogarithmicMapping(0.05)  # start times are kept to 5% of themselves
+
+
+class Side(Cell):
+    """Counts of one rack, title, package or rung in one window. `sketch`: starts by the mapping's key."""
+
+    sketch: dict[int, int] = {}
+
+    def add(self, other: Cell) -> None:
+        for name in Cell.__struct_fields__:
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+        for key, n in getattr(other, "sketch", {}).items():
+            self.sketch[key] = self.sketch.get(key, 0) + n
+
+    def started(self, milliseconds: int) -> None:
+        self.starts += 1
+        self.start += milliseconds
+        key = STARTS.key(max(1.0, float(milliseconds)))
+        self.sketch[key] = self.sketch.get(key, 0) + 1
+
+    def start_at(self, share: float) -> float | None:
+        """The start time, milliseconds, that `share` of the starts do not exceed, to 5%; None without any."""
+        rank, passed = share * (sum(self.sketch.values()) - 1), 0
+        for key in sorted(self.sketch):
+            passed += self.sketch[key]
+            if passed > rank:
+                return float(STARTS.value(key))
+        return None
+
+
+class Window(msgspec.Struct):
+    """One window of one gateway: by rack and title together, and by each kind of group ("kind\tname")."""
+
+    cells: dict[str, Cell] = {}
+    sides: dict[str, Side] = {}
 
 
 @dataclass(slots=True)
@@ -58,6 +97,7 @@
     asked_at: float
     answered_at: float
     join_target: float = 0.8
+    package: str = ""
 
 
 @dataclass(slots=True)
@@ -65,12 +105,12 @@
     seen: Seen
     offset: float | None = None  # least of (gateway's time - player's time): the delay-free one
     first_ts: float = 0.0
-    first_at: float = 0.0
     last_ts: float = 0.0
     last_sn: int = -1
     reported_to: float = 0.0  # up to where, in the gateway's time, stalls were reported
     marked: str = ""
     windows: dict[int, int] = field(default_factory=dict)  # what it counts as, by window: bits
+    rungs: dict[int, int] = field(default_factory=dict)  # the rung that it counts under, by window
     stalls: dict[int, float] = field(default_factory=dict)
 
 
@@ -94,11 +134,12 @@
         self.source, self.life = source, life
         self.counts = Counts()
         self.clocks: OrderedDict[str, _Clock] = OrderedDict()
-        self.windows: dict[int, Table] = {}
+        self.windows: dict[int, Window] = {}
         self.versions: dict[int, int] = {}
-        self.others: dict[
-            str, dict[int, tuple[int, int, Table]]
-        ] = {}  # by source, window: life, version, table
+        # By source and window: life, version, window.
+        self.others: dict[str, dict[int, tuple[int, int, Window]]] = {}
+        self.changes = 0  # counted reports of this life
+        self.changed: dict[int, int] = {}  # by window: `changes` when it last changed
         self._doubles = Bloom(DOUBLES, ERROR, _hash), Bloom(DOUBLES, ERROR, _hash)
         self._remembered = 0
 
@@ -148,7 +189,7 @@
         ts = report.ts / 1000
         offset = now - ts
         if clock.offset is None:
-            clock.offset, clock.first_ts, clock.first_at = offset, ts, now
+            clock.offset, clock.first_ts = offset, ts
         elif offset < clock.offset:
             clock.offset = offset
         return max(min(now, ts + clock.offset), clock.seen.answered_at)
@@ -161,7 +202,9 @@
                 clock.marked = clock.marked or "its clock jumps back"
             elif ts == clock.last_ts:
                 clock.marked = clock.marked or "its clock stands still"
-        ran, passed = ts - clock.first_ts, now - clock.first_at
+        # Guards against players that hold their first reports back: what passed is counted from the answer,
+        # before which no report was made, not from when the first one came.
+        ran, passed = ts - clock.first_ts, now - clock.seen.answered_at
         if passed > LONG_ENOUGH and newer and ran > passed * (1 + RUNS) + JUMPS:
             clock.marked = clock.marked or "its clock runs fast or jumps ahead"
         if newer:
@@ -183,66 +226,106 @@
         slow = report.msd is not None and report.msd / 1000 > SLOW_START * seen.join_target
         bits |= BITS["slow"] * slow | BITS["dropped"] * (report.drops >= MANY_DROPS)
         before = clock.windows.get(window, -1)
-        cell = self._cell(window, seen)
-        if before < 0:
-            cell.viewings += 1
+        rung = clock.rungs.setdefault(window, report.rung)
         had = max(0, before)
-        cell.bad += bool(bits) and not had
-        for name, bit in BITS.items():
-            if bits & bit and not had & bit:
-                setattr(cell, name, getattr(cell, name) + 1)
-        if report.msd is not None and report.sn == 0:
-            cell.starts += 1
-            cell.start += report.msd
+        started = report.msd if report.sn == 0 else None
+        for counts in self._counts(window, seen, rung):
+            counts.viewings += before < 0
+            counts.bad += bool(bits) and not had
+            for name, bit in BITS.items():
+                if bits & bit and not had & bit:
+                    setattr(counts, name, getattr(counts, name) + 1)
+            if started is not None:
+                if isinstance(counts, Side):
+                    counts.started(started)
+                else:
+                    counts.starts += 1
+                    counts.start += started
         clock.windows[window] = had | bits
         while len(clock.windows) > 6:
             oldest = min(clock.windows)
-            del clock.windows[oldest]
-            clock.stalls.pop(oldest, None)
+            for held in (clock.windows, clock.rungs, clock.stalls):
+                held.pop(oldest, None)
         self.versions[window] = self.versions.get(window, 0) + 1
-
-    def _cell(self, window: int, seen: Seen) -> Cell:
-        table = self.windows.get(window)
-        if table is None:
-            table = self.windows[window] = {}
+        self.changes += 1
+        self.changed[window] = self.changes
+
+    def _counts(self, window: int, seen: Seen, rung: int) -> Iterator[Cell]:
+        """All that a viewing counts in: its rack and title together, and each group that it is of."""
+        held = self.windows.get(window)
+        if held is None:
+            held = self.windows[window] = Window()
             while len(self.windows) > KEPT:
                 oldest = min(self.windows)
                 del self.windows[oldest], self.versions[oldest]
+                self.changed.pop(oldest, None)
         key = f"{seen.rack}\t{seen.title}"
-        if key not in table and len(table) >= MOST_CELLS:
+        if key not in held.cells and len(held.cells) >= MOST_CELLS:
             key = f"{seen.rack}\t{OTHERS}"
-        return table.setdefault(key, Cell())
+        yield held.cells.setdefault(key, Cell())
+        for kind, name in zip(KINDS, (seen.rack, seen.title, seen.package, str(rung)), strict=True):
+            key = f"{kind}\t{name}"
+            side = held.sides.get(key)
+            if side is None:
+                if len(held.sides) >= MOST_SIDES and kind == "title":
+                    key = f"{kind}\t{OTHERS}"
+                side = held.sides.setdefault(key, Side())
+            yield side
 
     # ---- exchange ------------------------------------------------------------------------------------------
 
-    def summaries(self) -> Iterator[tuple[str, int, int, int, Table]]:
-        """Own tables as they are told to others: source, window, life, version, table."""
-        for window, table in self.windows.items():
-            yield self.source, window, self.life, self.versions.get(window, 0), table
+    def summaries(self, life: int = 0, after: int = 0) -> Iterator[tuple[str, int, int, int, Window]]:
+        """Own windows as they are told to others: source, window, life, version, window. All of them, or to
+        who heard this life's first `after` changes those that changed since."""
+        for window, held in self.windows.items():
+            if life != self.life or self.changed.get(window, 0) > after:
+                yield self.source, window, self.life, self.versions.get(window, 0), held
 
-    def merge(self, source: str, window: int, life: int, version: int, table: Mapping[str, Cell]) -> bool:
-        """Takes another gateway's table if it is newer than what is known; whether it was."""
+    def merge(self, source: str, window: int, life: int, version: int, told: Window) -> bool:
+        """Takes another gateway's window if it is newer than what is known; whether it was."""
         if source == self.source:
             return False
         held = self.others.setdefault(source, {})
         known = held.get(window)
         if known is not None and (life, version) <= known[:2]:
             return False
-        held[window] = life, version, dict(table)
+        held[window] = life, version, told
         while len(held) > KEPT:
             del held[min(held)]
         return True
 
+    def forget(self, before: int) -> None:
+        """Lets go of windows before this one that others told, and of who told no later one: a gateway that
+        left is not remembered for ever."""
+        for source in list(self.others):
+            held = self.others[source]
+            for window in [w for w in held if w < before]:
+                del held[window]
+            if not held:
+                del self.others[source]
+
+    def _within(self, first: int, last: int) -> Iterator[Window]:
+        yield from (held for w, held in self.windows.items() if first <= w < last)
+        for told in self.others.values():
+            yield from (t[2] for w, t in told.items() if first <= w < last)
+
     def total(self, first: int, last: int) -> Table:
         """Counts of all gateways over windows from `first` up to `last`, not included."""
         out: Table = {}
-        tables = [t for w, t in self.windows.items() if first <= w < last]
-        tables += [t[2] for held in self.others.values() for w, t in held.items() if first <= w < last]
-        for table in tables:
-            for key, cell in table.items():
+        for window in self._within(first, last):
+            for key, cell in window.cells.items():
                 out.setdefault(key, Cell()).add(cell)
         return out
 
+    def groups(self, first: int, last: int) -> dict[str, dict[str, Side]]:
+        """The same by kind of group and name, with sketches of start times."""
+        out: dict[str, dict[str, Side]] = {kind: {} for kind in KINDS}
+        for window in self._within(first, last):
+            for key, side in window.sides.items():
+                kind, _, name = key.partition("\t")
+                out.setdefault(kind, {}).setdefault(name, Side()).add(side)
+        return out
+
     # ---- for the file --------------------------------------------------------------------------------------
 
     def frozen(self) -> dict[str, Any]:
@@ -250,7 +333,7 @@
         return {
             "source": self.source, "life": self.life, "windows": self.windows, "versions": self.versions,
             "others": self.others, "counts": self.counts, "remembered": self._remembered,
-            "doubles": [f.save_bytes() for f in self._doubles],
+            "doubles": [f.save_bytes() for f in self._doubles], "form": FORM,
             "clocks": {name: clock for name, clock in self.clocks.items()},
         }  # fmt: skip
 
@@ -258,6 +341,8 @@
     def thawed(cls, held: Any, life: int) -> "Tally":
         """What was kept, in a new life: own tables are told anew under it and replace what others hold."""
         data = msgspec.convert(held, _Kept)
+        if data.form != FORM:
+            raise ValueError(f"form {data.form}, this program writes {FORM}")
         tally = cls(data.source, max(life, data.life + 1))
         tally.windows, tally.versions, tally.others = data.windows, data.versions, data.others
         tally.counts, tally._remembered = data.counts, data.remembered
@@ -268,11 +353,12 @@
 
 
 class _Kept(msgspec.Struct):
+    form: int
     source: str
     life: int
-    windows: dict[int, Table]
+    windows: dict[int, Window]
     versions: dict[int, int]
-    others: dict[str, dict[int, tuple[int, int, Table]]]
+    others: dict[str, dict[int, tuple[int, int, Window]]]
     counts: Counts
     remembered: int
     doubles: list[bytes]
--- a/ledgehitch/rehearsal/plan.py
+++ b/ledgehitch/rehearsal/plan.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ledgehitch.config import BadInput, Day, Fault, Site
+from ledgehitch.config import KINDS, BadInput, Day, Fault, Site
 from ledgehitch.config.site import check
 
 LADDER = [(150.0, 0.25), (300.0, 0.5), (600.0, 0.75), (1200.0, 1.0)]  # kB a second, part of the value
@@ -112,6 +112,6 @@
         elif fault.kind == "gateways_still":
             for name in met:
                 steps += [Step(fault.at, "still", name), Step(fault.at + fault.len, "go_on", name)]
-        elif fault.kind not in ("burst", "crowd"):
+        elif KINDS[fault.kind].whom != "viewers":
             steps.append(Step(fault.at, "fault", fault=fault))
     return sorted(steps, key=lambda s: s.at)
--- a/ledgehitch/rehearsal/play.py
+++ b/ledgehitch/rehearsal/play.py
@@ -17,6 +17,7 @@
 import structlog
 
 from ledgehitch.config import BadInput, Day, Fault, Site
+from ledgehitch.gateway.reports import EXCHANGED_EVERY
 from ledgehitch.http import Client, ConnectFailed, Interrupted
 from ledgehitch.loop import Child, Loop, TimedOut
 from ledgehitch.proof.check import Breach, figures_of, judged_tape
@@ -43,6 +44,7 @@
     faults: list[dict[str, Any]] = field(default_factory=list)
     gateways: dict[str, Any] = field(default_factory=dict)
     exits: dict[str, int] = field(default_factory=dict)
+    quality: dict[str, Any] = field(default_factory=dict)  # each gateway's report, where players report
     started_at: float = 0.0
     directory: str = ""
 
@@ -52,7 +54,8 @@
             "day": self.day, "seed": self.seed, "kept": not self.breaches, "breaches": rules,
             "first_breaches": [b.told(self.started_at) for b in self.breaches[:10]], "tape": self.tape,
             "service": {k: v for k, v in self.service.items() if k != "by_second"}, "faults": self.faults,
-            "gateways": self.gateways, "exits": self.exits, "directory": self.directory,
+            "gateways": self.gateways, "verdicts": {g: r["verdict"]["word"] for g, r in self.quality.items()},
+            "exits": self.exits, "directory": self.directory,
             "figures_come_from": "simulated peers on loopback",
         }  # fmt: skip
 
@@ -192,6 +195,11 @@
         except (TimedOut, ConnectFailed, Interrupted, ValueError):
             return None
 
+    def quality_of(self, gateway: str) -> Any:
+        at = next(g.at for g in self.site.gateways if g.name == gateway)
+        with self.loop.deadline(5.0):
+            return json.loads(self.client.request(at, "GET", "/quality/report").body)
+
     def end(self) -> dict[str, int]:
         """Ends all processes, ours and by their numbers; their exit codes."""
         self.client.close()
@@ -245,6 +253,9 @@
         if code == 0:
             result.service = json.loads((directory / "service.json").read_text())
         result.gateways = {g.name: stage.state_of(g.name) for g in stage.site.gateways}
+        if day.reporting.every:
+            loop.sleep(EXCHANGED_EVERY + 1.0)
+            result.quality = {g.name: stage.quality_of(g.name) for g in stage.site.gateways}
     finally:
         result.exits = stage.end()
     _before_and_after(result)
--- a/ledgehitch/standins/arrivals.py
+++ b/ledgehitch/standins/arrivals.py
@@ -51,13 +51,19 @@
     return min(site.titles, key=lambda title: (site.titles[title].spread, title))
 
 
+def by_want(site: Site, chance: random.Random) -> list[str]:
+    """Titles in the order in which they are wanted, most wanted first."""
+    titles = sorted(site.titles)
+    chance.shuffle(titles)
+    return titles
+
+
 def visits(day: Day, site: Site, seed: int) -> Iterator[Visit]:
     """The viewers in the order in which they come; the same for the same seed."""
     chance = random.Random(f"{seed}/arrivals")
     a = day.arrivals
-    titles = sorted(site.titles)
+    titles = by_want(site, chance)
     weights = [1 / (rank + 1) ** a.zipf for rank in range(len(titles))]
-    chance.shuffle(titles)
     few = fewest_held(site)
     tops = {p.name: min(p.top, len(site.ladder) - 1) for p in site.packages}
     patience = {p.name: p.patience for p in site.packages}
--- a/ledgehitch/standins/viewers.py
+++ b/ledgehitch/standins/viewers.py
@@ -1,20 +1,22 @@
 """Viewers' stand-in: they ask, wait, watch, come again and leave; what they got is the day's service."""
 
+import json
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
 from ledgehitch.config import Day, Site
-from ledgehitch.http import ConnectFailed, Response
+from ledgehitch.http import Client, ConnectFailed, Interrupted, Response
 from ledgehitch.http.parse import ResponseReader
 from ledgehitch.loop import Datagrams, Endpoint, Event, Loop, Stream, TimedOut, connect, endpoint
 from ledgehitch.proof.tape import Tape
-from ledgehitch.standins.arrivals import Visit, picked, visits
+from ledgehitch.standins.arrivals import Visit, by_want, picked, visits
+from ledgehitch.standins.players import Made, Player, faulty_of
 
 SIGN = 1.0  # seconds between a viewer's signs to what plays
 NO_MEDIA = 3.0  # seconds without media after which a viewing counts as broken
@@ -123,6 +125,14 @@
         self.media = Datagrams(loop, endpoint("127.0.0.1:0"))
         self.signs: dict[str, Callable[[str], None]] = {}
         self.started = 0.0
+        self.reporting = day.reporting
+        self.made = Made()
+        wanted = by_want(site, random.Random(f"{seed}/arrivals"))
+        self.faulty = faulty_of(day, site, wanted, seed)
+        self.racks = {h.name: str(h.cell % max(1, site.fleet.racks)) for h in site.hosts}
+        self.client = Client(loop)
+        self._telling = 0  # batches of reports on their way
+        self.took: dict[int, float] = {}  # from asking to the answer, by the viewer's number
         self._conns = 0
         self._left = 0
         self._home: Any = None
@@ -154,8 +164,15 @@
                     done.wait()
         except TimedOut:
             pass
+        self._tell_the_last()
         return self.service
 
+    def _tell_the_last(self) -> None:
+        """Reports that are on their way late are part of the day."""
+        ends = time.monotonic() + self.reporting.copies * self.reporting.late + 2.0
+        while self._telling and time.monotonic() < ends:
+            self.loop.sleep(0.1)
+
     # ---- one viewer ----------------------------------------------------------------------------------------
 
     def _visit(self, v: Visit, finished: Callable[[], None]) -> None:
@@ -175,6 +192,7 @@
                 self._book_lost(v, wanted_then, tried_at)
                 self.service.answers[got.kind] = self.service.answers.get(got.kind, 0) + 1
                 if got.kind == "plays" and got.response is not None:
+                    self.took[v.number] = time.monotonic() - tried_at
                     if in_time is None:
                         joined = time.monotonic() - first
                         in_time = joined <= package.join_target
@@ -314,6 +332,8 @@
                 last[0], last[1], last[2] = time.monotonic(), float(parts[1]), float(parts[2])
 
         self.signs[ufrag] = heard
+        player = self._player(v, ufrag, response) if self.reporting.every else None
+        told_at = last[0]
         content = True
         try:
             while (now := time.monotonic()) < end:
@@ -322,6 +342,12 @@
                 spent = time.monotonic() - now
                 share = last[1] if time.monotonic() - last[0] < 1.5 * SIGN else 0.0
                 self._book(v, now, spent, share, int(last[2]), in_time)
+                if player is not None:
+                    player.played(spent, share, int(last[2]))
+                    if now + spent - told_at >= self.reporting.every or player.sn == 0:
+                        player.report(now + spent - self.started, now + spent - told_at, self.faulty)
+                        told_at = now + spent
+                        self._tell(player, response, place)
                 if last[3] or time.monotonic() - last[0] > NO_MEDIA:
                     content = False
                     break
@@ -334,6 +360,50 @@
         self.loop.spawn(self._delete, location, place, name="leave", owner=self._home)
         return content
 
+    def _player(self, v: Visit, ufrag: str, response: Response) -> Player:
+        chance = random.Random(f"{self.seed}/{v.number}/player")
+        now = time.monotonic() - self.started
+        return Player(
+            self.racks.get(ufrag.partition("+")[0], "?"), v.title, now, self.took.pop(v.number, 0.0), chance,
+             chance.random() < self.reporting.lying, chance.uniform(0, 1e6),
+        )  # fmt: skip
+
+    def _tell(self, player: Player, response: Response, place: float) -> None:
+        """Sends what the player has kept, late and in copies as the day says, in a task of its own."""
+        _, at = self.gateways[picked(place, self.lean)]
+        batch, player.kept = player.kept, []
+        token = response.header("report-token") or ""
+        path = f"{response.header('location')}/reports"
+        fields = [("Authorization", f"Bearer {token}"), ("Content-Type", "application/json")]
+        self.made.reports += 1
+        self._telling += 1
+
+        def tell() -> None:
+            try:
+                for copy in range(self.reporting.copies):
+                    self.loop.sleep(player.chance.uniform(0.0, self.reporting.late))
+                    self.made.sent += len(batch)
+                    status, became = self._post(str(at), path, fields, json.dumps(batch).encode())
+                    self.made.heard(status, became, batch, player)
+                    if status == 0 and copy == 0:
+                        player.kept = batch + player.kept
+                        return
+            finally:
+                self._telling -= 1
+
+        self.loop.spawn(tell, name="report", owner=self._home)
+
+    def _post(
+        self, at: str, path: str, fields: list[tuple[str, str]], body: bytes
+    ) -> tuple[int, dict[str, int]]:
+        """The answer's status, 0 for none, and what became of the reports."""
+        try:
+            with self.loop.deadline(2.0):
+                answer = self.client.request(at, "POST", path, fields, body)
+        except (OSError, TimedOut, ConnectFailed, Interrupted, ValueError):
+            return 0, {}
+        return answer.status, json.loads(answer.body) if answer.status == 200 else {}
+
     def _book(self, v: Visit, now: float, spent: float, share: float, rung: int, in_time: bool) -> None:
         s = self.service
         s.watched_seconds += spent
@@ -385,7 +455,11 @@
     loop = Loop()
     tape = Tape(tape_path)
     try:
-        service: Service = loop.run(lambda: Viewers(loop, site, day, seed, tape).run())
+        viewers = Viewers(loop, site, day, seed, tape)
+        service: Service = loop.run(viewers.run)
     finally:
         tape.close()
-    return service.told()
+    told = service.told()
+    if day.reporting.every:
+        told["players"] = {**asdict(viewers.made), "faulty": [asdict(f) for f in viewers.faulty]}
+    return told
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -449,6 +449,11 @@
     assert changes(a, a) == []
     found_ = changes(a, b, {"other": 12})
     assert applied(a, found_) == {".".join(p): v for p, v in leaves(b)}
+    # A rack that is only called otherwise stands where it stood: nothing waits for a restart, nothing moves.
+    c = {**a, "racks": {"east" if name == "b" else name: rack for name, rack in a["racks"].items()}}
+    renamed = changes(a, c)
+    assert {r.path.split(".")[1] for r in renamed} == {"b", "east"}
+    assert {(r.effect, r.risk) for r in renamed} == {("at once", "")}
     by_path = {c.path: c for c in found_}
     assert by_path["terms.warm_up"].effect == "restart" and "rule 4" in by_path["terms.warm_up"].risk
     assert by_path["routes.easter.titles.1"].effect == "new viewings"
--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from benchmarks.worlds import each_alone, ours, scored, world
+from ledgehitch.config import read_day
 from ledgehitch.gateway.reports import Reports
 from ledgehitch.http import Response
 from ledgehitch.loop import Loop, connect, endpoint
@@ -21,7 +22,8 @@
 from ledgehitch.quality.limits import BURST, Limits
 from ledgehitch.quality.page import page
 from ledgehitch.quality.passes import OVERLAP, VALID, BadPass, Passes
-from ledgehitch.quality.tally import ALLOWANCE, MOST_VIEWINGS, OTHERS, WINDOW, Cell, Seen, Tally
+from ledgehitch.quality.tally import ALLOWANCE, MOST_VIEWINGS, OTHERS, WINDOW, Cell, Seen, Side, Tally, Window
+from ledgehitch.rehearsal.play import rehearse
 from tests.rig import Rig, answer, request
 
 T = 100_000.0
@@ -30,7 +32,7 @@
 def tally(source: str = "g0", life: int = 1) -> Tally:
     t = Tally(source, life)
     for n in range(4):
-        t.admitted(f"v{n}", Seen(f"r{n % 2}", f"t{n}", T - 0.1, T))
+        t.admitted(f"v{n}", Seen(f"r{n % 2}", f"t{n}", T - 0.1, T, package=f"p{n % 3}"))
     return t
 
 
@@ -39,7 +41,7 @@
 
 
 def plain(t: Tally) -> Any:
-    return msgspec.to_builtins(t.total(0, 10**9))
+    return msgspec.to_builtins([t.total(0, 10**9), t.groups(0, 10**9)])
 
 
 def test_a_batch_counts_its_good_reports_and_names_the_bad_ones() -> None:
@@ -75,7 +77,7 @@
     t = tally()
     t.reported(T + 1.0, "v0", report(0, T + 1.0))
     assert t.reported(T + 1.0 + ALLOWANCE, "v0", report(1, T + 2.0, bsd=[900])) == "taken"
-    assert t.windows[int(T // WINDOW)]["r0\tt0"].stalled == 1, "in the window in which it was made"
+    assert t.windows[int(T // WINDOW)].cells["r0\tt0"].stalled == 1, "in the window in which it was made"
     assert t.reported(T + 50, "v0", report(2, T + 3.0, bsd=[900])) == "late"
     assert t.counts.late == 1 and t.reported(T, "nobody", report(0, T)) == "unknown"
 
@@ -100,7 +102,17 @@
         for n in range(30)
     ]
     assert (words[-1] == marked) if marked else set(words) == {"taken"}
-    assert sum(c.bad for w in t.windows.values() for c in w.values()) == 0
+    assert sum(c.bad for w in t.windows.values() for c in w.cells.values()) == 0
+
+
+def test_a_player_that_holds_its_first_reports_back_is_not_marked() -> None:
+    t = tally()
+    for batch in range(4):
+        for n in range(20):
+            sn = 20 * batch + n
+            now = T + 20 * (batch + 1)
+            assert t.reported(now, "v0", report(sn, 500 + sn, bsd=[200])) in ("taken", "late")
+    assert t.counts.marked == {} and t.counts.taken > 60
 
 
 def test_what_cannot_have_happened_is_marked_and_a_flood_of_stalls_is_one_bad_viewing() -> None:
@@ -109,20 +121,23 @@
     assert t.reported(T + 1, "v1", report(0, 5, msd=9_000)) == "it started before it asked"
     for n in range(100):
         t.reported(T + 1 + n / 50, "v2", report(n, 5 + n / 50, bsd=[900]))
-    cell = t.windows[int(T // WINDOW)]["r0\tt2"]
+    cell = t.windows[int(T // WINDOW)].cells["r0\tt2"]
     assert (cell.viewings, cell.bad, cell.stalled) == (1, 1, 1)
 
 
 def test_memory_is_bounded_by_viewings_and_titles(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("ledgehitch.quality.tally.MOST_VIEWINGS", 500)
     monkeypatch.setattr("ledgehitch.quality.tally.MOST_CELLS", 200)
+    monkeypatch.setattr("ledgehitch.quality.tally.MOST_SIDES", 100)
     t = Tally("g0", 1)
     for n in range(3000):
         t.admitted(f"v{n}", Seen("r0", f"t{n}", T, T))
         t.reported(T + 1, f"v{n}", report(0, 1))
     assert len(t.clocks) == 500 and MOST_VIEWINGS > 500
-    table = t.windows[int((T + 1) // WINDOW)]
+    table = t.windows[int((T + 1) // WINDOW)].cells
     assert len(table) == 201 and table[f"r0\t{OTHERS}"].viewings == 2800
+    sides = t.windows[int((T + 1) // WINDOW)].sides
+    assert len(sides) <= 104 and sum(s.viewings for k, s in sides.items() if k.startswith("title")) == 3000
     for n in range(200):
         t.admitted("x", Seen("r0", "t", T + 10 * n, T + 10 * n))
         t.reported(T + 10 * n + 1, "x", report(n, n * 10))
@@ -138,7 +153,8 @@
     for n in range(40):
         name, viewing = chance.choice("abc"), f"v{chance.randrange(4)}"
         at = T + n * 0.9
-        one = report(n, at, bsd=[500] if chance.random() < 0.3 else [])
+        one = report(n, at, bsd=[500] if chance.random() < 0.3 else [], rung=chance.randrange(3),
+                     msd=chance.randrange(50, 500) if n == 0 else None)  # fmt: skip
         raw.append((name, viewing, one, at))
         sources[name].reported(at, viewing, one)
         if chance.random() < 0.4:
@@ -150,7 +166,7 @@
         chance.shuffle(told)
         reader = Tally("reader", 1)
         for source, window, life, version, table in [*told, *told[:7]]:
-            reader.merge(source, window, life, version, msgspec.convert(table, dict[str, Cell]))
+            reader.merge(source, window, life, version, msgspec.convert(table, Window, strict=False))
         assert whole is None or plain(reader) == whole
         whole = plain(reader)
     counted: dict[str, set[tuple[str, str, int]]] = {}
@@ -158,7 +174,12 @@
         key = f"r{int(viewing[1]) % 2}\tt{viewing[1]}"
         counted.setdefault(key, set()).add((name, viewing, int(at // WINDOW)))
     assert whole is not None
-    assert {k: c["viewings"] for k, c in whole.items()} == {k: len(v) for k, v in counted.items()}
+    assert {k: c["viewings"] for k, c in whole[0].items()} == {k: len(v) for k, v in counted.items()}
+    by_kind = {kind: sum(s["viewings"] for s in sides.values()) for kind, sides in whole[1].items()}
+    assert set(by_kind.values()) == {sum(len(v) for v in counted.values())}
+    for kind, place in (("rack", 0), ("title", 1)):
+        for name, side in whole[1][kind].items():
+            assert side["viewings"] == sum(len(v) for k, v in counted.items() if k.split("\t")[place] == name)
 
 
 def test_a_restart_in_mid_window_counts_nothing_twice_and_replaces_what_others_hold() -> None:
@@ -179,7 +200,45 @@
         assert other.merge(*one)
     for one in t.summaries():
         assert not other.merge(*one), "an old summary after a new one"
-    assert plain(other) == plain(again) and plain(again)["r1\tt1"]["viewings"] == 1
+    assert plain(other) == plain(again) and plain(again)[0]["r1\tt1"]["viewings"] == 1
+
+
+def test_start_times_are_kept_to_five_per_cent_by_every_kind_of_group_and_merge_as_one() -> None:
+    here, there = tally("g0"), tally("g1")
+    times = [int(40 * 1.5**n) for n in range(20)]
+    for n, ms in enumerate(times):
+        t = (here, there)[n % 2]
+        t.admitted(f"x{n}", Seen("r1", "clip", T - 200_000, T, package="live"))
+        t.reported(T + 1, f"x{n}", report(0, T, msd=ms, rung=2))
+    for one in there.summaries():
+        here.merge(*one)
+    for kind, name in (("rack", "r1"), ("title", "clip"), ("package", "live"), ("rung", "2")):
+        side = here.groups(0, 10**9)[kind][name]
+        for share, due in ((0.0, times[0]), (0.5, times[9]), (1.0, times[-1])):
+            assert side.start_at(share) == pytest.approx(due, rel=0.06)
+    assert Side().start_at(0.5) is None
+
+
+def test_others_are_told_what_changed_since_their_mark_and_everything_after_a_restart() -> None:
+    t = tally()
+    t.reported(T, "v0", report(0, T))
+    t.reported(T + 20, "v1", report(0, T + 20))
+    assert len(list(t.summaries())) == 2 and len(list(t.summaries(t.life, 2))) == 0
+    (changed,) = t.summaries(t.life, 1)
+    assert changed[1] == int((T + 20) // WINDOW)
+    again = Tally.thawed(msgspec.msgpack.decode(msgspec.msgpack.encode(t.frozen())), 1)
+    assert len(list(again.summaries(t.life, 2))) == 2, "a mark of the life before says nothing now"
+
+
+def test_a_gateway_that_left_is_let_go_when_its_windows_are_too_old() -> None:
+    left, reader = tally("gone"), Tally("reader", 1)
+    left.reported(T, "v0", report(0, T))
+    for one in left.summaries():
+        reader.merge(*one)
+    reader.forget(int(T // WINDOW))
+    assert set(reader.others) == {"gone"}
+    reader.forget(int(T // WINDOW) + 1)
+    assert reader.others == {}
 
 
 def test_a_kill_at_any_byte_leaves_the_snapshot_before(tmp_path: Path) -> None:
@@ -213,6 +272,9 @@
     passes = Passes(bytes(32), T)
     token = passes.issue(T, "v1")
     passes.check(T + 1, token, "v1")
+    after_restart = Passes(bytes(range(1, 33)), T + 2)
+    after_restart.thawed(msgspec.msgpack.decode(msgspec.msgpack.encode(passes.frozen())), T + 2)
+    after_restart.check(T + 2, token, "v1")
     passes.rotate(bytes(range(32)), T + 10)
     passes.check(T + 11, token, "v1")
     passes.check(T + 11, passes.issue(T + 11, "v2"), "v2")
@@ -316,7 +378,7 @@
             assert plays.status == 201
             vw = max(rig.gateway.carrier.viewings)
             rack = rig.gateway.rack_of(rig.gateway.carrier.viewings[vw].host)
-            faulty = (rack == "rack-1") * 3 + (title == titles[1]) * 3
+            faulty = (rack == "1") * 3 + (title == titles[1]) * 3
             stalls = [400] if n % 10 < faulty else []
             rig.loop.sleep(0.0)
             # The time that the stall takes has passed for the gateway too.
@@ -334,5 +396,68 @@
         assert "<script" not in shown and "&lt;b&gt;" in page({**report, "gateway": "<b>"})
         tables = json.loads(rig.client.request(rig.at, "GET", "/quality/tables").body)
         assert tables and tables[0]["source"] == "g0"
+        # A reload calls the rack otherwise: what was counted is still its own, under the new name.
+        fleet = msgspec.structs.replace(rig.site.fleet, rack_names=["east", "west", "north"])
+        rig.gateway.place(msgspec.structs.replace(rig.site, fleet=fleet))
+        again = json.loads(rig.client.request(rig.at, "GET", "/quality/report").body)
+        assert {(c["kind"], c["name"]) for c in again["verdict"]["culprits"]} == {
+            ("rack", "west"), ("title", titles[1])}  # fmt: skip
+        assert again["groups"]["rack"]["west"] == report["groups"]["rack"]["rack-1"]
+        assert (
+            set(again["groups"]["package"]) == {"recorded"} and again["groups"]["rung"]["0"]["viewings"] > 300
+        )
+        # A rack whose viewings play and say nothing is named.
+        rig.gateway.reports.playing = lambda: {"1": 40, "2": 3, "7": 40}
+        silent = json.loads(rig.client.request(rig.at, "GET", "/quality/report").body)
+        assert silent["verdict"]["unclear"] == ["rack rack-7 sent no report"]
 
     Rig(hosts=6, fleet={"racks": 3}).run(day)
+
+
+def played(day: str, tmp_path: Path) -> Any:
+    return rehearse(read_day(Path(__file__).parent.parent / "days" / day), 1, tmp_path / "day")
+
+
+def counted_starts(report: Any) -> dict[str, dict[str, int]]:
+    return {k: {n: g["starts"] for n, g in report["groups"][k].items()} for k in ("rack", "title")}
+
+
+def plain_starts(made: Any) -> dict[str, dict[str, int]]:
+    out: dict[str, dict[str, int]] = {"rack": {}, "title": {}}
+    for key, n in made["starts"].items():
+        rack, _, title = key.partition("\t")
+        out["rack"][f"rack-{rack}"] = out["rack"].get(f"rack-{rack}", 0) + n
+        out["title"][title] = out["title"].get(title, 0) + n
+    return out
+
+
+def test_players_of_a_day_report_twice_and_late_and_the_faulty_rack_and_title_are_named(
+    tmp_path: Path,
+) -> None:
+    day = played("quality.lh", tmp_path)
+    made = day.service["players"]
+    assert not day.breaches and made["became"] == {"taken": made["reports"], "double": made["reports"]}
+    true = {(f["kind"], f"rack-{f['name']}" if f["kind"] == "rack" else f["name"]) for f in made["faulty"]}
+    assert len(true) == 2 and made["reports"] > 1000
+    for report in day.quality.values():
+        assert {(c["kind"], c["name"]) for c in report["verdict"]["culprits"]} == true, report["verdict"][
+            "word"
+        ]
+        assert counted_starts(report) == plain_starts(made), "each gateway counts for all, each start once"
+    counts = [report["counts"] for report in day.quality.values()]
+    assert sum(c["taken"] for c in counts) == sum(c["doubles"] for c in counts) == made["reports"]
+
+
+def test_a_gateway_killed_while_players_report_counts_nothing_twice(tmp_path: Path) -> None:
+    day = played("quality-restart.lh", tmp_path)
+    made = day.service["players"]
+    assert not day.breaches and len([f for f in day.faults if f["kind"] == "kill"]) == 2
+    told = [counted_starts(report) for report in day.quality.values()]
+    assert told[0] == told[1], "both gateways count the same"
+    plain, taken = plain_starts(made), sum(r["counts"]["taken"] for r in day.quality.values())
+    for kind, names in told[0].items():
+        assert all(n <= plain[kind][name] for name, n in names.items())
+    assert 0.5 * made["became"]["taken"] < taken <= made["became"]["taken"]
+    assert set(made["statuses"]) <= {"200"}, "tokens of before the kill are good after it"
+    for kept in (tmp_path / "day" / "state").glob("*.passes.*"):
+        assert kept.stat().st_mode & 0o077 == 0, "nobody else reads the keys"
