A fleet in virtual time; reports taken by a process beside the gateway; shared faults and viewers

Taking reports on the gateway's core cost set-ups their time: 20,000 reports a second filled it. Tokens now carry what the gateway saw, so that a process beside it (reports_at, ledgehitch reports) takes reports, and a restart of either loses nothing that was answered. The collector's pauses grew to 40 ms with the viewings held; smaller steps keep them at 10 ms.

--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -15,6 +15,7 @@
 COMMANDS = {
     "up": ("run", "up"),
     "serve": ("run", "serve_command"),
+    "reports": ("run", "reports_command"),
     "standin": ("standins", "standin"),
     "rehearse": ("days", "rehearse_command"),
     "check-tape": ("days", "check_tape"),
--- a/ledgehitch/cli/run.py
+++ b/ledgehitch/cli/run.py
@@ -6,6 +6,7 @@
 import click
 
 from ledgehitch.config import BadInput, facts_of
+from ledgehitch.gateway.beside import take_reports
 from ledgehitch.gateway.serve import say_ready, serve
 from ledgehitch.gateway.versions import checked, first_version
 from ledgehitch.rehearsal.up import run_up
@@ -43,3 +44,13 @@
     except BadInput as wrong:
         raise BadInput(f"{site_file}: {wrong}") from None
     sys.exit(serve(site, name, seed, state, record, say_ready, (site_file, first, kept)))
+
+
+@click.command("reports")
+@click.option("--site", "site_file", type=click.Path(path_type=Path), required=True)
+@click.option("--gateway", "name", default=None, help="Whose players; the site's first if left out.")
+@click.option("--state", type=click.Path(path_type=Path), required=True, help="The gateway's own: its keys "
+              "lie there.")  # fmt: skip
+def reports_command(site_file: Path, name: str | None, state: Path) -> None:
+    """Takes the players' reports of a gateway in a process beside it (`reports_at` of the gateway)."""
+    sys.exit(take_reports(site_file, name, state))
--- a/ledgehitch/cli/standins.py
+++ b/ledgehitch/cli/standins.py
@@ -14,7 +14,7 @@
 from ledgehitch.http import Client, ConnectFailed, Interrupted
 from ledgehitch.loop import Event, Loop, TimedOut, endpoint
 from ledgehitch.proof.tape import Tape
-from ledgehitch.standins.media import Habits
+from ledgehitch.standins.places import Habits
 from ledgehitch.standins.viewers import play
 from ledgehitch.standins.world import World
 
--- a/ledgehitch/config/day.py
+++ b/ledgehitch/config/day.py
@@ -121,6 +121,7 @@
     copies: Annotated[int, msgspec.Meta(ge=1, le=20)] = 1  # of each report that are sent
     late: Amount = 0.0  # seconds by which each is sent late, by chance up to it
     lying: Share = 0.0  # players that invent stalls
+    beside: bool = False  # a process beside each gateway takes them
 
 
 class Shape(Record, kw_only=True, frozen=True):
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -89,6 +89,7 @@
     zone: str = ""
     peer_at: str = ""  # where it hears other gateways
     peer_via: str = ""  # where others send to reach it, if not there
+    reports_at: str = ""  # where `ledgehitch reports` takes players' reports; empty: the gateway does
 
 
 class HostRecord(Record, kw_only=True, frozen=True):
--- a/ledgehitch/gateway/front.py
+++ b/ledgehitch/gateway/front.py
@@ -18,7 +18,7 @@
 from blake3 import blake3
 
 from ledgehitch.gateway.carry import LAYER, Carrier, Viewing
-from ledgehitch.gateway.reports import RELATION, Reports
+from ledgehitch.gateway.reports import RELATION, Reports, Tokens
 from ledgehitch.http import Feed, NoAnswer, Refused, Request, Response, problem
 from ledgehitch.http.events import event
 from ledgehitch.interface import Package
@@ -47,7 +47,10 @@
         self.loop, self.carrier = loop, carrier
         self.packages, self.titles, self.rates, self.state = packages, titles, rates, state
         self.draining = False
-        self.reports: Reports | None = None
+        self.reports: Reports | None = None  # where they are taken in this process
+        self.reports_at = ""  # http://ADDRESS where they are taken in a process beside
+        self.tokens: Tokens | None = None
+        self.playing: Callable[[], dict[str, int]] = dict  # viewings that play now, by rack
         self.rack_of: Callable[[str], str] = lambda host: ""
         self._conns = itertools.count(1)
         self._vws = itertools.count(1)
@@ -65,15 +68,14 @@
                 self._only(request, "POST")
                 self._viewing(resource)
                 raise Refused(409, "the gateway sets the rate of this viewing; ask with ?top=N for less")
-            case ["viewings", resource, "reports"] if self.reports is not None:
-                self._only(request, "POST")
-                return self.reports.post(request, resource)
-            case ["quality", "tables"] if self.reports is not None:
-                self._only(request, "GET")
-                return self.reports.tables(request.query("mark") or "")
-            case ["quality", "report"] if self.reports is not None:
+            case ["viewings", _, "reports"] | ["quality", "tables" | "report"] if self.reports_at:
+                there = f"{self.reports_at}{request.target}"
+                raise Refused(307, "reports are taken beside", [("Location", there)])
+            case ["viewings", _, "reports"] | ["quality", "tables" | "report"] if self.reports is not None:
+                return self.reports.handle(request)
+            case ["quality", "playing"]:
                 self._only(request, "GET")
-                return self.reports.report()
+                return _json(200, self.playing())
             case ["health"]:
                 self._only(request, "GET", "HEAD")
                 return _json(200, {"serves": not self.draining})
@@ -173,13 +175,13 @@
                 *_cors(),
             ]
             playing = self.carrier.viewings.get(vw)
-            if self.reports is not None and playing is not None:
+            if self.tokens is not None and playing is not None:
                 took = self.loop.now - playing.asked_at
                 rack, target = self.rack_of(playing.host), playing.package.join_target
-                token = self.reports.admitted(
-                    entry.resource, rack, playing.title, took, target, playing.package.name
-                )
-                fields += [("Link", f'<{at}/reports>; rel="{RELATION}"'), ("Report-Token", token)]
+                package = playing.package.name
+                token = self.tokens.admitted(entry.resource, rack, playing.title, took, target, package)
+                there = f"{self.reports_at}{at}/reports"
+                fields += [("Link", f'<{there}>; rel="{RELATION}"'), ("Report-Token", token)]
             response = Response(201, fields, settled.answer.encode())
         elif settled.kind == "blocked":
             fields = [("Retry-After", str(math.ceil(settled.advice)))] if settled.advice > 0 else []
--- a/ledgehitch/gateway/reports.py
+++ b/ledgehitch/gateway/reports.py
@@ -1,4 +1,8 @@
-"""Players' reports at the gateway: taken in, counted, exchanged with others, kept, judged now and then."""
+"""Players' reports: taken in, counted, exchanged with others, kept, judged now and then.
+
+`Tokens` is the gateway's part: who plays may report. `Reports` runs in the gateway's process, or where the
+site names `reports_at` in a process of its own beside it, so that set-ups do not wait for it.
+"""
 
 import json
 import math
@@ -15,12 +19,12 @@
 from ledgehitch.http import Client, ConnectFailed, Interrupted, Refused, Request, Response, problem
 from ledgehitch.loop import Loop, TimedOut, forked
 from ledgehitch.loop.kernel import void
-from ledgehitch.quality.facts import reports_in
+from ledgehitch.quality.facts import Seen, reports_in
 from ledgehitch.quality.judge import FEW, Judge, Verdict, look
 from ledgehitch.quality.keep import Keep
 from ledgehitch.quality.limits import Limits
 from ledgehitch.quality.passes import BadPass, Passes
-from ledgehitch.quality.tally import KEPT, WINDOW, Cell, Seen, Side, Tally, Window
+from ledgehitch.quality.tally import KEPT, WINDOW, Cell, Side, Tally, Window
 
 KEPT_EVERY = 2.0  # seconds of counts that a kill may lose at most
 EXCHANGED_EVERY = 5.0
@@ -28,6 +32,7 @@
 JUDGED_EVERY = WINDOW
 JUDGED_OVER = 6  # windows that a look goes over
 ROTATED_EVERY = 12 * 3600.0  # seconds that one key signs tokens
+KEYS_AGAIN = 0.5  # seconds between two looks at a gateway's key file for a token that it does not know
 RELATION = "urn:ledgehitch:reports"
 MARK = "Quality-Mark"  # life and changes up to which the tables of an answer go
 log = structlog.get_logger("quality")
@@ -43,14 +48,65 @@
     counts: Window
 
 
-class Reports:
-    def __init__(self, loop: Loop, name: str, others: dict[str, str], state_dir: Path | None) -> None:
-        """`others`: addresses of the other gateways by name."""
-        self.loop, self.name, self.others = loop, name, others
-        self.keep = Keep(state_dir / f"{name}.quality") if state_dir is not None else None
+class Tokens:
+    """The keys of one gateway, kept for its next life and for the process that takes its reports."""
+
+    def __init__(self, name: str, state_dir: Path | None) -> None:
         self.keys = Keep(state_dir / f"{name}.passes", private=True) if state_dir is not None else None
         self.passes = Passes(secrets.token_bytes(32), time.time())
-        self._keys_from_file()
+        self.read()
+        self._keep()
+
+    def _keep(self) -> None:
+        if self.keys is not None:
+            self.keys.write(self.passes.frozen())
+
+    def read(self) -> None:
+        held = self.keys.read() if self.keys is not None else None
+        try:
+            if held is not None:
+                self.passes.thawed(held, time.time())
+        except msgspec.MsgspecError as wrong:
+            log.error("the kept keys do not read, tokens of before are refused", why=str(wrong))
+
+    def admitted(self, resource: str, rack: str, title: str, asked_ago: float, join_target: float,
+                 package: str) -> str:  # fmt: skip
+        """A viewing plays: its players may report from now on. Gives the token that they report with."""
+        now = time.time()
+        if now - self.passes.keys[-1].since > ROTATED_EVERY:
+            self.passes.rotate(secrets.token_bytes(32), now)
+            self._keep()
+        return self.passes.issue(now, resource, Seen(rack, title, now - asked_ago, now, join_target, package))
+
+
+class KeysOf:
+    """The keys of a gateway that runs in another process: read from its file, anew where one is refused."""
+
+    def __init__(self, name: str, state_dir: Path) -> None:
+        self.path, self.passes = state_dir / f"{name}.passes", Passes(secrets.token_bytes(32), 0.0)
+        self.passes.keys = []
+        self._read_at = -1e9
+
+    def check(self, now: float, token: str, resource: str) -> Seen | None:
+        try:
+            return self.passes.check(now, token, resource)
+        except BadPass:
+            if now - self._read_at < KEYS_AGAIN:
+                raise
+            self._read_at = now
+            held = Keep(self.path).read()
+            if held is not None:
+                self.passes.thawed(held, now)
+            return self.passes.check(now, token, resource)
+
+
+class Reports:
+    def __init__(self, loop: Loop, name: str, others: dict[str, str], state_dir: Path | None,
+                 check: Callable[[float, str, str], Seen | None]) -> None:  # fmt: skip
+        """`others`: where the other gateways' reports are taken, by name. `check` (now, token, viewing)
+        raises `BadPass`."""
+        self.loop, self.name, self.others, self.check = loop, name, others, check
+        self.keep = Keep(state_dir / f"{name}.quality") if state_dir is not None else None
         self.limits = Limits(secrets.token_bytes(32))
         self.judge = Judge()
         self.client = Client(loop)
@@ -69,31 +125,31 @@
             log.error("the kept quality does not read, counting starts anew", why=str(wrong))
             return Tally(self.name, life)
 
-    def _keys_from_file(self) -> None:
-        held = self.keys.read() if self.keys is not None else None
-        try:
-            if held is not None:
-                self.passes.thawed(held, time.time())
-        except msgspec.MsgspecError as wrong:
-            log.error("the kept keys do not read, tokens of before are refused", why=str(wrong))
-        if self.keys is not None:
-            self.keys.write(self.passes.frozen())
-
     def start(self) -> None:
         """Spawns the tasks that exchange, keep and judge."""
         self.loop.spawn(self._keep, name="keep quality")
         self.loop.spawn(self._exchange, name="exchange quality")
         self.loop.spawn(self._judge, name="judge quality")
 
-    # ---- viewings ------------------------------------------------------------------------------------------
+    def stop(self) -> None:
+        """Keeps what was counted, for the next start."""
+        self.client.close()
+        if self.keep is not None:
+            self.keep.write(self.tally.frozen())
 
-    def admitted(self, resource: str, rack: str, title: str, asked_ago: float, join_target: float,
-                 package: str) -> str:  # fmt: skip
-        """A viewing plays: its players may report from now on. Gives the token that they report with."""
-        now = time.time()
-        if resource not in self.tally.clocks:
-            self.tally.admitted(resource, Seen(rack, title, now - asked_ago, now, join_target, package))
-        return self.passes.issue(now, resource)
+    # ---- requests ------------------------------------------------------------------------------------------
+
+    def handle(self, request: Request) -> Response:
+        match request.method, request.path.strip("/").split("/"):
+            case "POST", ["viewings", resource, "reports"]:
+                return self.post(request, resource)
+            case "GET", ["quality", "tables"]:
+                return self.tables(request.query("mark") or "")
+            case "GET", ["quality", "report"]:
+                return self.report()
+            case _, ["viewings", _, "reports"] | ["quality", "tables" | "report"]:
+                raise Refused(405, f"{request.method} is not done here")
+        raise Refused(404, f"nothing at {request.path[:100]!r}")
 
     def post(self, request: Request, resource: str) -> Response:
         scheme, _, token = request.headers.get("authorization", "").partition(" ")
@@ -101,7 +157,7 @@
         try:
             if scheme.lower() != "bearer":
                 raise BadPass("a report comes with the token of its viewing's answer")
-            self.passes.check(now, token.strip(), resource)
+            seen = self.check(now, token.strip(), resource)
         except BadPass as why:
             self.refused += 1
             raise Refused(401, f"the token is refused: {why}", [("WWW-Authenticate", "Bearer")]) from None
@@ -116,7 +172,7 @@
             )
         became: dict[str, int] = {}
         for report in sorted(good, key=lambda r: r.sn):
-            word = self.tally.reported(now, resource, report)
+            word = self.tally.reported(now, resource, report, seen)
             became[word] = became.get(word, 0) + 1
         if bad:
             return problem(
@@ -155,10 +211,6 @@
     def _keep(self) -> None:
         while True:
             self.loop.sleep(KEPT_EVERY)
-            if time.time() - self.passes.keys[-1].since > ROTATED_EVERY:
-                self.passes.rotate(secrets.token_bytes(32), time.time())
-                if self.keys is not None:
-                    self.keys.write(self.passes.frozen())
             taken = self.tally.counts.taken + self.tally.counts.doubles
             if self.keep is not None and taken != self._kept_at_counts:
                 self._kept_at_counts = taken
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -25,7 +25,7 @@
 from ledgehitch.gateway.mind import Mind
 from ledgehitch.gateway.peers import Peers
 from ledgehitch.gateway.record import Recorder
-from ledgehitch.gateway.reports import Reports
+from ledgehitch.gateway.reports import Reports, Tokens
 from ledgehitch.gateway.versions import Compiled, Versions
 from ledgehitch.gateway.watch import Watch
 from ledgehitch.http import Limits, Server
@@ -81,12 +81,20 @@
         titles = {title: (t.first, t.spread) for title, t in site.titles.items()}
         front = Front(loop, self.carrier, {p.name: p for p in packages}, titles, ladder.kb, self.state)
         self.front = front
-        others_at = {g.name: g.at for i, g in enumerate(site.gateways) if i != me}
-        self.reports = front.reports = Reports(loop, name, others_at, state_dir)
+        others_at = {g.name: g.reports_at or g.at for i, g in enumerate(site.gateways) if i != me}
+        front.tokens = Tokens(name, state_dir)
+        front.playing = self.playing
+        self.reports: Reports | None = None
+        if here.reports_at:
+            front.reports_at = f"http://{here.reports_at}"
+        else:
+            self.reports = front.reports = Reports(
+                loop, name, others_at, state_dir, front.tokens.passes.check
+            )
+            self.reports.rack_name, self.reports.playing = self.rack_name, self.playing
+            self.reports.start()
         front.rack_of = self.rack_of
         self.rack_names = site.fleet.rack_names
-        self.reports.rack_name, self.reports.playing = self.rack_name, self.playing
-        self.reports.start()
         kept = state_dir / f"{name}.hosts.json" if state_dir is not None else None
         self.listing = Listing(loop, self.carrier, site.list_at, name, kept)
         self.server = Server(loop, endpoint(here.at), front.handle, limits or Limits(), _report)
@@ -162,7 +170,8 @@
     def stop(self) -> None:
         self.server.close()
         self.carrier.client.close()
-        self.reports.client.close()
+        if self.reports is not None:
+            self.reports.stop()
         if self.recorder is not None:
             self.recorder.close()
 
@@ -187,7 +196,7 @@
     # and viewings are let go by count of references.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(50_000, 20, 100)
+    gc.set_threshold(2_000, 4, 1_000)
 
     def main() -> int:
         over = Event(loop)
--- /dev/null
+++ b/ledgehitch/model/day.py
@@ -0,0 +1,376 @@
+"""A day in virtual time: the same scripts, faults, viewers and rules as on loopback. Free of I/O.
+
+`played(day, site, steps, seed)` gives what viewers got, the tape for the checker, and what it cost.
+"""
+
+import random
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from ledgehitch.config import Day, Site
+from ledgehitch.config.site import facts_of
+from ledgehitch.interface import Fleet, Ladder, Package, Row, Terms
+from ledgehitch.model.agenda import Agenda
+from ledgehitch.model.front import Front
+from ledgehitch.model.media import MediaHost, Session
+from ledgehitch.model.viewers import Crowd
+from ledgehitch.proof.tape import Line
+from ledgehitch.standins.faults import Faults
+from ledgehitch.standins.links import Fabric, Link
+from ledgehitch.standins.places import Habits, Places
+from ledgehitch.standins.plan import Step
+from ledgehitch.standins.service import Service
+
+HOP = 0.001  # seconds of one way between any two
+BEAT = 0.25  # seconds between looks at what links deliver
+ORPHANED = 3.0  # seconds that viewings go on without their gateway
+RECONNECTS = (0.1, 0.2)  # seconds until a gateway finds that a host's process is gone, between
+SILENT_LOST = 6.0  # seconds of silence after which what plays at a host is given up
+LIST_AGAIN = (0.2, 1.0)  # seconds until a gateway follows the list again, between
+MOST_AFTER = 8.0  # seconds after the day's end that what is under way may take
+
+
+class Lists:
+    """The list service: states reach gateways late; gateways that start get all of it."""
+
+    def __init__(self, ground: "Ground", delay: float) -> None:
+        self.ground, self.delay, self.later = ground, delay, 0.0
+        self.chance = random.Random(f"{ground.seed}/list")
+        self.lines: dict[str, Row] = {}
+        self.away = False
+
+    def set(self, row: Row, at_once: bool = False) -> None:
+        wait = 0.0 if at_once else (self.delay + self.later) * self.chance.uniform(0.7, 1.3)
+        self.ground.agenda.after(wait, self._change, row)
+
+    def _change(self, row: Row) -> None:
+        if row.state == "terminated":
+            self.lines.pop(row.host, None)
+        else:
+            self.lines[row.host] = row
+        if not self.away:
+            for front in self.ground.fronts.values():
+                self._tell(front, "incr", [row])
+
+    def _tell(self, front: Front, how: str, rows: Sequence[Row]) -> None:
+        if not front.up:
+            return
+        for row in rows:
+            self.ground.write("told", gateway=front.name, host=row.host, state=row.state)
+        self.ground.send(front, front.listed, how, rows)
+
+    def follow(self, front: Front) -> None:
+        """A gateway asks for the list, with what it kept from its last life until then."""
+        kept = self.ground.kept.get(front.name)
+        if kept:
+            front.take(front.listed, "warm_copy", kept)
+        if not self.away:
+            self._tell(front, "total", list(self.lines.values()))
+
+    def shut(self) -> None:
+        self.away = True
+        for front in self.ground.fronts.values():
+            self.ground.send(front, front.listed, "lost", ())
+
+    def open(self) -> None:
+        self.away = False
+        for front in self.ground.fronts.values():
+            self.ground.agenda.after(self.chance.uniform(*LIST_AGAIN), self._again, front)
+
+    def _again(self, front: Front) -> None:
+        if not self.away:
+            self._tell(front, "total", list(self.lines.values()))
+
+
+class Network:
+    """Messages between gateways: late, and some are lost."""
+
+    def __init__(self, ground: "Ground", delay: float, loss: float) -> None:
+        self.ground, self.delay, self.loss, self.lost_more = ground, delay, loss, 0.0
+        self.chance = random.Random(f"{ground.seed}/peers")
+        self.sent = self.lost = 0
+
+    def send(self, to: int, words: bytes) -> None:
+        self.sent += 1
+        if self.chance.random() < max(self.loss, self.lost_more):
+            self.lost += 1
+            return
+        name = self.ground.site.gateways[to].name
+        self.ground.agenda.after(self.delay * self.chance.expovariate(1.0), self._arrives, name, words)
+
+    def _arrives(self, name: str, words: bytes) -> None:
+        front = self.ground.fronts.get(name)
+        if front is not None:
+            front.take(front.peer_said, words)
+
+
+@dataclass
+class Ground:
+    """What all parts of a day stand on; the faults' stage."""
+
+    day: Day
+    site: Site
+    seed: int
+    taped: bool = True
+    timed: bool = False  # measures the module's part, by the machine's clock; it changes nothing
+    agenda: Agenda = field(default_factory=Agenda)
+    tape: list[Line] = field(default_factory=list)
+    fronts: dict[str, Front] = field(default_factory=dict)
+    hosts: dict[str, MediaHost] = field(default_factory=dict)
+    kept: dict[str, list[Row]] = field(default_factory=dict)
+    module_s: float = 0.0
+    stopped_at_gate: int = 0
+
+    def __post_init__(self) -> None:
+        s, day, site = self.day.shape, self.day, self.site
+        self.secret = random.Random(f"{self.seed}/secret").randbytes(32)
+        self.hop = HOP
+        self.habits = Habits(s.setup, s.setup_spread, s.true_rate_spread, s.report_noise)
+        self.rates = tuple(r.kb for r in site.ladder)
+        self.scales = {p.name: p.scale for p in site.packages}
+        self.fabric = Fabric()
+        self.lists = Lists(self, s.list_delay)
+        self.network = Network(self, s.peer_delay, s.peer_loss)
+        self.chance = random.Random(f"{self.seed}/world")
+        self.faults = Faults(self, self.chance)
+        self.lives: dict[str, int] = {}
+        self._factors: dict[str, float] = {}
+        self._facts: tuple[Ladder, tuple[Package, ...], Fleet, Terms] | None = None
+        self._ordinals = {g.name: i for i, g in enumerate(site.gateways)}
+        self._silent: dict[str, float] = {}
+        self._was_short: set[str] = set()
+        self._last_short = self._last_use = 0.0
+        self._born = 0
+        for rack in range(site.fleet.racks):
+            self.fabric.uplinks[rack] = Link(site.fleet.uplink_kb)
+        for h in site.hosts:
+            kb = s.link_kb or h.weight * site.fleet.link_unit_kb
+            self._add(h.name, h.cell, h.kind, h.zone, h.weight, kb, s.fresh, at_once=True)
+        self.crowd = Crowd(self)
+        self.end_at = day.length + day.settle + MOST_AFTER
+
+    def _add(self, name: str, cell: int, kind: str, zone: str, weight: float, kb: float, cold: bool,
+             at_once: bool = False) -> None:  # fmt: skip
+        f, t = self.site.fleet, self.site.terms
+
+        def places() -> Places:
+            return Places(f.slots[kind], t.warm_up, t.cold_share, t.fall_multiple, t.fall_after, 0.0)
+
+        host = self.hosts[name] = MediaHost(self, name, cell, kind, zone, weight, places)
+        self.fabric.links[name] = Link(kb)
+        self.fabric.rack_of[name] = cell % max(1, f.racks)
+        host.start(cold)
+        self.listed(host, "in_service", at_once)
+
+    # ---- for the parts -------------------------------------------------------------------------------------
+
+    def write(self, ev: str, **fields: Any) -> None:
+        if self.taped:
+            line = Line({"t": self.agenda.now, "ev": ev, **fields})
+            line.at = f"model:{len(self.tape) + 1}"
+            self.tape.append(line)
+
+    def send(self, front: Front, call: Callable[..., None], *args: Any) -> None:
+        """Something on its way to a gateway."""
+        self.agenda.after(self.hop, front.take, call, *args)
+
+    def module_began(self) -> float:
+        return time.perf_counter() if self.timed else 0.0
+
+    def module_ended(self, began: float) -> None:
+        if self.timed:
+            self.module_s += time.perf_counter() - began
+
+    def facts_of(self, name: str) -> tuple[Ladder, tuple[Package, ...], Fleet, Terms]:
+        """As `config.site.facts_of`, worked out once: gateways differ in ordinal and zone only."""
+        if self._facts is None:
+            self._facts = facts_of(self.site, self.site.gateways[0].name)
+        ladder, packages, fleet, terms = self._facts
+        at = self._ordinals[name]
+        zoned = dict(vars(terms)) | {"zone": self.site.gateways[at].zone, "ordinal": at}
+        return ladder, packages, fleet, Terms(**zoned)
+
+    def true_rate(self, title: str) -> float:
+        factor = self._factors.get(title)
+        if factor is None:
+            spread = self.habits.true_rate_spread
+            factor = self._factors[title] = max(0.3, random.Random(title).gauss(1.0, spread))
+        return factor
+
+    def tune_in(self, host: str, key: str, front: Front, vw: int, package: str, title: str, rung: int,
+                answered: Callable[..., None]) -> None:  # fmt: skip
+        self.hosts[host].tune_in(key, front, vw, package, title, rung, answered)
+
+    def gave_up(self, host: str, key: str) -> None:
+        self.hosts[host].gave_up(key)
+
+    def ends(self, session: Session) -> None:
+        if not session.host.troubles.silent:
+            session.host.drop(session)
+
+    def died(self, host: MediaHost, fronts: Sequence[Front]) -> None:
+        """A host's process is gone: its gateways find out when they connect again."""
+        for front in fronts:
+            self.agenda.after(self.chance.uniform(*RECONNECTS), front.take, front.lost, host.name)
+
+    # ---- the faults' stage ---------------------------------------------------------------------------------
+
+    @property
+    def troubled_hosts(self) -> dict[str, MediaHost]:
+        return self.hosts
+
+    @property
+    def list_service(self) -> Lists:
+        return self.lists
+
+    @property
+    def peer_network(self) -> Network:
+        return self.network
+
+    def in_service(self) -> list[str]:
+        return sorted(n for n, h in self.hosts.items() if h.up and n in self.lists.lines)
+
+    def listed(self, host: MediaHost, state: str, at_once: bool = False) -> None:
+        row = Row(host.name, host.cell, host.weight, host.kind, host.zone, state, host.started)
+        self.lists.set(row, at_once)
+
+    def replace(self, name: str) -> None:
+        old = self.hosts[name]
+        if old.up:
+            old.stop()
+        self.listed(old, "terminated")
+        self._born += 1
+        kb = self.fabric.links[name].kb
+        self._add(f"s{self._born}x", old.cell, old.kind, old.zone, old.weight, kb, True)
+
+    def now(self) -> float:
+        return self.agenda.now
+
+    def after(self, seconds: float, call: Callable[[], None]) -> None:
+        self.agenda.after(seconds, call)
+
+    # ---- what goes on --------------------------------------------------------------------------------------
+
+    def beat(self) -> None:
+        """Works out what links deliver, and has gateways told of shortfall and use, late as the site says."""
+        now = self.agenda.now
+        told = self.fabric.deliveries({n: h.asked for n, h in self.hosts.items() if h.up})
+        for name, delivery in told.items():
+            self.hosts[name].delivery = delivery
+        notes: list[tuple[str, int, float]] = []
+        if now - self._last_short >= 1.0 - 1e-9:
+            self._last_short = now
+            self._look_for_silent(now)
+            for name in sorted(told):
+                share = told[name].share
+                if share < 0.999 or name in self._was_short:
+                    notes.append((name, 1, share))
+                (self._was_short.add if share < 0.999 else self._was_short.discard)(name)
+        if now - self._last_use >= self.site.fleet.told_every - 1e-9:
+            self._last_use = now
+            for name in sorted(told):
+                notes += [(name, 3, told[name].link), (name, 4, told[name].uplink)]
+        if notes:
+            self.agenda.after(self.site.fleet.told_late, self._note, notes)
+        self.agenda.after(BEAT, self.beat)
+
+    def _note(self, notes: Sequence[tuple[str, int, float]]) -> None:
+        """Every gateway hears from the hosts where it has viewings, on one of them each."""
+        due: dict[Front, list[tuple[int, str, int, float]]] = {}
+        for name, kind, value in notes:
+            host = self.hosts[name]
+            if host.up and not host.troubles.silent:
+                for front in host.by_front:
+                    due.setdefault(front, []).append((host.vw_of(front), name, kind, round(value, 4)))
+        for front, some in due.items():
+            self.send(front, front.told, some)
+
+    def _look_for_silent(self, now: float) -> None:
+        for name, host in self.hosts.items():
+            if host.up and host.troubles.silent:
+                since = self._silent.setdefault(name, now)
+                if now - since >= SILENT_LOST:
+                    self._silent[name] = 1e18
+                    for front in list(host.by_front):
+                        self.send(front, front.lost, name)
+            else:
+                self._silent.pop(name, None)
+
+    # ---- gateways ------------------------------------------------------------------------------------------
+
+    def start_gateway(self, name: str) -> None:
+        self.lives[name] = self.lives.get(name, 0) + 1
+        index = self._ordinals[name]
+        life = self.lives[name]
+        front = Front(self, name, index, life, self.seed * 1_000_003 + index * 1009 + life)
+        self.fronts[name] = front
+        self.write("gateway", gateway=name, how="up")
+        self.lists.follow(front)
+
+    def do(self, step: Step) -> list[str]:
+        """Carries out one step of the day; whom it met."""
+        if step.fault is not None:
+            return self.faults.begin(step.fault)
+        front = self.fronts[step.gateway]
+        if step.do == "kill":
+            self.write("gateway", gateway=step.gateway, how="killed")
+            self.kept[step.gateway] = list(self.lists.lines.values())
+            front.die()
+            self.stopped_at_gate += front.stopped_at_gate
+            self.agenda.after(ORPHANED, self._orphaned, front)
+        elif step.do == "start":
+            self.start_gateway(step.gateway)
+        elif step.do == "still":
+            self.write("gateway", gateway=step.gateway, how="still")
+            front.stand_still()
+        elif step.do == "go_on":
+            self.write("gateway", gateway=step.gateway, how="goes_on")
+            front.go_on()
+        return [step.gateway]
+
+    def _orphaned(self, front: Front) -> None:
+        for host in self.hosts.values():
+            for session in list(host.by_front.get(front, {}).values()):
+                host.drop(session)
+
+
+@dataclass
+class Result:
+    service: Service
+    tape: list[Line]
+    met: list[dict[str, Any]]
+    calls: int  # things that happened
+    module_s: float
+    stopped_at_gate: int
+
+    def told(self) -> dict[str, Any]:
+        return {"service": self.service.told(), "faults": self.met, "calls": self.calls}
+
+
+def played(day: Day, site: Site, steps: Sequence[Step], seed: int, taped: bool = True, timed: bool = False,
+           until: float | None = None) -> Result:  # fmt: skip
+    """Plays the whole day. `steps`: the day's faults, as `standins.plan.steps_of` gives them."""
+    ground = Ground(day, site, seed, taped, timed)
+    for gateway in site.gateways:
+        ground.start_gateway(gateway.name)
+    ground.agenda.after(BEAT, ground.beat)
+    ground.agenda.run(max(day.settle, 0.1))
+    ground.crowd.begin()
+    began = ground.agenda.now
+    met: list[dict[str, Any]] = []
+
+    def carry(step: Step) -> None:
+        whom = ground.do(step)
+        if step.do != "start":
+            kind = step.fault.kind if step.fault else step.do
+            met.append({"at": round(ground.agenda.now - began, 2), "kind": kind, "met": whom})
+
+    for step in steps:
+        ground.agenda.at(began + step.at, carry, step)
+    ground.agenda.run(min(ground.end_at, began + until) if until is not None else ground.end_at)
+    stopped = ground.stopped_at_gate + sum(f.stopped_at_gate for f in ground.fronts.values())
+    return Result(
+        ground.crowd.booking.service, ground.tape, met, ground.agenda.done, ground.module_s, stopped
+    )
--- /dev/null
+++ b/ledgehitch/model/front.py
@@ -0,0 +1,337 @@
+"""A gateway in virtual time: the decision module, desk and gate of the running one, carried out on the model.
+
+What `gateway/carry.py` does with sockets and tasks is done here with calls at later times; what is decided is
+decided by the same modules.
+"""
+
+import itertools
+import math
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any
+
+from ledgehitch import interface as say
+from ledgehitch.brain import Gateway
+from ledgehitch.gateway.gate import Gate, Shut
+from ledgehitch.interface import Outcome, Package, Row
+from ledgehitch.model.media import Loads, MediaHost, Session
+from ledgehitch.signalling import Answer, Desk, End, Leave
+
+if TYPE_CHECKING:
+    from ledgehitch.model.day import Ground
+
+PROBE_WITHIN = 0.5
+ORDERS_WITHIN = 2.0  # seconds after which a rung that was told counts as lost
+
+
+class Viewing:
+    __slots__ = ("package", "title", "rung", "tune_ins", "out", "sent", "host", "session", "in_force",
+                 "wanted", "telling")  # fmt: skip
+
+    def __init__(self, package: Package, title: str) -> None:
+        self.package, self.title = package, title
+        self.rung = self.tune_ins = self.in_force = 0
+        self.out = -1  # number of the tune-in that is out
+        self.sent = 0.0
+        self.host = ""
+        self.session: Session | None = None
+        self.wanted: int | None = None
+        self.telling = False
+
+
+class Front:
+    """One life of a gateway."""
+
+    def __init__(self, ground: "Ground", name: str, index: int, life: int, seed: int) -> None:
+        self.ground, self.name, self.index, self.boot = ground, name, index, f"b{life}"
+        ladder, packages, fleet, terms = ground.facts_of(name)
+        now = ground.agenda.now
+        self.brain = Gateway(seed, now, ladder, packages, fleet, terms)
+        self.desk, self.gate = Desk(ground.secret), Gate(terms.drain_grace)
+        self.packages = {p.name: p for p in packages}
+        self.load_fields = fleet.load_fields
+        self.viewings: dict[int, Viewing] = {}
+        self.answers: dict[int, Callable[..., None]] = {}  # of connections that are owed one
+        self.up, self.still = True, False
+        self.stopped_at_gate = 0
+        self._backlog: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self._vws = itertools.count(1)
+        self._wake = math.inf
+
+    # ---- what arrives --------------------------------------------------------------------------------------
+
+    def take(self, call: Callable[..., None], *args: Any) -> None:
+        """Something arrives, or a time of its own comes: it is told, then all decisions are pulled."""
+        if not self.up:
+            return
+        if self.still:
+            self._backlog.append((call, args))
+            return
+        call(*args)
+        self._pump()
+
+    def stand_still(self) -> None:
+        self.still = True
+
+    def go_on(self) -> None:
+        self.still = False
+        backlog, self._backlog = self._backlog, []
+        for call, args in backlog:
+            call(*args)
+        self._pump()
+
+    def die(self) -> None:
+        self.up = False
+        answers, self.answers = self.answers, {}
+        for answered in answers.values():
+            self.ground.agenda.after(self.ground.hop, answered, "broken", 0.0, "", None)
+
+    def listed(self, how: str, rows: Sequence[Row]) -> None:
+        now = self.ground.agenda.now
+        if how in ("total", "warm_copy"):
+            self.gate.unlisted(now, {row.host for row in rows})
+        gone = []
+        for row in rows:
+            self.gate.listed(now, row.host, row.state == "in_service")
+            if row.state == "terminated":
+                gone.append(row.host)
+        self.brain.listed(now, how, rows)
+        for host in gone:
+            self.lost(host)
+
+    def asked(self, conn: int, key: bytes, package: str, title: str, cells: tuple[int, int], top: int,
+              patience: float, answered: Callable[..., None]) -> None:  # fmt: skip
+        """An offer; `answered` (kind, advice, resource, session) is called at the viewer's end."""
+        now, vw = self.ground.agenda.now, next(self._vws)
+        self.answers[conn] = answered
+        if self.desk.offered(now, conn, key, vw):
+            sold = self.packages[package]
+            self.viewings[vw] = Viewing(sold, title)
+            self.gate.asked(vw, sold, patience)
+            self.brain.asked(now, vw, package, title, cells[0], cells[1], top, patience)
+
+    def hung_up(self, conn: int) -> None:
+        if self.answers.pop(conn, None) is not None:
+            self.desk.hung_up(self.ground.agenda.now, conn)
+
+    def deleted(self, resource: str) -> None:
+        self.desk.deleted(self.ground.agenda.now, resource)
+
+    def told(self, notes: Sequence[tuple[int, str, int, float]]) -> None:
+        """Notes of media hosts, each on one viewing: viewing, host, kind, value."""
+        now = self.ground.agenda.now
+        for vw, host, kind, value in notes:
+            v = self.viewings.get(vw)
+            if kind in (3, 4) or (v is not None and v.host == host and v.session is not None):
+                self.brain.told(now, vw, host, kind, value)
+
+    def ended_there(self, vw: int, session: Session, code: int) -> None:
+        v = self.viewings.get(vw)
+        if v is None or v.session is not session:
+            return
+        now = self.ground.agenda.now
+        self.brain.ended(now, vw, True, code, v.host, 0.0, v.tune_ins - 1)
+        self.desk.ended(now, vw)
+        self._forget(vw)
+
+    def lost(self, host: str) -> None:
+        """All that plays there has ended."""
+        for vw, v in list(self.viewings.items()):
+            if v.host == host and v.session is not None:
+                self.ended_there(vw, v.session, Outcome.RESET)
+
+    def peer_said(self, words: bytes) -> None:
+        self.brain.peer_said(self.ground.agenda.now, words)
+
+    # ---- what is decided -----------------------------------------------------------------------------------
+
+    def _woken(self, at: float) -> None:
+        if at == self._wake:
+            self._wake = math.inf
+
+    def _pump(self) -> None:
+        now, g = self.ground.agenda.now, self.ground
+        began = g.module_began()
+        decisions = []
+        while (decision := self.brain.decide(now)) is not None:
+            decisions.append(decision)
+        g.module_ended(began)
+        for decision in decisions:
+            match decision:
+                case say.TuneIn(vw, host, within):
+                    self._tune_in(now, vw, host, within)
+                case say.SetRung(vw, rung):
+                    self._set_rung(vw, rung)
+                case say.Block(vw, stay_away):
+                    self.desk.settled(now, vw, "blocked", advice=stay_away)
+                    self._forget(vw)
+                case say.Abort(vw):
+                    self.desk.settled(now, vw, "aborted")
+                    self._forget(vw)
+                case say.Probe(host):
+                    g.agenda.after(g.hop, self._probe, host, now)
+                case say.Tell(words, to):
+                    g.network.send(to, words)
+                case say.Subscribe():
+                    pass
+        again = False
+        while (duty := self.desk.decide(now)) is not None:
+            match duty:
+                case Answer(conn, vw):
+                    self._answer(now, conn, vw)
+                case Leave(vw):
+                    self._left(now, vw)
+                    again = True
+                case End(vw):
+                    self._end(now, vw)
+                    again = True
+        if again:
+            self._pump()
+            return
+        wakes = [at for at in (self.brain.wake_at(), self.desk.wake_at()) if at is not None]
+        if wakes and (wake := max(min(wakes), now + 1e-6)) < self._wake:
+            self._wake = wake
+            g.agenda.at(wake, self.take, self._woken, wake)
+
+    def _answer(self, now: float, conn: int, vw: int) -> None:
+        answered, entry = self.answers.pop(conn, None), self.desk.entries.get(vw)
+        if answered is None:
+            return
+        settled = entry.settled if entry is not None else None
+        v = self.viewings.get(vw)
+        if entry is None or settled is None:
+            answered_with: tuple[Any, ...] = ("aborted", 0.0, "", None)
+        else:
+            session = v.session if v is not None else None
+            answered_with = (settled.kind, float(math.ceil(settled.advice)), entry.resource, session)
+        self.desk.delivered(now, conn)
+        self.ground.agenda.after(self.ground.hop, answered, *answered_with)
+
+    def _forget(self, vw: int) -> None:
+        self.viewings.pop(vw, None)
+        self.gate.done(vw)
+
+    def _left(self, now: float, vw: int) -> None:
+        v = self.viewings.get(vw)
+        if v is None:
+            return
+        self.brain.left(now, vw)
+        if v.out >= 0:
+            number, v.out = v.out, -1
+            self.gate.came_back(vw, Outcome.CANCELLED)
+            self.brain.ended(now, vw, True, Outcome.CANCELLED, v.host, now - v.sent, number)
+            self._call_back(vw, v.host, number)
+        self._forget(vw)
+
+    def _end(self, now: float, vw: int) -> None:
+        v = self.viewings.get(vw)
+        if v is None:
+            return
+        self.brain.ended(now, vw, True, Outcome.OK, v.host, 0.0, v.tune_ins - 1)
+        if v.session is not None:
+            self.ground.agenda.after(self.ground.hop, self.ground.ends, v.session)
+        self._forget(vw)
+
+    # ---- tune-ins ------------------------------------------------------------------------------------------
+
+    def _key(self, vw: int, number: int) -> str:
+        return f"{self.name}.{self.boot}.{vw}.{number}"
+
+    def _tune_in(self, now: float, vw: int, host: str, within: float) -> None:
+        v, g = self.viewings.get(vw), self.ground
+        try:
+            self.gate.sending(now, vw, host, within)
+        except Shut:
+            self.stopped_at_gate += 1
+            self.brain.ended(now, vw, False, Outcome.MOOT, host, 0.0, v.tune_ins if v is not None else 0)
+            g.agenda.at(now, self.take, self._woken, now)
+            return
+        assert v is not None
+        number, v.out, v.host, v.sent = v.tune_ins, v.tune_ins, host, now
+        v.tune_ins += 1
+
+        def answered(code: Outcome, loads: Loads, session: Session | None) -> None:
+            self._came_back(vw, number, now, code, loads, session)
+
+        g.agenda.after(
+            g.hop, g.tune_in, host, self._key(vw, number), self, vw, v.package.name, v.title, v.rung, answered
+        )
+        g.agenda.at(now + max(within, 0.001), self.take, answered, Outcome.TIMEOUT, {}, None)
+
+    def _came_back(self, vw: int, number: int, sent: float, code: Outcome, loads: Loads,
+                   session: Session | None) -> None:  # fmt: skip
+        v, now = self.viewings.get(vw), self.ground.agenda.now
+        if v is None or v.out != number:
+            return  # it was given up before
+        v.out = -1
+        self.gate.came_back(vw, code)
+        if code == Outcome.OK and session is not None:
+            v.session, v.in_force = session, v.rung
+            self.brain.opened(now, vw, v.host, number, now - sent)
+            self.desk.settled(now, vw, "plays")
+            for kind, name in ((3, "x0"), (4, "x1")):
+                if name in loads:
+                    self.brain.told(now, vw, v.host, kind, loads[name])
+            if session.id not in session.host.sessions:
+                self.ended_there(vw, session, Outcome.RESET)
+            return
+        values = [loads.get(name, -1.0) for name in self.load_fields]
+        self.brain.ended(now, vw, False, code, v.host, now - sent, number, values)
+        if code not in (Outcome.FULL, Outcome.CONNECT_FAILED):
+            self._call_back(vw, v.host, number)
+
+    def _call_back(self, vw: int, host: str, number: int) -> None:
+        self.ground.agenda.after(self.ground.hop, self.ground.gave_up, host, self._key(vw, number))
+
+    # ---- rungs and probes ----------------------------------------------------------------------------------
+
+    def _set_rung(self, vw: int, rung: int) -> None:
+        v = self.viewings.get(vw)
+        if v is None:
+            return
+        v.rung = rung
+        if v.session is not None:
+            v.wanted = rung
+            if not v.telling:
+                v.telling = True
+                self._tell_rung(vw, v)
+
+    def _tell_rung(self, vw: int, v: Viewing) -> None:
+        assert v.session is not None and v.wanted is not None
+        rung, v.wanted = v.wanted, None
+        g = self.ground
+        g.agenda.after(g.hop, self._rung_there, vw, v, v.session, rung)
+
+    def _rung_there(self, vw: int, v: Viewing, session: Session, rung: int) -> None:
+        g, host = self.ground, session.host
+        if host.set_rung(session, rung):
+            g.send(self, self._rung_told, vw, v, rung, True)
+        else:
+            silent = host.up and (host.troubles.hangs or host.troubles.silent)
+            g.agenda.after(ORDERS_WITHIN if silent else g.hop, self.take, self._rung_told, vw, v, rung, False)
+
+    def _rung_told(self, vw: int, v: Viewing, rung: int, told: bool) -> None:
+        if self.viewings.get(vw) is not v:
+            return
+        if told:
+            v.in_force = rung
+        elif v.wanted is None:
+            self.brain.told(self.ground.agenda.now, vw, v.host, 2, v.in_force)
+        if v.wanted is not None:
+            self._tell_rung(vw, v)
+        else:
+            v.telling = False
+
+    def _probe(self, name: str, sent: float) -> None:
+        g = self.ground
+        host: MediaHost | None = g.hosts.get(name)
+        if host is None or not host.up:
+            g.send(self, self._probed, name, Outcome.CONNECT_FAILED, sent, {})
+        elif host.troubles.silent:
+            g.agenda.at(sent + PROBE_WITHIN, self.take, self._probed, name, Outcome.TIMEOUT, sent, {})
+        else:
+            g.send(self, self._probed, name, Outcome.OK, sent, host.report())
+
+    def _probed(self, name: str, code: Outcome, sent: float, loads: Loads) -> None:
+        now = self.ground.agenda.now
+        values = [loads.get(field, -1.0) for field in self.load_fields]
+        self.brain.probed(now, name, code, now - sent, values)
--- a/ledgehitch/quality/facts.py
+++ b/ledgehitch/quality/facts.py
@@ -44,3 +44,15 @@
         except msgspec.DecodeError as wrong:
             bad.append({"report": i, "field": "the whole report", "reason": str(wrong)})
     return good, bad
+
+
+class Seen(msgspec.Struct, array_like=True):
+    """What the gateway saw of a viewing: where and what it plays, and when it was asked for and answered, in
+    seconds of the gateway's wall clock."""
+
+    rack: str
+    title: str
+    asked_at: float
+    answered_at: float
+    join_target: float = 0.8
+    package: str = ""
--- a/ledgehitch/quality/passes.py
+++ b/ledgehitch/quality/passes.py
@@ -8,6 +8,8 @@
 import msgspec
 from blake3 import blake3
 
+from ledgehitch.quality.facts import Seen
+
 HEAD = struct.Struct(">HId")  # key number, length of the viewing's name, when it expires (wall clock)
 MAC = 16
 VALID = 6 * 3600.0  # seconds that a token holds
@@ -47,14 +49,15 @@
         if keys:
             self.keys = keys
 
-    def issue(self, now: float, viewing: str) -> str:
+    def issue(self, now: float, viewing: str, seen: Seen | None = None) -> str:
+        """A token for reports on this viewing; it carries what the gateway saw of it, readable and signed."""
         key = self.keys[-1]
         name = viewing.encode()
-        body = HEAD.pack(key.number, len(name), now + VALID) + name
+        body = HEAD.pack(key.number, len(name), now + VALID) + name + msgspec.msgpack.encode(seen)
         return base64.urlsafe_b64encode(body + self._mac(key, body)).decode().rstrip("=")
 
-    def check(self, now: float, token: str, viewing: str) -> None:
-        """Raises `BadPass` unless the token was issued for this viewing and still holds."""
+    def check(self, now: float, token: str, viewing: str) -> Seen | None:
+        """What the token carries; raises `BadPass` unless it was issued for this viewing and still holds."""
         try:
             raw = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
             number, size, until = HEAD.unpack_from(raw)
@@ -64,12 +67,13 @@
         key = next((k for k in self.keys if k.number == number and k.until > now), None)
         if key is None:
             raise BadPass("its key is not used any more")
-        if len(body) != HEAD.size + size or self._mac(key, body) != mac:
+        if self._mac(key, body) != mac:
             raise BadPass("it was not issued here")
-        if body[HEAD.size :] != viewing.encode():
+        if body[HEAD.size : HEAD.size + size] != viewing.encode():
             raise BadPass("it is for another viewing")
         if now >= until:
             raise BadPass("it has expired")
+        return msgspec.msgpack.decode(body[HEAD.size + size :], type=Seen | None)
 
     @staticmethod
     def _mac(key: Key, body: bytes) -> bytes:
--- a/ledgehitch/quality/tally.py
+++ b/ledgehitch/quality/tally.py
@@ -15,7 +15,7 @@
 from ddsketch.mapping import LogarithmicMapping
 from rbloom import Bloom
 
-from ledgehitch.quality.facts import Report
+from ledgehitch.quality.facts import Report, Seen
 
 WINDOW = 10.0  # seconds of the gateway's time in one window
 ALLOWANCE = 30.0  # seconds by which a report may be late and still count
@@ -24,7 +24,7 @@
 MOST_CELLS = 20_000  # of rack and title in a window; further titles count as OTHERS
 MOST_SIDES = 2_000  # groups of one kind in a window whose start times are kept as sketches; the same
 OTHERS = "(others)"
-FORM = 2  # of what is kept on disk; another form is not read
+FORM = 3  # of what is kept on disk; another form is not read
 DOUBLES, ERROR = 400_000, 1e-4  # reports remembered by each of two filters; share wrongly taken for doubles
 RUNS, JUMPS = 0.05, 2.0  # a clock that runs so much too fast or slow, or jumps so many seconds, is marked
 LONG_ENOUGH = 8.0  # seconds over which a clock's rate is judged
@@ -88,18 +88,6 @@
     sides: dict[str, Side] = {}
 
 
-@dataclass(slots=True)
-class Seen:
-    """What the gateway knows of a viewing: where and what it plays, and when it was asked and answered."""
-
-    rack: str
-    title: str
-    asked_at: float
-    answered_at: float
-    join_target: float = 0.8
-    package: str = ""
-
-
 @dataclass(slots=True)
 class _Clock:
     seen: Seen
@@ -151,9 +139,13 @@
         while len(self.clocks) > MOST_VIEWINGS:
             self.clocks.popitem(last=False)
 
-    def reported(self, now: float, viewing: str, report: Report) -> str:
-        """Takes one report; what became of it: taken, double, late, unknown, or why it is marked."""
+    def reported(self, now: float, viewing: str, report: Report, seen: Seen | None = None) -> str:
+        """Takes one report; what became of it: taken, double, late, unknown, or why it is marked.
+        `seen`: what the gateway saw of the viewing, for one that is not known here yet."""
         clock = self.clocks.get(viewing)
+        if clock is None and seen is not None:
+            self.admitted(viewing, seen)
+            clock = self.clocks[viewing]
         if clock is None:
             self.counts.unknown += 1
             return "unknown"
--- a/ledgehitch/standins/places.py
+++ b/ledgehitch/standins/places.py
@@ -1,11 +1,25 @@
-"""Places of a media host: how many viewings it holds, its warm-up, and when it falls over. Free of I/O."""
+"""How media hosts are: habits, places, warm-up, when one falls over. Free of I/O."""
 
 from collections import deque
 from dataclasses import dataclass, field
 
+CONSENT = 15.0  # seconds that a viewing goes on without a sign of its viewer
 SLACK = 1.0  # set-ups over the budget that chance is allowed
 
 
+@dataclass
+class Habits:
+    """How media hosts of a fleet behave; times in seconds, rates in kB a second."""
+
+    setup: float = 0.05
+    setup_spread: float = 0.4
+    true_rate_spread: float = 0.1
+    report_noise: float = 0.05
+    refresh: float = 0.3
+    full_from: float = 0.0
+    consent: float = CONSENT
+
+
 @dataclass
 class Places:
     """A host that started at `started` takes set-ups no faster than `slots` over `warm_up`, times the share
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -15,9 +15,9 @@
 from ledgehitch.http.parse import ResponseReader
 from ledgehitch.loop import Event, Loop, Stream, connect, endpoint
 from ledgehitch.proof.tape import Tape
-from ledgehitch.rehearsal.plan import site_of
 from ledgehitch.rehearsal.play import free_ports
 from ledgehitch.standins.lists import ListService
+from ledgehitch.standins.plan import site_of
 from ledgehitch.standins.viewers import offer_of
 
 SDP = "application/sdp"
