--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -23,6 +23,7 @@
     "import-day": ("days", "import_day"),
     "config": ("config", "config"),
     "quality": ("quality", "quality"),
+    "lab": ("lab", "lab"),
 }
 
 
--- a/ledgehitch/config/day.py
+++ b/ledgehitch/config/day.py
@@ -127,8 +127,8 @@
 class Shape(Record, kw_only=True, frozen=True):
     """How many of what the day needs, and how its media hosts behave."""
 
-    gateways: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
-    hosts: Annotated[int, msgspec.Meta(ge=1, le=400)] = 9
+    gateways: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 3
+    hosts: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 9
     zones: Annotated[int, msgspec.Meta(ge=1, le=8)] = 1
     titles: Annotated[int, msgspec.Meta(ge=1, le=5000)] = 20
     rack: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3  # hosts of a rack
--- /dev/null
+++ b/ledgehitch/model/spoilt.py
@@ -0,0 +1,82 @@
+"""The decision module with one of its gates taken out, to see that checker and search notice. Free of I/O.
+
+A gateway made with these also lacks the second pair of eyes (`gateway/gate.py`), which would stop the sends.
+"""
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+from ledgehitch.brain import Gateway, MediaHost, Viewing
+from ledgehitch.gateway.gate import Gate
+from ledgehitch.interface import Block, Decision, Row
+
+
+class OpenGate(Gate):
+    """Stops nothing."""
+
+    def sending(self, now: float, vw: int, host: str, within: float) -> None:
+        v = self.viewings.get(vw)
+        if v is not None:
+            v.out = True
+
+
+class _NoAnswer(Gateway):
+    """Rule 1: who is turned away is not told."""
+
+    def decide(self, now: float) -> Decision | None:
+        while isinstance(decision := super().decide(now), Block):
+            pass
+        return decision
+
+
+class _Twice(Gateway):
+    """Rule 2: what is paid for is set up again."""
+
+    def _within_key(self, v: Viewing, h: MediaHost) -> bool:
+        return True
+
+
+class _Deaf(Gateway):
+    """Rule 3: that a media host drains or is gone is not heard."""
+
+    def listed(self, now: float, how: str, rows: Sequence[Row]) -> None:
+        super().listed(now, how, [replace(row, state="in_service") for row in rows])
+
+
+class _Rash(Gateway):
+    """Rule 4: cold media hosts are taken for warm."""
+
+    def _too_cold(self, now: float, h: MediaHost) -> bool:
+        return False
+
+
+class _Crowded(Gateway):
+    """Rule 5: seats are not counted."""
+
+    def _may_try_again(self, now: float, v: Viewing) -> bool:
+        seated = v.package
+        v.package = replace(seated, seats=0)
+        try:
+            return super()._may_try_again(now, v)
+        finally:
+            v.package = seated
+
+
+class _Lavish(Gateway):
+    """Rule 6: further tune-ins are not counted."""
+
+    def _may_try_again(self, now: float, v: Viewing) -> bool:
+        tune_ins, v.tune_ins = v.tune_ins, 0
+        try:
+            return super()._may_try_again(now, v)
+        finally:
+            v.tune_ins = tune_ins
+
+
+SPOILT: dict[int, type[Gateway]] = {1: _NoAnswer, 2: _Twice, 3: _Deaf, 4: _Rash, 5: _Crowded, 6: _Lavish}
+
+
+def module_without(rules: Sequence[int]) -> type[Gateway]:
+    """The module without the gates of these rules; with none, the module itself."""
+    parts = tuple(SPOILT[rule] for rule in rules)
+    return type("Spoilt", parts, {}) if parts else Gateway
--- a/ledgehitch/rehearsal/play.py
+++ b/ledgehitch/rehearsal/play.py
@@ -24,6 +24,7 @@
 from ledgehitch.proof.tape import Tape
 from ledgehitch.standins.plan import Step, site_of, steps_of
 
+MOST_GATEWAYS, MOST_HOSTS = 64, 400  # of a day on loopback: each gateway is a process
 READY_WITHIN = 20.0  # seconds for a process to be ready
 log = structlog.get_logger("rehearsal")
 
@@ -95,6 +96,11 @@
     def __init__(self, loop: Loop, day: Day, seed: int, directory: Path, record: bool = False,
                  port: int = 0) -> None:  # fmt: skip
         self.loop, self.day, self.seed, self.directory, self.record = loop, day, seed, directory, record
+        if day.shape.gateways > MOST_GATEWAYS or day.shape.hosts > MOST_HOSTS:
+            raise BadInput(
+                f"{day.name}: shape: {day.shape.gateways} gateways and {day.shape.hosts} media hosts; on "
+                f"loopback {MOST_GATEWAYS} and {MOST_HOSTS} at most, the lab plays larger ones"
+            )
         self.tapes = directory / "tape"
         key = write_key(directory / "peer.key")
         ports = free_ports(2 + (3 + day.reporting.beside) * day.shape.gateways)
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -42,6 +42,19 @@
     return sorted(lines, key=lambda x: x["t"])
 
 
+def test_time_in_which_a_gateway_stands_still_is_not_counted() -> None:
+    still = (10.5, "gateway", {"gateway": "g0", "how": "still"})
+    goes_on = (16.0, "gateway", {"gateway": "g0", "how": "goes_on"})
+
+    def answered(t: float) -> Any:
+        fields = {"conn": 1, "status": 201, "kind": "plays", "extra": 0, "resource": "r"}
+        return judged(tape(ask(10.0), still, goes_on, (t, "answer", fields)), F)
+
+    assert answered(18.4) == [] and [b.rule for b in answered(19.0)] == [1]
+    assert [b.rule for b in judged(tape(ask(10.0), (14.0, "hangup", {"conn": 1})), F)] == [1]
+    assert judged(tape(ask(10.0), still, (14.0, "hangup", {"conn": 1}), goes_on), F) == []
+
+
 def ask(t: float, conn: int = 1, gateway: str = "g0", who: str = "v", offer: str = "o") -> Any:
     return (
         t,
