--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -104,7 +104,8 @@
 
 
 class MediaHost:
-    def __init__(self, row: Row, link_kb: float, uplink: Use, rack: list["MediaHost"]) -> None:
+    def __init__(self, number: int, row: Row, link_kb: float, uplink: Use, rack: list["MediaHost"]) -> None:
+        self.number = number  # in the order in which hosts were first named
         self.row, self.uplink, self.rack = row, uplink, rack  # the uplink and the hosts it serves, itself too
         self.mark = zlib.crc32(row.host.encode()) & 0xFFFF  # the same at every gateway
         self.link = Use(link_kb)
@@ -173,6 +174,7 @@
         self.fleet, self.terms = fleet, terms
         self.gateways = max(1, terms.gateways)
         self.hosts: dict[str, MediaHost] = {}
+        self.busy: dict[int, MediaHost] = {}  # those with viewings of this gateway, by number
         self.racks: list[tuple[Use, list[MediaHost]]] = [
             (Use(fleet.uplink_kb or 1e12), []) for _ in range(max(1, fleet.racks))
         ]
@@ -216,7 +218,7 @@
             host = self.hosts.get(row.host)
             if host is None:
                 link_kb = row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / len(rows)
-                host = MediaHost(row, link_kb, *self.racks[row.cell % len(self.racks)])
+                host = MediaHost(len(self.hosts), row, link_kb, *self.racks[row.cell % len(self.racks)])
                 host.rack.append(host)
                 self.hosts[row.host] = host
                 host.tick_at = now + self.chance.random() * TICK
@@ -241,6 +243,7 @@
         v.host, v.tune_ins, v.playing = self.hosts.get(host), 1, True
         if v.host:
             v.host.viewings[vw] = v
+            self.busy[v.host.number] = v.host
         self.doubts_until = now  # who is handed viewings was not away, so its list is as good as any
         self._begin(now, v)
 
@@ -297,6 +300,8 @@
             self._judge(now, h, code, was_playing)
         if v.host is not None:
             v.host.viewings.pop(vw, None)
+            if not v.host.viewings:
+                self.busy.pop(v.host.number, None)
         if closed or was_playing or v.gone:
             del self.viewings[vw]
             return
@@ -327,7 +332,7 @@
                         self._changed(now, h, kb)
 
     def wake_at(self) -> float | None:
-        due = [h.tick_at for h in self.hosts.values() if h.viewings]
+        due = [h.tick_at for h in self.busy.values()]
         due += [max(self.look_at, self.now)] if self.waiting else []
         due += [] if self.list_due is None else [self.list_due]
         return min(due, default=None)
@@ -476,8 +481,10 @@
         for v in sorted(due, key=lambda v: (-v.package.value, v.asked_at)):
             yield from self._place(now, v, full)
             v.looked = now >= v.asks_until  # one that waits for a probe's answer is looked for at any news
-        for h in self.hosts.values():
-            if now >= h.tick_at and h.viewings:
+        # Guards against a cost that grows with the fleet: only hosts with viewings of ours are gone through.
+        for number in sorted(self.busy):
+            h = self.busy[number]
+            if now >= h.tick_at:
                 h.tick_at = now + TICK
                 if self.must_probe and h.listed and now - h.link.at > self.stale:
                     yield say.Probe(h.row.host)  # where load is told to those who ask only
@@ -485,7 +492,7 @@
         if self.untold:
             words, self.untold = self.untold[: CHANGE.size * 60], b""
             # Guards against a price without use: the chance that others play there too is taken from its own.
-            if self.chance.random() * len(self.hosts) < sum(bool(h.viewings) for h in self.hosts.values()):
+            if self.chance.random() * len(self.hosts) < len(self.busy):
                 others = [i for i in range(self.gateways) if i != self.terms.ordinal]
                 for to in self.chance.sample(others, min(RECEIVERS, len(others))):
                     yield say.Tell(words, to)
@@ -615,6 +622,7 @@
         v.tried.append(h.row.host)
         v.anchor = v.anchor or h.row
         h.viewings[v.vw] = v
+        self.busy[h.number] = h
         h.sent.append(now)
         self._load(now, v, rung)
         yield say.TuneIn(v.vw, h.row.host, max(within, 0.001))
