--- a/ledgehitch/model/day.py
+++ b/ledgehitch/model/day.py
@@ -24,6 +24,7 @@
 from ledgehitch.standins.plan import Step
 from ledgehitch.standins.service import Service
 
+STARTS = 2.0  # seconds from the start of a gateway's process until it listens
 HOP = 0.001  # seconds of one way between any two
 BEAT = 0.25  # seconds between looks at what links deliver
 ORPHANED = 3.0  # seconds that viewings go on without their gateway
@@ -337,7 +338,7 @@
             self.stopped_at_gate += front.stopped_at_gate
             self.agenda.after(ORPHANED, self._orphaned, front)
         elif step.do == "start":
-            self.start_gateway(step.gateway)
+            self.agenda.after(STARTS, self.start_gateway, step.gateway)
         elif step.do == "still":
             self.write("gateway", gateway=step.gateway, how="still")
             front.stand_still()
