--- a/ledgehitch/cli/standins.py
+++ b/ledgehitch/cli/standins.py
@@ -37,7 +37,7 @@
 
 def habits_of(day: Day) -> Habits:
     s = day.shape
-    return Habits(s.setup, s.setup_spread, s.true_rate_spread, s.report_noise)
+    return Habits(s.setup, s.setup_spread, s.true_rate_spread, s.report_noise, swing=s.true_rate_swing)
 
 
 @standin.command()
--- a/ledgehitch/config/day.py
+++ b/ledgehitch/config/day.py
@@ -101,7 +101,7 @@
 
     rate: Positive
     mix: Annotated[list[Mix], msgspec.Meta(min_length=1)]
-    shape: Literal["steady", "ramp", "wave"] = "steady"
+    shape: Literal["steady", "ramp", "wave", "peak", "event"] = "steady"
     swing: Share = 0.2
     zipf: Amount = 0.8
     small_screens: Share = 0.2  # viewers who cannot use the upper half of the rungs
@@ -111,6 +111,8 @@
     honour_advice: Share = 1.0
     impatient: Share = 0.0  # hang up early
     repeats: Share = 0.0  # send their offer again from a second connection before the first answer
+    seeks: Amount = 0.0  # a second of watching: each is a new tune-in of the same title
+    resizes: Amount = 0.0  # a second of watching: the highest rung changes, which is a new tune-in too
     leave_under: Share = 0.75  # delivered share under which viewers begin to leave
 
 
@@ -138,6 +140,8 @@
     setup: Positive = 0.05  # seconds of a set-up, in the median
     setup_spread: Amount = 0.4  # sigma of their logarithm
     true_rate_spread: Amount = 0.1
+    true_rate_swing: Share = 0.0  # by which true rates swing, each host in its own time
+    far: Amount = 0.0  # seconds of one way between zones, in the model only
     report_noise: Amount = 0.05
     list_delay: Amount = 0.5
     peer_delay: Amount = 0.01
--- a/ledgehitch/model/day.py
+++ b/ledgehitch/model/day.py
@@ -132,7 +132,9 @@
         self.samples: dict[int, dict[str, Any]] = {}
         self.secret = random.Random(f"{self.seed}/secret").randbytes(32)
         self.hop = HOP
-        self.habits = Habits(s.setup, s.setup_spread, s.true_rate_spread, s.report_noise)
+        self.habits = Habits(
+            s.setup, s.setup_spread, s.true_rate_spread, s.report_noise, swing=s.true_rate_swing
+        )
         self.rates = tuple(r.kb for r in site.ladder)
         self.scales = {p.name: p.scale for p in site.packages}
         self.fabric = Fabric()
@@ -181,6 +183,10 @@
         """Something on its way to a gateway."""
         self.agenda.after(self.hop, front.take, call, *args)
 
+    def way(self, front: Front, host: MediaHost) -> float:
+        """Seconds from a gateway to a media host: longer between halls."""
+        return self.hop + (self.day.shape.far if front.zone != host.zone else 0.0)
+
     def module_began(self) -> float:
         return time.perf_counter() if self.timed else 0.0
 
@@ -261,7 +267,8 @@
     def beat(self) -> None:
         """Works out what links deliver, and has gateways told of shortfall and use, late as the site says."""
         now = self.agenda.now
-        told = self.fabric.deliveries({n: h.asked for n, h in self.hosts.items() if h.up})
+        asked = {n: h.asked * self.habits.swung(n, now) for n, h in self.hosts.items() if h.up}
+        told = self.fabric.deliveries(asked)
         for name, delivery in told.items():
             self.hosts[name].delivery = delivery
         notes: list[tuple[str, int, float]] = []
--- a/ledgehitch/model/front.py
+++ b/ledgehitch/model/front.py
@@ -49,7 +49,7 @@
         self.desk = Desk(ground.secret)
         self.gate = OpenGate(terms.drain_grace) if ground.gates_out else Gate(terms.drain_grace)
         self.packages = {p.name: p for p in packages}
-        self.load_fields = fleet.load_fields
+        self.load_fields, self.zone = fleet.load_fields, terms.zone
         self.viewings: dict[int, Viewing] = {}
         self.answers: dict[int, Callable[..., None]] = {}  # of connections that are owed one
         self.up, self.still = True, False
@@ -253,9 +253,8 @@
         def answered(code: Outcome, loads: Loads, session: Session | None) -> None:
             self._came_back(vw, number, now, code, loads, session)
 
-        g.agenda.after(
-            g.hop, g.tune_in, host, self._key(vw, number), self, vw, v.package.name, v.title, v.rung, answered
-        )
+        key, way = self._key(vw, number), g.way(self, g.hosts[host])
+        g.agenda.after(way, g.tune_in, host, key, self, vw, v.package.name, v.title, v.rung, answered)
         g.agenda.at(now + max(within, 0.001), self.take, answered, Outcome.TIMEOUT, {}, None)
 
     def _came_back(self, vw: int, number: int, sent: float, code: Outcome, loads: Loads,
--- a/ledgehitch/model/media.py
+++ b/ledgehitch/model/media.py
@@ -158,7 +158,8 @@
 
     def _reply(self, one: SetUp, code: Outcome, loads: Loads | None = None, session: Session | None = None
                ) -> None:  # fmt: skip
-        self.ground.send(one.front, one.answered, code, loads or {}, session)
+        g = self.ground
+        g.agenda.after(g.way(one.front, self), one.front.take, one.answered, code, loads or {}, session)
 
     def gave_up(self, key: str) -> None:
         """The gateway closed its connection, and calls back whatever came of it."""
--- a/ledgehitch/model/viewers.py
+++ b/ledgehitch/model/viewers.py
@@ -84,8 +84,8 @@
         except StopIteration:
             return
         match step:
-            case Try(place):
-                self._try(place)
+            case Try(place, top):
+                self._try(place, top)
             case Rest(seconds):
                 self.crowd.ground.agenda.after(max(0.0, seconds), self._does, None)
             case Watch(_, seconds, in_time):
@@ -93,7 +93,7 @@
 
     # ---- asking --------------------------------------------------------------------------------------------
 
-    def _try(self, place: float) -> None:
+    def _try(self, place: float, top: int) -> None:
         c, g, v = self.crowd, self.crowd.ground, self.v
         name = c.names[picked(place, c.lean)]
         front = c.gateway(place)
@@ -107,16 +107,16 @@
         self.waits, self.repeat = c.conns, -1
         offer = f"{c.conns:x}"
         who = f"viewer-{g.seed}-{v.number}"
-        self._ask(front, name, self.waits, offer, who)
+        self._ask(front, name, self.waits, offer, who, top)
         patience = package.patience
         leaves = v.impatient_after if v.impatient_after is not None else patience + LATE_ANSWER
         g.agenda.after(leaves, self._gives_up, self.waits, v.impatient_after is not None)
         if v.repeats:
             c.conns += 1
             self.repeat = c.conns
-            self._ask(front, name, self.repeat, offer, who)
+            self._ask(front, name, self.repeat, offer, who, top)
 
-    def _ask(self, front: Front, name: str, conn: int, offer: str, who: str) -> None:
+    def _ask(self, front: Front, name: str, conn: int, offer: str, who: str, top: int) -> None:
         c, g, v = self.crowd, self.crowd.ground, self.v
         package = c.packages[v.package]
         now = g.agenda.now
@@ -126,7 +126,7 @@
         answered: Callable[..., None] = self._answered if conn == self.waits else self._repeat_answered
         g.agenda.after(
             g.hop, front.take, front.asked, conn, f"{who}/{offer}".encode(), v.package, v.title,
-            (held.first, held.spread), v.top, now + package.patience,
+            (held.first, held.spread), top, now + package.patience,
             lambda *told: answered(conn, *told),
         )  # fmt: skip
 
--- a/ledgehitch/standins/arrivals.py
+++ b/ledgehitch/standins/arrivals.py
@@ -7,6 +7,8 @@
 
 from ledgehitch.config import Day, Site
 
+PEAK = 6.0  # swings by which the rate of a peak or an event lies over the usual one
+
 
 @dataclass(frozen=True)
 class Visit:
@@ -32,6 +34,10 @@
         rate *= 1 + a.swing * (2 * t / day.length - 1)
     elif a.shape == "wave":
         rate *= 1 + a.swing * math.sin(2 * math.pi * t / max(day.length / 2, 1e-9))
+    elif a.shape == "peak":  # a clip goes round: a bell in the middle of the day
+        rate *= 1 + PEAK * a.swing * math.exp(-((8 * (t / day.length - 0.5)) ** 2))
+    elif a.shape == "event":  # all come as it begins, few after
+        rate *= 1 + PEAK * a.swing if t < 0.15 * day.length else 1 - a.swing
     for fault in day.faults:
         if fault.kind == "burst" and fault.at <= t < fault.at + fault.len:
             rate *= fault.strength()
@@ -69,7 +75,7 @@
     patience = {p.name: p.patience for p in site.packages}
     most = (
         a.rate
-        * (1 + a.swing)
+        * (1 + a.swing * (PEAK if a.shape in ("peak", "event") else 1.0))
         * max([f.strength() for f in day.faults if f.kind == "burst"], default=1.0)
         * 1.01
     )
--- a/ledgehitch/standins/media.py
+++ b/ledgehitch/standins/media.py
@@ -325,8 +325,9 @@
 
     def asked_kb(self) -> float:
         """What its viewings ask of its link now, in kB a second."""
-        return sum(self.rates[s.rung] * self.scales.get(s.package, 1.0) * s.factor
-                   for s in self.sessions.values())  # fmt: skip
+        kb = sum(self.rates[s.rung] * self.scales.get(s.package, 1.0) * s.factor
+                 for s in self.sessions.values())  # fmt: skip
+        return kb * self.habits.swung(self.name, time.monotonic())
 
     def _drop(self, session: Session) -> None:
         if self.sessions.pop(session.id, None) is not None:
--- a/ledgehitch/standins/places.py
+++ b/ledgehitch/standins/places.py
@@ -1,9 +1,12 @@
 """How media hosts are: habits, places, warm-up, when one falls over. Free of I/O."""
 
+import math
+import zlib
 from collections import deque
 from dataclasses import dataclass, field
 
 CONSENT = 15.0  # seconds that a viewing goes on without a sign of its viewer
+SWING = 11.0  # seconds of one swing of the true rates
 SLACK = 1.0  # set-ups over the budget that chance is allowed
 
 
@@ -18,6 +21,14 @@
     refresh: float = 0.3
     full_from: float = 0.0
     consent: float = CONSENT
+    swing: float = 0.0  # share by which true rates swing
+
+    def swung(self, name: str, t: float) -> float:
+        """What true rates at a host are multiplied by at `t`; each host swings in its own time."""
+        if not self.swing:
+            return 1.0
+        phase = zlib.crc32(name.encode()) / 2**32
+        return 1 + self.swing * math.sin(2 * math.pi * (t / SWING + phase))
 
 
 @dataclass
--- a/ledgehitch/standins/viewers.py
+++ b/ledgehitch/standins/viewers.py
@@ -5,7 +5,7 @@
 import re
 import time
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -140,9 +140,9 @@
                     return
                 told = None
                 match step:
-                    case Try(place):
+                    case Try(place, top):
                         tried_at = time.monotonic()
-                        got = self._try(v, place, tried_at)
+                        got = self._try(v if top == v.top else replace(v, top=top), place, tried_at)
                         if got.kind == "plays":
                             self.took[v.number] = time.monotonic() - tried_at
                         told = Came(got.kind, got.advice)
--- a/ledgehitch/standins/visiting.py
+++ b/ledgehitch/standins/visiting.py
@@ -19,9 +19,10 @@
 
 @dataclass(frozen=True)
 class Try:
-    """Ask the gateway that this number under 1 falls on; send back a `Came`."""
+    """Ask the gateway that this number under 1 falls on, for rungs up to `top`; send back a `Came`."""
 
     place: float
+    top: int
 
 
 @dataclass(frozen=True)
@@ -60,10 +61,11 @@
     service.visits += 1
     first, wanted, returns = now(), v.watch, 0
     in_time: bool | None = None
-    place = v.gateway
+    place, top, most = v.gateway, v.top, v.top
+    moves = a.seeks + a.resizes
     while wanted > 0 and now() < day.length:
         tried_at = now()
-        came = yield Try(place)
+        came = yield Try(place, top)
         assert isinstance(came, Came)
         waited = now() - tried_at
         cause = CAUSES.get(came.kind, "failed")
@@ -76,8 +78,15 @@
                 in_time = joined <= join_target
                 booking.joined(joined, in_time)
             before = now()
-            content = yield Watch(place, wanted, in_time)
+            until = chance.expovariate(moves) if moves else wanted
+            moved = until < wanted
+            content = yield Watch(place, min(wanted, until), in_time)
             wanted -= now() - before
+            if content and moved and now() < day.length:
+                # A seek or a new size of the window: the same title is tuned in to again.
+                if chance.random() * moves < a.resizes:
+                    top = chance.randrange(most + 1)
+                continue
             if content:
                 return
             cause = "broken"
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -258,3 +258,30 @@
     told = play(day(length=5.0)).told()
     again = json.loads(json.dumps(told))
     assert again == told and again["samples"]["2"]["rungs"]
+
+
+def test_seeks_and_new_sizes_are_new_tune_ins_of_the_same_visit() -> None:
+    calm = play(day())
+    arrivals = {**SMALL["arrivals"], "seeks": 0.2, "resizes": 0.1}
+    what = day(arrivals=arrivals)
+    result = play(what)
+    assert broken(what, result) == []
+    assert result.service.answers["plays"] > 1.8 * calm.service.answers["plays"]
+    assert result.service.joined <= result.service.visits, "a visit joins once"
+
+
+@pytest.mark.parametrize("shape", ["peak", "event"])
+def test_clips_have_their_peak_and_events_their_beginning(shape: str) -> None:
+    arrivals = {**SMALL["arrivals"], "shape": shape, "swing": 0.8}
+    times = [line["t"] - 2.0 for line in play(day(arrivals=arrivals)).tape if line["ev"] == "ask"]
+    middle = sum(8.0 <= t <= 12.0 for t in times) / len(times)
+    first = sum(t <= 3.0 for t in times) / len(times)
+    assert (middle > 0.35) if shape == "peak" else (first > 0.5)
+
+
+def test_halls_far_apart_make_joins_late_and_swinging_rates_make_delivery_short() -> None:
+    near = day(shape={**SMALL["shape"], "zones": 3})
+    far = day(shape={**SMALL["shape"], "zones": 3, "far": 0.1})
+    assert play(far).service.joins.get_mean_value() > play(near).service.joins.get_mean_value() + 80_000
+    swings = day(shape={**SMALL["shape"], "true_rate_swing": 0.5})
+    assert play(swings).service.short_seconds > play(day()).service.short_seconds + 10
