--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -285,3 +285,55 @@
     assert play(far).service.joins.get_mean_value() > play(near).service.joins.get_mean_value() + 80_000
     swings = day(shape={**SMALL["shape"], "true_rate_swing": 0.5})
     assert play(swings).service.short_seconds > play(day()).service.short_seconds + 10
+
+
+HARD: dict[str, dict[str, Any]] = {
+    "an uplink weakens further and further": {
+        "faults": [
+            {"kind": "uplink_shrink", "at": 3.0 + 2 * n, "len": 10.0, "part": 1.0, "size": 1.5}
+            for n in range(3)
+        ]
+    },
+    "a burst right after a restart wave": {
+        "faults": [
+            {"kind": "gateways_killed", "at": 4.0, "len": 1.0, "part": 1.0, "size": 1.0, "extra": 1.0},
+            {"kind": "burst", "at": 7.0, "len": 5.0, "size": 5.0},
+        ]
+    },
+    "every holder is gone": {"faults": [{"kind": "crash", "at": 5.0, "len": 5.0, "part": 1.0}]},
+    "twice the load for ten minutes": {
+        "length": 600.0,
+        "arrivals": {**SMALL["arrivals"], "rate": 24.0},
+        "shape": {**SMALL["shape"], "hosts": 3, "gateways": 2},
+    },
+    "the list is away while hosts are replaced": {
+        "faults": [
+            {"kind": "list_lost", "at": 3.0, "len": 8.0},
+            {"kind": "deploy", "at": 4.0, "len": 6.0, "part": 1.0, "size": 0.34, "extra": 1.0},
+        ]
+    },
+}
+
+
+@pytest.mark.parametrize("case", sorted(HARD))
+def test_hard_cases_keep_the_rules_and_the_fleet_serves_in_the_end(case: str) -> None:
+    what = day(**HARD[case])
+    result = play(what)
+    assert broken(what, result) == [] and result.stopped_at_gate == 0
+    last = [v for s, v in result.service.by_second.items() if what.length - 4 <= s < what.length]
+    assert sum(e for _, e in last) > 0.1 * sum(a for a, _ in last)
+    if case == "every holder is gone":
+        assert result.service.answers["blocked"] > 10
+
+
+def test_a_host_that_falls_over_takes_its_viewings_along_and_the_others_go_on() -> None:
+    result = play(strict(), gates_out=(4,))
+    fell = [line["host"] for line in result.tape if line["ev"] == "fell"]
+    ended = {line["id"].partition("+")[0] for line in result.tape if line["ev"] == "stop"}
+    assert fell and set(fell) & ended
+    late = [
+        line
+        for line in result.tape
+        if line["ev"] == "setup_out" and line["status"] == 201 and line["t"] > 18.0
+    ]
+    assert len({line["id"].partition("+")[0] for line in late} - set(fell)) >= 1
