The door, begun: turns by client, an adapted limit, return times with tickets, brown-out

One client could flood a gateway and the rejected came back all at once. ledgehitch/door decides in modules free of I/O, gateway/doorman.py carries out, off unless the site says so. Waiting until patience lost half of the service; it is 0.6 of the join target now, and brown-out acts only where more valuable ones are pressed.

--- a/ledgehitch/config/compiled.py
+++ b/ledgehitch/config/compiled.py
@@ -116,6 +116,7 @@
         "hosts": sorted(hosts, key=lambda h: int(h["cell"])),
         "list_at": data["list_at"],
         "peer_key_file": data["peer_key_file"],
+        "door": data["door"],
     }
 
 
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -101,6 +101,13 @@
     zone: str = ""
 
 
+class DoorRecord(Record, kw_only=True, frozen=True):
+    """Whether and how clients are let in fairly; `order`: what names a client, the first known counts."""
+
+    on: bool = False
+    order: tuple[Literal["token", "certificate", "address"], ...] = ("token", "certificate", "address")
+
+
 class Site(Record, kw_only=True, frozen=True):
     name: Name
     ladder: Annotated[list[Rung], msgspec.Meta(min_length=1, max_length=32)]
@@ -112,6 +119,7 @@
     hosts: list[HostRecord] = []  # what the stand-ins run; gateways learn theirs from the list service
     list_at: str
     peer_key_file: str = ""
+    door: DoorRecord = DoorRecord()
 
 
 def read_site(path: Path) -> Site:
--- /dev/null
+++ b/ledgehitch/door/decide.py
@@ -0,0 +1,207 @@
+"""The door: who is let in now, who waits, who is turned away and when it should come again. Free of I/O.
+
+Inputs update what is known, `decide` is pulled. Every client that asks is let in or turned away once. What
+waits here is not in the module: a viewing's patience counts from its asking, and who could not be set up any
+more is turned away at once. While nothing is scarce the door lets everybody in as they come.
+"""
+
+import random
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from ledgehitch.door.heavy import Heavy
+from ledgehitch.door.limits import LEAST, Adapted, Pace
+from ledgehitch.door.queue import FairQueue, Waiting
+from ledgehitch.door.returns import Places, Tickets
+
+NEEDED = 0.35  # seconds before its patience's end by which a viewing must be let in
+WAITS = 0.6  # part of the join target that one waits here at most: who joins later is worth little
+STEP = 1.0  # seconds between two looks at whether the least valuable are turned away at once
+CALM = 5  # looks in which nobody was pressed until they are let in again
+PRESSED = 3  # of a value that found no turn in such a time, from which those worth less make room
+
+
+class Limit(Protocol):
+    limit: float
+
+    def ended(self, now: float, out: int, took: float, join_target: float, failed: bool) -> None: ...
+    def room(self, out: int) -> int: ...
+
+
+@dataclass(frozen=True)
+class Let:
+    """Hand this one to the module now."""
+
+    conn: int
+
+
+@dataclass(frozen=True)
+class Turn:
+    """Turn this one away: come again after `advice` seconds (0: none is given) with `ticket`."""
+
+    conn: int
+    why: str
+    advice: float = 0.0
+    ticket: str = ""
+
+
+Decision = Let | Turn
+
+
+class Door:
+    def __init__(
+        self,
+        now: float,
+        chance: random.Random,
+        values: Mapping[str, float],
+        targets: Mapping[str, float],
+        may_advise: bool,
+        longest_advice: float,
+        limit: Limit | None = None,
+    ) -> None:
+        """`values`, `targets`: of each package, its value and its join target in seconds."""
+        self.chance, self.values, self.targets = chance, values, targets
+        self.may_advise, self.longest_advice = may_advise, longest_advice
+        self.limit: Limit = limit if limit is not None else Adapted()
+        self.queue = FairQueue(chance.randbytes(32))
+        self.heavy, self.pace, self.places = Heavy(), Pace(), Places()
+        self.tickets = Tickets(chance.randrange(1 << 16), chance.randbytes(32))
+        self.out: dict[int, tuple[float, str]] = {}  # let in and not settled: since when, package
+        self.levels = sorted(set(values.values())) or [1.0]
+        self.level = 0  # packages worth less than `levels[level]` are turned away at once
+        self.counts = {"let_in": 0, "turned_away": 0, "returned": 0}
+        self._due: deque[Decision] = deque()
+        self._returned: deque[Waiting] = deque()  # came when they were told
+        self._looked_at, self._calm = now, 0
+        self._pressed: dict[float, int] = {}  # found no turn since the last look, by value
+
+    # ---- what happens --------------------------------------------------------------------------------------
+
+    def asked(
+        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = ""
+    ) -> None:
+        """A client asks for a viewing that must be answered by `patience`."""
+        self.heavy.asked(now, name)
+        value = self.values.get(package, self.levels[0])
+        until = patience - min(NEEDED, 0.5 * max(0.0, patience - now))
+        until = min(until, now + WAITS * self.targets.get(package, 1.0))
+        one = Waiting(conn, name, package, self.levels[0] / value, now, until)
+        if ticket and self.tickets.good(now, ticket, name):
+            self.counts["returned"] += 1
+            self._returned.append(one)
+            return
+        if value < self.levels[self.level]:
+            self._turn(now, one, "brown-out")
+            return
+        out = self.queue.put(now, one)
+        if out is not None:
+            self._turn(now, out, "the queue is full")
+
+    def gone(self, now: float, conn: int) -> None:
+        """It hung up while it waited, or after it was let in."""
+        one = self.queue.drop(conn)
+        if one is None:
+            for other in self._returned:
+                if other.conn == conn:
+                    other.gone = True
+        self.out.pop(conn, None)
+
+    def settled(self, now: float, conn: int, failed: bool) -> None:
+        """The module has answered: it plays, or it was blocked or aborted (`failed`)."""
+        held = self.out.pop(conn, None)
+        if held is not None:
+            since, package = held
+            self.limit.ended(now, len(self.out) + 1, now - since, self.targets.get(package, 1.0), failed)
+
+    # ---- what is decided -----------------------------------------------------------------------------------
+
+    def decide(self, now: float) -> Decision | None:
+        for one in self.queue.overdue(now):
+            self._turn(now, one, "no turn in time")
+        self._brown_out(now)
+        if self._due:
+            return self._due.popleft()
+        if self.limit.room(len(self.out)) <= 0:
+            return None
+        first = self._next(now)
+        if first is None:
+            return self._due.popleft() if self._due else None
+        self.out[first.conn] = now, first.package
+        self.pace.let_in(now)
+        self.counts["let_in"] += 1
+        return Let(first.conn)
+
+    def _next(self, now: float) -> Waiting | None:
+        while self._returned:
+            one = self._returned.popleft()
+            if one.gone:
+                continue
+            if one.until <= now:
+                self._turn(now, one, "no turn in time")
+                continue
+            return one
+        return self.queue.next(now)
+
+    def _turn(self, now: float, one: Waiting, why: str) -> None:
+        self.counts["turned_away"] += 1
+        if why != "brown-out":
+            value = self.values.get(one.package, self.levels[0])
+            self._pressed[value] = self._pressed.get(value, 0) + 1
+        advice, ticket = 0.0, ""
+        if self.may_advise and self.longest_advice > 0:
+            pace = self.pace.at(now)
+            waits = len(self.queue) / pace if pace > 0 else 1.0
+            least = min(max(0.5, waits), self.longest_advice)
+            found = self.places.booked(now, pace, least, self.longest_advice)
+            if found is None:  # all places are taken: as late as is allowed, and no promise
+                advice = self.longest_advice * self.chance.uniform(0.7, 1.0)
+            else:
+                advice = min(found + self.chance.random(), self.longest_advice)
+                ticket = self.tickets.issue(now + advice, one.name)
+        self._due.append(Turn(one.conn, why, advice, ticket))
+
+    def _brown_out(self, now: float) -> None:
+        """Where more valuable ones found no turn, those worth less are turned away at once, a step at a time,
+        until nobody above them is pressed any more."""
+        if 0 <= now - self._looked_at < STEP:
+            return
+        pressed = [value for value, n in self._pressed.items() if n >= PRESSED]
+        self._looked_at, self._pressed = now, {}
+        lowest = self.levels[self.level]
+        if any(value > lowest for value in pressed) and self.level < len(self.levels) - 1:
+            self.level += 1
+        self._calm = 0 if pressed else self._calm + 1
+        if self.level and self._calm >= CALM:
+            self.level, self._calm = self.level - 1, 0
+
+    def wake_at(self) -> float | None:
+        """When there is something to decide without news; in the past where there is now."""
+        if self._due:
+            return 0.0
+        ends = self.queue.wake_at()
+        look = self._looked_at + STEP if self.level else None
+        return min((t for t in (ends, look) if t is not None), default=None)
+
+    # ---- for people and the next start ---------------------------------------------------------------------
+
+    def state(self, now: float) -> dict[str, Any]:
+        return {
+            "limit": round(self.limit.limit, 1), "out": len(self.out), "waiting": len(self.queue),
+            "level": self.level, "let_in_a_second": round(self.pace.at(now), 1), **self.counts,
+            "tickets_refused": dict(self.tickets.refused),
+            "heaviest": self.heavy.heaviest(5), "heaviest_error": round(self.heavy.error(), 1),
+        }  # fmt: skip
+
+    def frozen(self) -> dict[str, Any]:
+        """What the next life takes up: who is heavy, what was used, how much was let in at once."""
+        return {"heavy": self.heavy.frozen(), "tickets": self.tickets.frozen(), "limit": self.limit.limit,
+                "level": self.level}  # fmt: skip
+
+    def thawed(self, now: float, held: Mapping[str, Any]) -> None:
+        """Goes on from what was kept. The limit begins at half of it: a wave may come with the start."""
+        self.heavy.thawed(now, list(held["heavy"]))
+        self.tickets.thawed(held["tickets"])
+        self.limit.limit = max(LEAST, 0.5 * float(held["limit"]))
+        self.level = min(int(held["level"]), len(self.levels) - 1)
--- /dev/null
+++ b/ledgehitch/door/queue.py
@@ -0,0 +1,143 @@
+"""Who waits, in a fixed number of cells that take turns by weight. Free of I/O, clock and chance.
+
+Deficit round robin over cells, with cells that were idle served before those that wait all the time. A
+client is in one cell by a keyed hash; the key changes now and then, so that no innocent stays beside a flood.
+"""
+
+import heapq
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from blake3 import blake3
+
+CELLS = 1024
+IN_CELL = 64  # that wait in one cell
+WAITING = 8192  # in all
+ROUNDING = 1e-9  # of a turn: what thirds leave over
+REKEY = 20.0  # seconds after which clients share cells anew
+
+
+@dataclass(slots=True)
+class Waiting:
+    """One that waits. `cost` is what its turn takes of a cell's share: less for what is worth more."""
+
+    conn: int
+    name: bytes
+    package: str
+    cost: float
+    since: float
+    until: float  # from then on it could not be set up any more
+    gone: bool = False
+
+
+class _Cell:
+    __slots__ = ("line", "deficit")
+
+    def __init__(self) -> None:
+        self.line: deque[Waiting] = deque()
+        self.deficit = 0.0
+
+
+class FairQueue:
+    def __init__(self, secret: bytes) -> None:
+        self._secret, self._era = secret, -1
+        self._cells: dict[int, _Cell] = {}  # those in which somebody waits
+        self._new: OrderedDict[int, None] = OrderedDict()  # were idle until now: served first
+        self._old: OrderedDict[int, None] = OrderedDict()
+        self._waiting: dict[int, Waiting] = {}
+        self._ends: list[tuple[float, int]] = []
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def _cell_of(self, name: bytes) -> int:
+        digest = blake3(self._era.to_bytes(8, "big", signed=True) + name, key=self._secret).digest(4)
+        return int.from_bytes(digest, "big") % CELLS
+
+    def _era_at(self, now: float) -> None:
+        era = int(now // REKEY)
+        if era <= self._era:  # a clock that steps back changes nothing
+            return
+        self._era = era
+        waiting = sorted(self._waiting.values(), key=lambda w: (w.since, w.conn))
+        self._cells, self._new, self._old = {}, OrderedDict(), OrderedDict()
+        for one in waiting:
+            self._line(one, fresh=False)
+
+    def _line(self, one: Waiting, fresh: bool) -> None:
+        number = self._cell_of(one.name)
+        cell = self._cells.get(number)
+        if cell is None:
+            cell = self._cells[number] = _Cell()
+            cell.deficit = 1.0 if fresh else 0.0
+            (self._new if fresh else self._old)[number] = None
+        cell.line.append(one)
+
+    def put(self, now: float, one: Waiting) -> Waiting | None:
+        """Puts it in line; who has to go for it, which may be itself. One of the longest cell goes first, its
+        newest: a flood crowds out itself."""
+        self._era_at(now)
+        cell = self._cells.get(self._cell_of(one.name))
+        if cell is not None and sum(not w.gone for w in cell.line) >= IN_CELL:
+            return one
+        out = None
+        if len(self._waiting) >= WAITING:
+            longest = max(self._cells.values(), key=lambda c: len(c.line))
+            if cell is longest:
+                return one
+            out = next((w for w in reversed(longest.line) if not w.gone), None)
+            if out is not None:
+                self.drop(out.conn)
+        self._waiting[one.conn] = one
+        heapq.heappush(self._ends, (one.until, one.conn))
+        self._line(one, fresh=True)
+        return out
+
+    def drop(self, conn: int) -> Waiting | None:
+        """It waits no longer."""
+        one = self._waiting.pop(conn, None)
+        if one is not None:
+            one.gone = True  # its place in line is passed over
+        return one
+
+    def overdue(self, now: float) -> Iterator[Waiting]:
+        """Those that could not be set up in time any more, taken out."""
+        while self._ends and self._ends[0][0] <= now:
+            _, conn = heapq.heappop(self._ends)
+            one = self._waiting.get(conn)
+            if one is not None and one.until <= now:
+                self.drop(conn)
+                yield one
+
+    def next(self, now: float) -> Waiting | None:
+        """Who is let in next, taken out."""
+        self._era_at(now)
+        while True:
+            turns = self._new or self._old
+            if not turns:
+                return None
+            number = next(iter(turns))
+            cell = self._cells[number]
+            while cell.line and cell.line[0].gone:
+                cell.line.popleft()
+            if not cell.line:
+                del turns[number]
+                if turns is self._new and self._old:
+                    self._old[number] = None  # not new again by being empty for a moment
+                else:
+                    self._old.pop(number, None)
+                    del self._cells[number]
+                continue
+            if cell.deficit <= ROUNDING:
+                cell.deficit += 1.0
+                del turns[number]
+                self._old[number] = None
+                continue
+            one = cell.line.popleft()
+            cell.deficit -= one.cost
+            del self._waiting[one.conn]
+            return one
+
+    def wake_at(self) -> float | None:
+        return self._ends[0][0] if self._ends else None
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -18,7 +18,10 @@
 from ledgehitch import __version__
 from ledgehitch.brain import Gateway
 from ledgehitch.config import BadInput, Site, facts_of
+from ledgehitch.door.decide import Door
+from ledgehitch.door.names import ORDER
 from ledgehitch.gateway.carry import Carrier
+from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.gateway.front import Front
 from ledgehitch.gateway.gate import Gate
 from ledgehitch.gateway.listing import Listing
@@ -82,6 +85,12 @@
         front = Front(loop, self.carrier, {p.name: p for p in packages}, titles, ladder.kb, self.state)
         self.front = front
         others_at = {g.name: g.reports_at or g.at for i, g in enumerate(site.gateways) if i != me}
+        if site.door.on:
+            values = {p.name: p.value for p in packages}
+            targets = {p.name: p.join_target for p in packages}
+            door = Door(time.time(), random.Random(secrets.randbits(64)), values, targets, terms.may_advise,
+                        terms.longest_advice)  # fmt: skip
+            front.doorman, front.door_order = Doorman(loop, door), site.door.order or ORDER
         front.tokens = Tokens(name, state_dir)
         front.playing = self.playing
         self.reports: Reports | None = None
@@ -114,6 +123,7 @@
             "viewings": len(c.viewings),
             "counts": msgspec.to_builtins(c.counts),
             "list": {"epoch": self.listing.roll.epoch, "version": self.listing.roll.version},
+            "door": self.front.doorman.state() if self.front.doorman is not None else None,
             "hosts": {
                 h: {"in_service": gone is None, "viewings": len(c.playing_at.get(h, {}))}
                 for h, gone in c.gate.hosts.items()
