--- a/benchmarks/fleets.py
+++ b/benchmarks/fleets.py
@@ -55,6 +55,25 @@
     }  # fmt: skip
 
 
+def plot(rows: list[dict[str, Any]], path: str) -> None:
+    """Cost of a second of a viewing by size of the fleet, the module's part apart."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    figure, ax = plt.subplots(figsize=(7, 4))
+    hosts = [r["hosts"] for r in rows]
+    ax.plot(hosts, [r["us_per_viewing_second"] for r in rows], marker="o", label="all")
+    ax.plot(hosts, [r["module_us_per_viewing_second"] for r in rows], marker="o", label="the module")
+    ax.set_xscale("log")
+    ax.set_xlabel("media hosts (gateways: twice as many)")
+    ax.set_ylabel("us for a second of a viewing")
+    ax.set_ylim(bottom=0)
+    ax.legend()
+    figure.savefig(path, dpi=80, bbox_inches="tight", metadata={"Software": None})
+
+
 def main() -> list[dict[str, Any]]:
     """Each size in a process of its own, for its memory."""
     found = []
