--- a/ledgehitch/cli/lab.py
+++ b/ledgehitch/cli/lab.py
@@ -12,7 +12,7 @@
 from ledgehitch.config import BadInput, read_day
 from ledgehitch.lab.carry import Done, Lab, open_store
 from ledgehitch.lab.compare import MATTERS, compared
-from ledgehitch.lab.facts import code_version, read_plan
+from ledgehitch.lab.facts import code_version, read_plan, runs_of
 from ledgehitch.lab.seek import keep, sought
 
 RESULTS = click.option("--results", type=click.Path(path_type=Path), default=Path("lab.sqlite"),
@@ -30,10 +30,11 @@
 @click.option("--cores", type=click.IntRange(1), default=None, help="All if left out.")
 def run(plans: tuple[Path, ...], results: Path, cores: int | None) -> None:
     """Runs the plans; what is done is not run again. Exit code 1 where a run failed or broke a rule."""
-    read = [(read_plan(path), path.parent) for path in plans]
+    # All of it is read and checked before a file of results is made.
+    read = [(plan, list(runs_of(plan, path.parent))) for path in plans for plan in [read_plan(path)]]
     store = open_store(results)
     work = Lab(store, cores)
-    total = sum(work.add(plan, beside) for plan, beside in read)
+    total = sum(work.add(plan, runs) for plan, runs in read)
     out = Console(stderr=True, highlight=False)
     with Progress(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeElapsedColumn(),
                   console=out) as bar:  # fmt: skip
--- a/ledgehitch/lab/carry.py
+++ b/ledgehitch/lab/carry.py
@@ -16,7 +16,7 @@
 from ledgehitch.config import Day
 from ledgehitch.config.load import canonical
 from ledgehitch.lab.decide import Cut, Planner, Start
-from ledgehitch.lab.facts import PORTS, Plan, Run, code_version, runs_of
+from ledgehitch.lab.facts import PORTS, Plan, Run, code_version
 from ledgehitch.lab.store import Store
 from ledgehitch.model.day import played
 from ledgehitch.proof.check import figures_of, judged
@@ -84,11 +84,10 @@
         self.came = Done()
         self._out: dict[tuple[str, int], tuple[Any, Connection, float]] = {}
 
-    def add(self, plan: Plan, beside: Path) -> int:
-        """Takes up a plan; how many runs it has."""
+    def add(self, plan: Plan, runs: Sequence[Run]) -> int:
+        """Takes up a plan with its runs; how many these are."""
         facts = msgspec.to_builtins(plan)
         self.store.begun(blake3(canonical(facts)).hexdigest(16), plan.name, facts)
-        runs = list(runs_of(plan, beside))
         keys = [(plan.name, n) for n in range(len(runs))]
         self.runs.update(zip(keys, runs, strict=True))
         self.planner.added(time.monotonic(), plan.name, keys, plan.weight, plan.limit, plan.within)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -82,10 +82,16 @@
 
 
 def test_a_broken_plan_is_told_with_its_place(tmp_path: Path) -> None:
-    done = run("lab", "run", str(written(tmp_path, PLAN.replace("seeds: 3", "seeds: 0"))))
+    results = str(tmp_path / "r.sqlite")
+    done = run(
+        "lab", "run", str(written(tmp_path, PLAN.replace("seeds: 3", "seeds: 0"))), "--results", results
+    )
     assert done.returncode == 2 and "plan.lh:4:8" in done.stderr
-    done = run("lab", "run", str(written(tmp_path, PLAN.replace("may_probe", "may_prob"))))
+    done = run(
+        "lab", "run", str(written(tmp_path, PLAN.replace("may_probe", "may_prob"))), "--results", results
+    )
     assert done.returncode == 2 and "may_prob" in done.stderr
+    assert not Path(results).exists(), "no file of results is made for a plan that does not check"
 
 
 # ---- who runs next -----------------------------------------------------------------------------------------
@@ -227,7 +233,7 @@
     again = open_store(results)
     again.db.execute("UPDATE runs SET heard=0 WHERE state='claimed'")  # its heartbeat has grown old
     work = Lab(again, 4)
-    assert work.add(read_plan(plan), tmp_path) == 32
+    assert work.add(read_plan(plan), list(runs_of(read_plan(plan), tmp_path))) == 32
     came = work.carry()
     assert came.done == 32 - len(before["done"]) and came.others == len(before["done"]) and not came.failed
     after = _states(results)
