The door: nothing of a flood stays in line, returning clients are turned away in time too

Waiting ones that were given up stayed in their cell's line until its turn: 20,000 of one client left 2,048 behind while no turn was taken, and a full queue looked through all cells for the longest at each asking. Who came with a ticket was outside the queue, so that nothing turned it away at its time, and waiting went by the wall clock, which may step. Lines drop at once and cells are kept by length; tickets' holders are a line of the same queue; times are monotonic, only tickets go by the wall clock.

--- a/ledgehitch/door/baselines.py
+++ b/ledgehitch/door/baselines.py
@@ -16,8 +16,9 @@
         self._due: deque[Decision] = deque()
 
     def asked(
-        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = ""
-    ) -> None:
+        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = "",
+        ahead: float = 0.0,
+    ) -> None:  # fmt: skip
         self._due.append(Let(conn))
 
     def gone(self, now: float, conn: int) -> None:
@@ -47,8 +48,9 @@
         self.left: set[int] = set()
 
     def asked(
-        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = ""
-    ) -> None:
+        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = "",
+        ahead: float = 0.0,
+    ) -> None:  # fmt: skip
         self.line.append((conn, patience))
 
     def gone(self, now: float, conn: int) -> None:
@@ -83,8 +85,9 @@
         self.buckets: dict[bytes, tuple[float, float]] = {}
 
     def asked(
-        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = ""
-    ) -> None:
+        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = "",
+        ahead: float = 0.0,
+    ) -> None:  # fmt: skip
         left, at = self.buckets.get(name, (BURST, now))
         left = min(BURST, left + (now - at) * RATE)
         if left >= 1.0:
--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -70,42 +70,39 @@
         self.tickets = Tickets(chance.randrange(1 << 16), chance.randbytes(32))
         self.out: dict[int, tuple[float, str]] = {}  # let in and not settled: since when, package
         self.levels = sorted(set(values.values())) or [1.0]
+        self.ahead = 0.0
         self.level = 0  # packages worth less than `levels[level]` are turned away at once
         self.counts = {"let_in": 0, "turned_away": 0, "returned": 0}
         self._due: deque[Decision] = deque()
-        self._returned: deque[Waiting] = deque()  # came when they were told
         self._looked_at, self._calm = now, 0
         self._pressed: dict[float, int] = {}  # found no turn since the last look, by value
 
     # ---- what happens --------------------------------------------------------------------------------------
 
     def asked(
-        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = ""
-    ) -> None:
-        """A client asks for a viewing that must be answered by `patience`."""
+        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = "",
+        ahead: float = 0.0,
+    ) -> None:  # fmt: skip
+        """A client asks for a viewing that must be answered by `patience`. `ahead`: what the wall clock, by
+        which tickets go, is ahead of `now`; nothing else goes by it, so it may step."""
         self.heavy.asked(now, name)
+        self.ahead = ahead
         value = self.values.get(package, self.levels[0])
         until = patience - min(NEEDED, 0.5 * max(0.0, patience - now))
         until = min(until, now + WAITS * self.targets.get(package, 1.0))
         one = Waiting(conn, name, package, self.levels[0] / value, now, until)
-        if ticket and self.tickets.good(now, ticket, name):
-            self.counts["returned"] += 1
-            self._returned.append(one)
-            return
-        if value < self.levels[self.level]:
+        returns = bool(ticket) and self.tickets.good(now + ahead, ticket, name)
+        self.counts["returned"] += returns
+        if value < self.levels[self.level] and not returns:
             self._turn(now, one, "brown-out")
             return
-        out = self.queue.put(now, one)
+        out = self.queue.put(now, one, first=returns)
         if out is not None:
             self._turn(now, out, "the queue is full")
 
     def gone(self, now: float, conn: int) -> None:
         """It hung up while it waited, or after it was let in."""
-        one = self.queue.drop(conn)
-        if one is None:
-            for other in self._returned:
-                if other.conn == conn:
-                    other.gone = True
+        self.queue.drop(conn)
         self.out.pop(conn, None)
 
     def settled(self, now: float, conn: int, failed: bool) -> None:
@@ -125,25 +122,14 @@
             return self._due.popleft()
         if self.limit.room(len(self.out)) <= 0:
             return None
-        first = self._next(now)
+        first = self.queue.next(now)
         if first is None:
-            return self._due.popleft() if self._due else None
+            return None
         self.out[first.conn] = now, first.package
         self.pace.let_in(now)
         self.counts["let_in"] += 1
         return Let(first.conn)
 
-    def _next(self, now: float) -> Waiting | None:
-        while self._returned:
-            one = self._returned.popleft()
-            if one.gone:
-                continue
-            if one.until <= now:
-                self._turn(now, one, "no turn in time")
-                continue
-            return one
-        return self.queue.next(now)
-
     def _turn(self, now: float, one: Waiting, why: str) -> None:
         self.counts["turned_away"] += 1
         if why != "brown-out":
@@ -159,7 +145,7 @@
                 advice = self.longest_advice * self.chance.uniform(0.7, 1.0)
             else:
                 advice = min(found + self.chance.random(), self.longest_advice)
-                ticket = self.tickets.issue(now + advice, one.name)
+                ticket = self.tickets.issue(now + self.ahead + advice, one.name)
         self._due.append(Turn(one.conn, why, advice, ticket))
 
     def _brown_out(self, now: float) -> None:
--- a/ledgehitch/door/queue.py
+++ b/ledgehitch/door/queue.py
@@ -5,7 +5,7 @@
 """
 
 import heapq
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -28,23 +28,25 @@
     cost: float
     since: float
     until: float  # from then on it could not be set up any more
-    gone: bool = False
+    cell: int = -1  # its cell's number; -1: in the line of those who go first
 
 
 class _Cell:
     __slots__ = ("line", "deficit")
 
-    def __init__(self) -> None:
-        self.line: deque[Waiting] = deque()
-        self.deficit = 0.0
+    def __init__(self, deficit: float) -> None:
+        self.line: dict[int, Waiting] = {}
+        self.deficit = deficit
 
 
 class FairQueue:
     def __init__(self, secret: bytes) -> None:
         self._secret, self._era = secret, -1
-        self._cells: dict[int, _Cell] = {}  # those in which somebody waits
+        self._cells: dict[int, _Cell] = {}  # those in which somebody waits, or did at their last turn
         self._new: OrderedDict[int, None] = OrderedDict()  # were idle until now: served first
         self._old: OrderedDict[int, None] = OrderedDict()
+        self._first: dict[int, Waiting] = {}  # go before all cells
+        self._by_length: list[dict[int, None]] = [{} for _ in range(IN_CELL + 1)]
         self._waiting: dict[int, Waiting] = {}
         self._ends: list[tuple[float, int]] = []
 
@@ -62,43 +64,59 @@
         self._era = era
         waiting = sorted(self._waiting.values(), key=lambda w: (w.since, w.conn))
         self._cells, self._new, self._old = {}, OrderedDict(), OrderedDict()
+        self._by_length = [{} for _ in range(IN_CELL + 1)]
         for one in waiting:
-            self._line(one, fresh=False)
+            if one.cell >= 0:
+                self._line(one, fresh=False)
 
     def _line(self, one: Waiting, fresh: bool) -> None:
-        number = self._cell_of(one.name)
+        number = one.cell = self._cell_of(one.name)
         cell = self._cells.get(number)
         if cell is None:
-            cell = self._cells[number] = _Cell()
-            cell.deficit = 1.0 if fresh else 0.0
+            cell = self._cells[number] = _Cell(1.0 if fresh else 0.0)
             (self._new if fresh else self._old)[number] = None
-        cell.line.append(one)
-
-    def put(self, now: float, one: Waiting) -> Waiting | None:
-        """Puts it in line; who has to go for it, which may be itself. One of the longest cell goes first, its
-        newest: a flood crowds out itself."""
+        cell.line[one.conn] = one
+        self._resized(number, len(cell.line) - 1)
+
+    def _resized(self, number: int, before: int) -> None:
+        """A cell's line was `before` long; two that fall together anew may be longer than one may grow."""
+        self._by_length[min(before, IN_CELL)].pop(number, None)
+        now = len(self._cells[number].line)
+        if now:
+            self._by_length[min(now, IN_CELL)][number] = None
+
+    def put(self, now: float, one: Waiting, first: bool = False) -> Waiting | None:
+        """Puts it in line, `first` before all cells; who has to go for it, which may be itself. One of the
+        longest cell goes, its newest: a flood crowds out itself."""
         self._era_at(now)
-        cell = self._cells.get(self._cell_of(one.name))
-        if cell is not None and sum(not w.gone for w in cell.line) >= IN_CELL:
+        number = self._cell_of(one.name)
+        cell = self._cells.get(number)
+        if not first and cell is not None and len(cell.line) >= IN_CELL:
             return one
         out = None
         if len(self._waiting) >= WAITING:
-            longest = max(self._cells.values(), key=lambda c: len(c.line))
-            if cell is longest:
+            longest = next((next(iter(some)) for some in reversed(self._by_length) if some), None)
+            if longest is None or longest == number and not first:
                 return one
-            out = next((w for w in reversed(longest.line) if not w.gone), None)
-            if out is not None:
-                self.drop(out.conn)
+            out = next(reversed(self._cells[longest].line.values()))
+            self.drop(out.conn)
         self._waiting[one.conn] = one
         heapq.heappush(self._ends, (one.until, one.conn))
-        self._line(one, fresh=True)
+        if first:
+            self._first[one.conn] = one
+        else:
+            self._line(one, fresh=True)
         return out
 
     def drop(self, conn: int) -> Waiting | None:
-        """It waits no longer."""
+        """It waits no longer, and nothing of it stays in line."""
         one = self._waiting.pop(conn, None)
-        if one is not None:
-            one.gone = True  # its place in line is passed over
+        if one is not None and one.cell < 0:
+            del self._first[conn]
+        elif one is not None:
+            line = self._cells[one.cell].line
+            del line[conn]
+            self._resized(one.cell, len(line) + 1)
         return one
 
     def overdue(self, now: float) -> Iterator[Waiting]:
@@ -113,14 +131,14 @@
     def next(self, now: float) -> Waiting | None:
         """Who is let in next, taken out."""
         self._era_at(now)
+        if self._first:
+            return self.drop(next(iter(self._first)))
         while True:
             turns = self._new or self._old
             if not turns:
                 return None
             number = next(iter(turns))
             cell = self._cells[number]
-            while cell.line and cell.line[0].gone:
-                cell.line.popleft()
             if not cell.line:
                 del turns[number]
                 if turns is self._new and self._old:
@@ -134,10 +152,9 @@
                 del turns[number]
                 self._old[number] = None
                 continue
-            one = cell.line.popleft()
+            one = next(iter(cell.line.values()))
             cell.deficit -= one.cost
-            del self._waiting[one.conn]
-            return one
+            return self.drop(one.conn)
 
     def wake_at(self) -> float | None:
         return self._ends[0][0] if self._ends else None
--- a/ledgehitch/gateway/doorman.py
+++ b/ledgehitch/gateway/doorman.py
@@ -3,7 +3,7 @@
 import time
 from typing import Any, Protocol
 
-from ledgehitch.door.decide import Decision, Let, Turn
+from ledgehitch.door.decide import Decision, Turn
 from ledgehitch.http import NoAnswer, Request
 from ledgehitch.loop import Event, Loop
 from ledgehitch.loop.timers import Timer
@@ -13,8 +13,9 @@
     """The door, or a baseline in its place."""
 
     def asked(
-        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = ""
-    ) -> None: ...
+        self, now: float, conn: int, name: bytes, package: str, patience: float, ticket: str = "",
+        ahead: float = 0.0,
+    ) -> None: ...  # fmt: skip
     def gone(self, now: float, conn: int) -> None: ...
     def settled(self, now: float, conn: int, failed: bool) -> None: ...
     def decide(self, now: float) -> Decision | None: ...
@@ -23,7 +24,7 @@
 
 
 class Doorman:
-    """Times are of the wall clock, as tickets outlive a process."""
+    """Times are of the machine's monotonic clock, as patience must not depend on a clock that steps."""
 
     def __init__(self, loop: Loop, door: SomeDoor) -> None:
         self.loop, self.door = loop, door
@@ -34,9 +35,9 @@
         self, request: Request, conn: int, name: bytes, package: str, wait: float, ticket: str
     ) -> Turn | None:
         """Returns when this one is let in (None), or turned away. `wait`: seconds of its patience."""
-        now = time.time()
+        now = time.monotonic()
         event = self._waiting[conn] = Event(self.loop)
-        self.door.asked(now, conn, name, package, now + wait, ticket)
+        self.door.asked(now, conn, name, package, now + wait, ticket, time.time() - now)
         self._pump(now)
         if not event.is_set:
             request.hung_up(lambda: self._hung_up(conn))
@@ -50,35 +51,32 @@
 
     def _hung_up(self, conn: int) -> None:
         event = self._waiting.pop(conn, None)
-        now = time.time()
+        now = time.monotonic()
         self.door.gone(now, conn)
         if event is not None and not event.is_set:
             event.set("gone")
         self._pump(now)
 
     def settled(self, conn: int, failed: bool) -> None:
-        now = time.time()
+        now = time.monotonic()
         self.door.settled(now, conn, failed)
         self._pump(now)
 
     def _pump(self, now: float) -> None:
         while (decision := self.door.decide(now)) is not None:
             event = self._waiting.get(decision.conn)
-            if event is None:
-                if isinstance(decision, Let):
-                    self.door.settled(now, decision.conn, False)
-                continue
-            event.set(decision if isinstance(decision, Turn) else "let")
+            if event is not None:  # it hung up before it was told that it is turned away
+                event.set(decision)
         wake = self.door.wake_at()
         if self._timer is not None:
             self.loop.timers.cancel(self._timer)
             self._timer = None
         if wake is not None:
-            self._timer = self.loop.call_at(self.loop.now + max(0.001, wake - now), self._woken)
+            self._timer = self.loop.call_at(max(wake, now + 0.001), self._woken)
 
     def _woken(self) -> None:
         self._timer = None
-        self._pump(time.time())
+        self._pump(time.monotonic())
 
     def state(self) -> dict[str, Any]:
-        return self.door.state(time.time())
+        return self.door.state(time.monotonic())
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -88,8 +88,8 @@
         if site.door.on:
             values = {p.name: p.value for p in packages}
             targets = {p.name: p.join_target for p in packages}
-            door = Door(time.time(), random.Random(secrets.randbits(64)), values, targets, terms.may_advise,
-                        terms.longest_advice)  # fmt: skip
+            chance = random.Random(secrets.randbits(64))
+            door = Door(time.monotonic(), chance, values, targets, terms.may_advise, terms.longest_advice)
             front.doorman, front.door_order = Doorman(loop, door), site.door.order or ORDER
         front.tokens = Tokens(name, state_dir)
         front.playing = self.playing
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -333,6 +333,29 @@
     assert sum(isinstance(d, Let) for d in drained(again, 2.0)) == 200
 
 
+def test_nothing_of_a_flood_stays_while_no_turn_is_taken() -> None:
+    some = door(limit=Fixed(0.0))
+    for n in range(20_000):
+        now = n * 0.01
+        some.asked(now, n, b"flood-00", "recorded", now + PATIENCE)
+        drained(some, now)
+    assert sum(len(cell.line) for cell in some.queue._cells.values()) == len(some.queue) <= IN_CELL
+
+
+def test_who_came_when_told_is_turned_away_in_time_though_no_turn_is_taken() -> None:
+    some = door(limit=Fixed(0.0))
+    ticket = some.tickets.issue(1.0 + 1e6, b"a" * 8)
+    some.asked(1.0, 7, b"a" * 8, "recorded", 1.0 + PATIENCE, ticket, 1e6)
+    assert some.counts["returned"] == 1 and drained(some, 1.1) == []
+    wake = some.wake_at()
+    assert wake is not None and wake <= 1.0 + PATIENCE
+    (turn,) = drained(some, wake)
+    assert isinstance(turn, Turn) and turn.conn == 7
+    some.asked(2.0, 8, b"b" * 8, "recorded", 2.0 + PATIENCE, ticket, -50.0)
+    (turn,) = drained(some, 2.0 + PATIENCE)
+    assert turn.conn == 8, "a wall clock that steps moves nobody's turn"
+
+
 # ---- the gateway behind it ---------------------------------------------------------------------------------
 
 
