Stand-ins and model share habits, places, notes and waits instead of stating them twice

Set-up times, true rates, noise of reports, places by kind, which notes are due, the faults' stage and eight waits were written once for sockets and once for virtual time. One of them had drifted: the model asked for the list again after 0.2 to 1.0 s, a gateway does after 0.2 to 1.2 s. The places of gateways were drawn twice a viewer.

--- a/ledgehitch/cli/standins.py
+++ b/ledgehitch/cli/standins.py
@@ -14,7 +14,7 @@
 from ledgehitch.http import Client, ConnectFailed, Interrupted
 from ledgehitch.loop import Event, Loop, TimedOut, endpoint
 from ledgehitch.proof.tape import Tape
-from ledgehitch.standins.places import Habits
+from ledgehitch.standins.places import habits_of
 from ledgehitch.standins.viewers import play
 from ledgehitch.standins.world import World
 
@@ -35,11 +35,6 @@
     return call
 
 
-def habits_of(day: Day) -> Habits:
-    s = day.shape
-    return Habits(s.setup, s.setup_spread, s.true_rate_spread, s.report_noise, swing=s.true_rate_swing)
-
-
 @standin.command()
 @options
 @click.option("--control", default="127.0.0.1:0", show_default=True, help="Where faults are taken.")
@@ -54,7 +49,7 @@
     def main() -> int:
         over = Event(loop)
         restore = loop.on_signals([signal.SIGTERM, signal.SIGINT], over.set)
-        fleet = World(loop, site, habits_of(day), tape, seed, s.fresh, s.link_kb, s.list_delay, s.peer_delay,
+        fleet = World(loop, site, habits_of(s), tape, seed, s.fresh, s.link_kb, s.list_delay, s.peer_delay,
                       s.peer_loss)  # fmt: skip
         server = fleet.control(endpoint(control))
         print(json.dumps({"control": str(server.at), "list": str(fleet.lists.want_at)}), flush=True)
--- a/ledgehitch/gateway/listing.py
+++ b/ledgehitch/gateway/listing.py
@@ -9,11 +9,10 @@
 import structlog
 
 from ledgehitch.gateway.carry import Carrier
-from ledgehitch.gateway.roll import News, Roll
+from ledgehitch.gateway.roll import AGAIN, News, Roll
 from ledgehitch.http import ConnectFailed, Interrupted, events_from
 from ledgehitch.loop import Loop, TimedOut
 
-AGAIN = 0.2, 1.0  # seconds until the stream is asked for again: at least, and more by chance
 log = structlog.get_logger("list")
 
 
--- a/ledgehitch/gateway/roll.py
+++ b/ledgehitch/gateway/roll.py
@@ -10,6 +10,8 @@
 
 from ledgehitch.interface import Row
 
+AGAIN = 0.2, 1.0  # seconds until the stream is asked for again: at least, and more by chance
+
 
 class Line(msgspec.Struct, frozen=True):
     """One media host as the list service sends it. `started` is seconds of the wall clock, 0 unknown."""
--- a/ledgehitch/model/day.py
+++ b/ledgehitch/model/day.py
@@ -6,11 +6,13 @@
 import random
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ledgehitch.config import Day, Site
 from ledgehitch.config.site import facts_of
+from ledgehitch.gateway.roll import AGAIN
+from ledgehitch.gateway.watch import FIRST, LOST
 from ledgehitch.interface import Fleet, Ladder, Package, Row, Terms
 from ledgehitch.model.agenda import Agenda
 from ledgehitch.model.front import Front
@@ -19,19 +21,14 @@
 from ledgehitch.model.viewers import Crowd
 from ledgehitch.proof.tape import Line
 from ledgehitch.standins.faults import Faults
-from ledgehitch.standins.links import Delivery, Fabric, Link
-from ledgehitch.standins.places import Habits, Places
+from ledgehitch.standins.links import BEAT, Delivery, Fabric, Kinds, Link, Telling
+from ledgehitch.standins.places import ORPHANED, habits_of, places_of
 from ledgehitch.standins.plan import Step
 from ledgehitch.standins.service import Service
+from ledgehitch.standins.visiting import MOST_AFTER
 
 STARTS = 2.0  # seconds from the start of a gateway's process until it listens
 HOP = 0.001  # seconds of one way between any two
-BEAT = 0.25  # seconds between looks at what links deliver
-ORPHANED = 3.0  # seconds that viewings go on without their gateway
-RECONNECTS = (0.1, 0.2)  # seconds until a gateway finds that a host's process is gone, between
-SILENT_LOST = 6.0  # seconds of silence after which what plays at a host is given up
-LIST_AGAIN = (0.2, 1.0)  # seconds until a gateway follows the list again, between
-MOST_AFTER = 8.0  # seconds after the day's end that what is under way may take
 
 
 class Lists:
@@ -79,7 +76,7 @@
     def open(self) -> None:
         self.away = False
         for front in self.ground.fronts.values():
-            self.ground.agenda.after(self.chance.uniform(*LIST_AGAIN), self._again, front)
+            self.ground.agenda.after(AGAIN[0] + AGAIN[1] * self.chance.random(), self._again, front)
 
     def _again(self, front: Front) -> None:
         if not self.away:
@@ -132,9 +129,7 @@
         self.samples: dict[int, dict[str, Any]] = {}
         self.secret = random.Random(f"{self.seed}/secret").randbytes(32)
         self.hop = HOP
-        self.habits = Habits(
-            s.setup, s.setup_spread, s.true_rate_spread, s.report_noise, swing=s.true_rate_swing
-        )
+        self.habits = habits_of(s)
         self.rates = tuple(r.kb for r in site.ladder)
         self.scales = {p.name: p.scale for p in site.packages}
         self.fabric = Fabric()
@@ -143,12 +138,10 @@
         self.chance = random.Random(f"{self.seed}/world")
         self.faults = Faults(self, self.chance)
         self.lives: dict[str, int] = {}
-        self._factors: dict[str, float] = {}
         self._facts: tuple[Ladder, tuple[Package, ...], Fleet, Terms] | None = None
         self._ordinals = {g.name: i for i, g in enumerate(site.gateways)}
         self._silent: dict[str, float] = {}
-        self._was_short: set[str] = set()
-        self._last_short = self._last_use = 0.0
+        self.telling = Telling(self.agenda.now, site.fleet.told_every)
         self._born = 0
         for rack in range(site.fleet.racks):
             self.fabric.uplinks[rack] = Link(site.fleet.uplink_kb)
@@ -160,14 +153,10 @@
 
     def _add(self, name: str, cell: int, kind: str, zone: str, weight: float, kb: float, cold: bool,
              at_once: bool = False) -> None:  # fmt: skip
-        f, t = self.site.fleet, self.site.terms
-
-        def places() -> Places:
-            return Places(f.slots[kind], t.warm_up, t.cold_share, t.fall_multiple, t.fall_after, 0.0)
-
-        host = self.hosts[name] = MediaHost(self, name, cell, kind, zone, weight, places)
+        host = MediaHost(self, name, cell, kind, zone, weight, lambda: places_of(self.site, kind))
+        self.hosts[name] = host
         self.fabric.links[name] = Link(kb)
-        self.fabric.rack_of[name] = cell % max(1, f.racks)
+        self.fabric.rack_of[name] = cell % max(1, self.site.fleet.racks)
         host.start(cold)
         self.listed(host, "in_service", at_once)
 
@@ -200,15 +189,7 @@
             self._facts = facts_of(self.site, self.site.gateways[0].name)
         ladder, packages, fleet, terms = self._facts
         at = self._ordinals[name]
-        zoned = dict(vars(terms)) | {"zone": self.site.gateways[at].zone, "ordinal": at}
-        return ladder, packages, fleet, Terms(**zoned)
-
-    def true_rate(self, title: str) -> float:
-        factor = self._factors.get(title)
-        if factor is None:
-            spread = self.habits.true_rate_spread
-            factor = self._factors[title] = max(0.3, random.Random(title).gauss(1.0, spread))
-        return factor
+        return ladder, packages, fleet, replace(terms, zone=self.site.gateways[at].zone, ordinal=at)
 
     def tune_in(self, host: str, key: str, front: Front, vw: int, package: str, title: str, rung: int,
                 answered: Callable[..., None]) -> None:  # fmt: skip
@@ -224,22 +205,10 @@
     def died(self, host: MediaHost, fronts: Sequence[Front]) -> None:
         """A host's process is gone: its gateways find out when they connect again."""
         for front in fronts:
-            self.agenda.after(self.chance.uniform(*RECONNECTS), front.take, front.lost, host.name)
+            self.agenda.after(FIRST * (1 + self.chance.random()), front.take, front.lost, host.name)
 
     # ---- the faults' stage ---------------------------------------------------------------------------------
 
-    @property
-    def troubled_hosts(self) -> dict[str, MediaHost]:
-        return self.hosts
-
-    @property
-    def list_service(self) -> Lists:
-        return self.lists
-
-    @property
-    def peer_network(self) -> Network:
-        return self.network
-
     def in_service(self) -> list[str]:
         return sorted(n for n, h in self.hosts.items() if h.up and n in self.lists.lines)
 
@@ -271,20 +240,10 @@
         told = self.fabric.deliveries(asked)
         for name, delivery in told.items():
             self.hosts[name].delivery = delivery
-        notes: list[tuple[str, int, float]] = []
-        if now - self._last_short >= 1.0 - 1e-9:
-            self._last_short = now
+        second, notes = self.telling.due(now, told)
+        if second:
             self._look_for_silent(now)
             self._sample(told)
-            for name in sorted(told):
-                share = told[name].share
-                if share < 0.999 or name in self._was_short:
-                    notes.append((name, 1, share))
-                (self._was_short.add if share < 0.999 else self._was_short.discard)(name)
-        if now - self._last_use >= self.site.fleet.told_every - 1e-9:
-            self._last_use = now
-            for name in sorted(told):
-                notes += [(name, 3, told[name].link), (name, 4, told[name].uplink)]
         if notes:
             self.agenda.after(self.site.fleet.told_late, self._note, notes)
         self.agenda.after(BEAT, self.beat)
@@ -300,14 +259,15 @@
             racks[str(self.fabric.rack_of[name])] = round(delivery.uplink, 3)
         self.samples[int(self.crowd.now())] = {"rungs": rungs, "racks": racks}
 
-    def _note(self, notes: Sequence[tuple[str, int, float]]) -> None:
+    def _note(self, notes: Sequence[tuple[str, Kinds]]) -> None:
         """Every gateway hears from the hosts where it has viewings, on one of them each."""
         due: dict[Front, list[tuple[int, str, int, float]]] = {}
-        for name, kind, value in notes:
+        for name, kinds in notes:
             host = self.hosts[name]
             if host.up and not host.troubles.silent:
                 for front in host.by_front:
-                    due.setdefault(front, []).append((host.vw_of(front), name, kind, round(value, 4)))
+                    vw = host.vw_of(front)
+                    due.setdefault(front, []).extend((vw, name, k, round(value, 4)) for k, value in kinds)
         for front, some in due.items():
             self.send(front, front.told, some)
 
@@ -315,7 +275,7 @@
         for name, host in self.hosts.items():
             if host.up and host.troubles.silent:
                 since = self._silent.setdefault(name, now)
-                if now - since >= SILENT_LOST:
+                if now - since >= LOST:
                     self._silent[name] = 1e18
                     for front in list(host.by_front):
                         self.send(front, front.lost, name)
@@ -328,7 +288,7 @@
         self.lives[name] = self.lives.get(name, 0) + 1
         index = self._ordinals[name]
         life = self.lives[name]
-        front = Front(self, name, index, life, self.seed * 1_000_003 + index * 1009 + life)
+        front = Front(self, name, life, self.seed * 1_000_003 + index * 1009 + life)
         self.fronts[name] = front
         self.write("gateway", gateway=name, how="up")
         self.lists.follow(front)
--- a/ledgehitch/model/front.py
+++ b/ledgehitch/model/front.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ledgehitch import interface as say
+from ledgehitch.gateway.carry import PATIENCE_FOR_ORDERS, PROBE_WITHIN
 from ledgehitch.gateway.gate import Gate, Shut
 from ledgehitch.interface import Outcome, Package, Row
 from ledgehitch.model.media import Loads, MediaHost, Session
@@ -19,9 +20,6 @@
 if TYPE_CHECKING:
     from ledgehitch.model.day import Ground
 
-PROBE_WITHIN = 0.5
-ORDERS_WITHIN = 2.0  # seconds after which a rung that was told counts as lost
-
 
 class Viewing:
     __slots__ = ("package", "title", "rung", "tune_ins", "out", "sent", "host", "session", "in_force",
@@ -41,8 +39,8 @@
 class Front:
     """One life of a gateway."""
 
-    def __init__(self, ground: "Ground", name: str, index: int, life: int, seed: int) -> None:
-        self.ground, self.name, self.index, self.boot = ground, name, index, f"b{life}"
+    def __init__(self, ground: "Ground", name: str, life: int, seed: int) -> None:
+        self.ground, self.name, self.boot = ground, name, f"b{life}"
         ladder, packages, fleet, terms = ground.facts_of(name)
         now = ground.agenda.now
         self.brain = ground.module(seed, now, ladder, packages, fleet, terms)
@@ -307,7 +305,9 @@
             g.send(self, self._rung_told, vw, v, rung, True)
         else:
             silent = host.up and (host.troubles.hangs or host.troubles.silent)
-            g.agenda.after(ORDERS_WITHIN if silent else g.hop, self.take, self._rung_told, vw, v, rung, False)
+            g.agenda.after(
+                PATIENCE_FOR_ORDERS if silent else g.hop, self.take, self._rung_told, vw, v, rung, False
+            )
 
     def _rung_told(self, vw: int, v: Viewing, rung: int, told: bool) -> None:
         if self.viewings.get(vw) is not v:
--- a/ledgehitch/model/media.py
+++ b/ledgehitch/model/media.py
@@ -4,7 +4,6 @@
 same lines on the tape.
 """
 
-import math
 import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -121,8 +120,7 @@
         else:
             one.works = True
             self.working += 1
-            takes = g.habits.setup * math.exp(g.habits.setup_spread * self.chance.gauss(0, 1))
-            g.agenda.after(takes * t.slower, self._set, one)
+            g.agenda.after(g.habits.takes(self.chance) * t.slower, self._set, one)
 
     def _set(self, one: SetUp) -> None:
         """The set-up's work is done, if it is still wanted."""
@@ -133,7 +131,7 @@
         t, g = self.troubles, self.ground
         if t.silent or t.hangs:
             return
-        per_kb = g.scales.get(one.package, 1.0) * g.true_rate(one.title)
+        per_kb = g.scales.get(one.package, 1.0) * g.habits.true_rate(one.title)
         kb = g.rates[one.rung] * per_kb
         session = Session(one.id, one.key, one.front, one.vw, per_kb, one.rung, kb, self)
         self.sessions[one.id], self.by_key[one.key] = session, one.id
@@ -207,11 +205,7 @@
         """What it says of its load: up to `refresh` old, and noisy."""
         h, now = self.ground.habits, self.ground.agenda.now
         if now - self._shown[0] > h.refresh:
-            d = self.delivery
-            self._shown = now, Delivery(
-                d.share, d.link * max(0.0, self.chance.gauss(1, h.report_noise)),
-                d.uplink * max(0.0, self.chance.gauss(1, h.report_noise)),
-            )  # fmt: skip
+            self._shown = now, h.reported(self.chance, self.delivery)
         d = self._shown[1]
         return {"util": min(1.0, d.link), "inflight": float(len(self.sessions)), "x0": d.link, "x1": d.uplink}
 
--- a/ledgehitch/model/viewers.py
+++ b/ledgehitch/model/viewers.py
@@ -1,20 +1,18 @@
 """Viewers in virtual time: each does what `standins/visiting.py` says, as on loopback. Free of I/O."""
 
 import random
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterator
 from typing import TYPE_CHECKING
 
 from ledgehitch.model.front import Front
 from ledgehitch.model.media import Session
 from ledgehitch.standins.arrivals import Visit, picked, visits
 from ledgehitch.standins.service import Booking
-from ledgehitch.standins.visiting import SIGN, Came, Does, Rest, Seen, Try, Watch, visit
+from ledgehitch.standins.visiting import LATE_ANSWER, SIGN, Came, Does, Rest, Seen, Try, Watch, visit
 
 if TYPE_CHECKING:
     from ledgehitch.model.day import Ground
 
-LATE_ANSWER = 1.0  # seconds after patience that a viewer still listens
-
 
 class Crowd:
     """All viewers of a day."""
@@ -29,12 +27,12 @@
         self.booking = Booking(ground.day, ground.site)
         self.started = 0.0
         self.conns = 0
-        self._coming: Generator[Visit, None, None] | None = None
+        self._coming: Iterator[Visit] = iter(())
 
     def begin(self) -> None:
         """The day's first moment is now; viewers are drawn as they come."""
         self.started = self.ground.agenda.now
-        self._coming = (v for v in visits(self.ground.day, self.ground.site, self.ground.seed))
+        self._coming = visits(self.ground.day, self.ground.site, self.ground.seed)
         self._next()
 
     def now(self) -> float:
@@ -42,7 +40,6 @@
         return self.ground.agenda.now - self.started
 
     def _next(self) -> None:
-        assert self._coming is not None
         v = next(self._coming, None)
         if v is not None:
             self.ground.agenda.at(self.started + v.at, self._comes, v)
@@ -51,12 +48,13 @@
         Viewer(self, v).begin()
         self._next()
 
-    def gateway(self, place: float) -> Front | None:
-        return self.ground.fronts.get(self.names[picked(place, self.lean)])
+    def gateway(self, place: float) -> Front:
+        """The gateway that the place falls on: the life that it is in, or was in last."""
+        return self.ground.fronts[self.names[picked(place, self.lean)]]
 
 
 class Viewer:
-    __slots__ = ("crowd", "v", "steps", "waits", "repeat", "answer", "front", "resource", "session", "seen",
+    __slots__ = ("crowd", "v", "steps", "waits", "repeat", "front", "resource", "session", "seen",
                  "ends", "in_time", "told_at")  # fmt: skip
 
     def __init__(self, crowd: Crowd, v: Visit) -> None:
@@ -67,7 +65,6 @@
         )
         self.waits = -1  # the connection whose answer is awaited
         self.repeat = -1  # the second connection of a viewer that sends its offer twice
-        self.answer: tuple[str, float, str, Session | None] | None = None  # the first connection's
         self.front: Front | None = None
         self.resource = ""
         self.session: Session | None = None
@@ -95,32 +92,31 @@
 
     def _try(self, place: float, top: int) -> None:
         c, g, v = self.crowd, self.crowd.ground, self.v
-        name = c.names[picked(place, c.lean)]
         front = c.gateway(place)
-        c.chance.randrange(10)
-        if front is None or not front.up:
+        c.chance.randrange(10)  # the stand-ins draw for the text of the offer here
+        if not front.up:
             g.agenda.after(2 * g.hop, self._does, Came("nobody"))
             return
-        self.front, self.answer, self.resource, self.session = front, None, "", None
+        self.front, self.resource, self.session = front, "", None
         package = c.packages[v.package]
         c.conns += 1
         self.waits, self.repeat = c.conns, -1
         offer = f"{c.conns:x}"
         who = f"viewer-{g.seed}-{v.number}"
-        self._ask(front, name, self.waits, offer, who, top)
+        self._ask(front, self.waits, offer, who, top)
         patience = package.patience
         leaves = v.impatient_after if v.impatient_after is not None else patience + LATE_ANSWER
         g.agenda.after(leaves, self._gives_up, self.waits, v.impatient_after is not None)
         if v.repeats:
             c.conns += 1
             self.repeat = c.conns
-            self._ask(front, name, self.repeat, offer, who, top)
+            self._ask(front, self.repeat, offer, who, top)
 
-    def _ask(self, front: Front, name: str, conn: int, offer: str, who: str, top: int) -> None:
+    def _ask(self, front: Front, conn: int, offer: str, who: str, top: int) -> None:
         c, g, v = self.crowd, self.crowd.ground, self.v
         package = c.packages[v.package]
         now = g.agenda.now
-        g.write("ask", conn=conn, who=who, package=v.package, title=v.title, gateway=name,
+        g.write("ask", conn=conn, who=who, package=v.package, title=v.title, gateway=front.name,
                 patience=package.patience, method=v.method, offer=offer)  # fmt: skip
         held = g.site.titles[v.title]
         answered: Callable[..., None] = self._answered if conn == self.waits else self._repeat_answered
--- a/ledgehitch/standins/faults.py
+++ b/ledgehitch/standins/faults.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 from ledgehitch.config import KINDS, Fault
@@ -55,11 +55,11 @@
     fabric: Fabric
 
     @property
-    def troubled_hosts(self) -> dict[str, Any]: ...
+    def hosts(self) -> Mapping[str, Host]: ...
     @property
-    def list_service(self) -> List: ...
+    def lists(self) -> List: ...
     @property
-    def peer_network(self) -> Network: ...
+    def network(self) -> Network: ...
     def in_service(self) -> list[str]: ...
     def listed(self, host: Any, state: str) -> None: ...
     def replace(self, name: str) -> None: ...
@@ -85,9 +85,6 @@
         getattr(self, "_" + fault.kind)(met, fault)
         return met
 
-    def _host(self, name: str) -> Any:
-        return self.stage.troubled_hosts[name]
-
     def _after(self, seconds: float, call: Callable[..., None], *args: Any) -> None:
         self.stage.after(seconds, lambda: call(*args))
 
@@ -95,16 +92,16 @@
 
     def _crash(self, met: list[str], fault: Fault) -> None:
         for name in met:
-            host = self._host(name)
+            host = self.stage.hosts[name]
             host.stop()
             self._after(NOTICE, self._noticed, host)
             self._after(fault.len, self._back, host)
 
-    def _noticed(self, host: Any) -> None:
+    def _noticed(self, host: Host) -> None:
         if not host.up or host.troubles.silent:
             self.stage.listed(host, "terminated")
 
-    def _back(self, host: Any) -> None:
+    def _back(self, host: Host) -> None:
         if host.up:
             host.stop()
         host.start(cold=True)
@@ -112,7 +109,7 @@
 
     def _vanish(self, met: list[str], fault: Fault) -> None:
         for name in met:
-            host = self._host(name)
+            host = self.stage.hosts[name]
             host.troubles.silent = True
             self._after(4 * NOTICE, self._noticed, host)
             self._after(fault.len, self._back, host)
@@ -120,7 +117,7 @@
     def _while(self, met: list[str], fault: Fault, on: dict[str, Any], off: dict[str, Any]) -> None:
         """Sets what is wrong with hosts, and takes it back unless they started anew meanwhile."""
         for name in met:
-            troubles = self._host(name).troubles
+            troubles = self.stage.hosts[name].troubles
             for field, value in on.items():
                 setattr(troubles, field, value)
 
@@ -148,7 +145,7 @@
         self._while(met, fault, {"bad": fault.strength()}, {"bad": 0.0})
 
     def _deploy(self, met: list[str], fault: Fault) -> None:
-        whole = len(self.stage.troubled_hosts)
+        whole = len(self.stage.hosts)
         batch = max(1, round(fault.strength() * whole)) if fault.size else max(1, len(met) // 3)
         batches = [met[i : i + batch] for i in range(0, len(met), batch)]
         drain = fault.extra if fault.extra is not None else 2.0
@@ -158,10 +155,10 @@
                 self._after(start, self._drain, name, drain)
 
     def _drain(self, name: str, drain: float) -> None:
-        host = self.stage.troubled_hosts.get(name)
+        host = self.stage.hosts.get(name)
         if host is not None and host.up:
             self.stage.listed(host, "terminating")
-            lists = self.stage.list_service
+            lists = self.stage.lists
             self._after(drain + lists.delay + lists.later, self.stage.replace, name)
 
     # ---- links ---------------------------------------------------------------------------------------------
@@ -196,7 +193,7 @@
     # ---- the list and the network between gateways ---------------------------------------------------------
 
     def _list_late(self, met: list[str], fault: Fault) -> None:
-        lists = self.stage.list_service
+        lists = self.stage.lists
         lists.later += fault.strength()
 
         def over() -> None:
@@ -205,11 +202,11 @@
         self._after(fault.len, over)
 
     def _list_lost(self, met: list[str], fault: Fault) -> None:
-        self.stage.list_service.shut()
-        self._after(fault.len, self.stage.list_service.open)
+        self.stage.lists.shut()
+        self._after(fault.len, self.stage.lists.open)
 
     def _peers_lost(self, met: list[str], fault: Fault) -> None:
-        network = self.stage.peer_network
+        network = self.stage.network
         network.lost_more = fault.strength()
 
         def over() -> None:
--- a/ledgehitch/standins/links.py
+++ b/ledgehitch/standins/links.py
@@ -3,6 +3,10 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+BEAT = 0.25  # seconds between looks at what links deliver
+Kinds = tuple[tuple[int, float], ...]  # of a note: 1 share delivered, 3 and 4 use of link and uplink
+SHORT_UNDER = 0.999  # share delivered under which a host tells of a shortfall
+
 
 @dataclass
 class Link:
@@ -63,3 +67,28 @@
     else:
         return 1.0
     return min(1.0, left / open_kb) if open_kb > 0 else 1.0
+
+
+class Telling:
+    """Which notes media hosts owe their gateways: shortfalls every second, use as often as the site says."""
+
+    def __init__(self, now: float, told_every: float) -> None:
+        self.told_every = told_every
+        self._last_short = self._last_use = now
+        self._was_short: set[str] = set()
+
+    def due(self, now: float, told: Mapping[str, Delivery]) -> tuple[bool, list[tuple[str, Kinds]]]:
+        """Whether a second has passed, and what hosts tell now: their name, with kinds and values."""
+        second = now - self._last_short >= 1.0 - 1e-9
+        notes: list[tuple[str, Kinds]] = []
+        if second:
+            self._last_short = now
+            for name in sorted(told):
+                share = told[name].share
+                if share < SHORT_UNDER or name in self._was_short:
+                    notes.append((name, ((1, share),)))
+                (self._was_short.add if share < SHORT_UNDER else self._was_short.discard)(name)
+        if now - self._last_use >= self.told_every - 1e-9:
+            self._last_use = now
+            notes += [(name, ((3, told[name].link), (4, told[name].uplink))) for name in sorted(told)]
+        return second, notes
--- a/ledgehitch/standins/media.py
+++ b/ledgehitch/standins/media.py
@@ -1,6 +1,5 @@
 """A media host's stand-in: WHEP and WHIP set-ups, sessions, notes, load reports, and the troubles it has."""
 
-import math
 import random
 import time
 from collections.abc import Callable
@@ -14,11 +13,10 @@
 from ledgehitch.signalling import BadSdp, read_sdp
 from ledgehitch.signalling.sdp import Media
 from ledgehitch.standins.faults import Troubles
-from ledgehitch.standins.links import Delivery
-from ledgehitch.standins.places import Habits, Places
+from ledgehitch.standins.links import Delivery, Kinds
+from ledgehitch.standins.places import ORPHANED, Habits, Places
 
 LAYER = "urn:ietf:params:whep:ext:core:layer"
-ORPHANED = 3.0  # seconds that viewings go on without the stream of their gateway
 NEVER = 1e9
 
 
@@ -179,8 +177,7 @@
             return Response(400, [], str(wrong).encode()), None
         self.setting_up[key] = gone
         try:
-            takes = self.habits.setup * math.exp(self.habits.setup_spread * self.chance.gauss(0, 1))
-            ends = time.monotonic() + takes * t.slower
+            ends = time.monotonic() + self.habits.takes(self.chance) * t.slower
             timer = self.loop.call_at(ends, lambda: gone.set("done"))
             try:
                 gone.wait()
@@ -197,8 +194,7 @@
             silent.wait()
             return None, None
         vw = int(key.split(".")[2]) if key.count(".") == 3 else 0
-        spread = self.habits.true_rate_spread
-        factor = max(0.3, random.Random(title).gauss(1.0, spread))
+        factor = self.habits.true_rate(title)
         session = Session(id, key, gateway, vw, package, title, rung, factor, time.monotonic())
         self.sessions[id], self.by_key[key] = session, id
         answer = self._answer(offer.media, id)
@@ -310,12 +306,7 @@
     def _report(self) -> tuple[str, str]:
         now = time.monotonic()
         if now - self.shown[0] > self.habits.refresh:
-            noise = self.habits.report_noise
-            d = self.delivery
-            self.shown = now, Delivery(
-                d.share, d.link * max(0.0, self.chance.gauss(1, noise)),
-                d.uplink * max(0.0, self.chance.gauss(1, noise)),
-            )  # fmt: skip
+            self.shown = now, self.habits.reported(self.chance, self.delivery)
         d = self.shown[1]
         return ("Endpoint-Load-Metrics", f"TEXT application_utilization={min(1.0, d.link):.4f}, "
                 f"named_metrics.inflight={len(self.sessions)}, named_metrics.x0={d.link:.4f}, "
@@ -367,7 +358,7 @@
             elif now - self.unfollowed.get(session.gateway, NEVER) > ORPHANED:
                 self._drop(session)
 
-    def note(self, kinds: tuple[tuple[int, float], ...]) -> None:
+    def note(self, kinds: Kinds) -> None:
         """Tells every gateway with viewings here, on one of them each."""
         told: dict[str, None] = {}
         for session in self.sessions.values():
--- a/ledgehitch/standins/viewers.py
+++ b/ledgehitch/standins/viewers.py
@@ -17,9 +17,8 @@
 from ledgehitch.standins.arrivals import Visit, by_want, picked, visits
 from ledgehitch.standins.players import Made, Player, faulty_of
 from ledgehitch.standins.service import Booking, Service
-from ledgehitch.standins.visiting import SIGN, Came, Rest, Seen, Try, Watch, visit
+from ledgehitch.standins.visiting import LATE_ANSWER, MOST_AFTER, SIGN, Came, Rest, Seen, Try, Watch, visit
 
-LATE_ANSWER = 1.0  # seconds after patience that a viewer's connection is still watched for the tape
 REPORTS = re.compile(r'<([^>]*)>; *rel="urn:ledgehitch:reports"')
 KINDS = {201: "plays", 503: "blocked", 502: "aborted", 504: "aborted"}
 
@@ -85,7 +84,7 @@
         self._left = 0
         self._home: Any = None
 
-    def run(self, most_after: float = 8.0) -> Service:
+    def run(self, most_after: float = MOST_AFTER) -> Service:
         """Plays the day's arrivals; what still plays a while after the end is broken off."""
         self._home = self.loop.current
         self.loop.spawn(self._hear, name="media")
--- a/ledgehitch/standins/visiting.py
+++ b/ledgehitch/standins/visiting.py
@@ -12,6 +12,8 @@
 from ledgehitch.standins.arrivals import Visit
 from ledgehitch.standins.service import Booking
 
+LATE_ANSWER = 1.0  # seconds after patience that a viewer still listens
+MOST_AFTER = 8.0  # seconds after the day's end that what is under way may take
 SIGN = 1.0  # seconds between a viewer's signs to what plays
 NO_MEDIA = 3.0  # seconds without media after which a viewing counts as broken
 GATEWAY_GONE = 0.3  # seconds until a viewer whose gateway is not there asks another
--- a/ledgehitch/standins/world.py
+++ b/ledgehitch/standins/world.py
@@ -16,13 +16,12 @@
 from ledgehitch.loop import Datagrams, Endpoint, Loop, endpoint
 from ledgehitch.proof.tape import Tape
 from ledgehitch.standins.faults import Faults
-from ledgehitch.standins.links import Fabric, Link
+from ledgehitch.standins.links import BEAT, Fabric, Kinds, Link, Telling
 from ledgehitch.standins.lists import ListService
 from ledgehitch.standins.media import MediaHost
 from ledgehitch.standins.network import PeerNetwork
-from ledgehitch.standins.places import Habits, Places
+from ledgehitch.standins.places import Habits, places_of
 
-BEAT = 0.25  # seconds between looks at what links deliver
 ANY = endpoint("127.0.0.1:0")
 
 
@@ -54,16 +53,12 @@
 
     def _add(self, name: str, at: Endpoint, cell: int, kind: str, zone: str, weight: float, kb: float,
              cold: bool, at_once: bool = False) -> MediaHost:  # fmt: skip
-        f, t = self.site.fleet, self.site.terms
-
-        def places() -> Places:
-            return Places(f.slots[kind], t.warm_up, t.cold_share, t.fall_multiple, t.fall_after, 0.0)
-
-        host = MediaHost(self.loop, name, at, cell, kind, zone, weight, self.rates, self.scales, places,
-                         self.habits, self.tape, self.seed, str(self.media.at))  # fmt: skip
+        host = MediaHost(self.loop, name, at, cell, kind, zone, weight, self.rates, self.scales,
+                         lambda: places_of(self.site, kind), self.habits, self.tape, self.seed,
+                         str(self.media.at))  # fmt: skip
         self.hosts[name] = host
         self.fabric.links[name] = Link(kb)
-        self.fabric.rack_of[name] = cell % max(1, f.racks)
+        self.fabric.rack_of[name] = cell % max(1, self.site.fleet.racks)
         host.start(cold)
         self.listed(host, "in_service", at_once)
         return host
@@ -85,31 +80,22 @@
 
     def _beat(self) -> None:
         """Works out what links deliver, and tells gateways of shortfall and use, late as the site says."""
-        last_short = last_use = time.monotonic()
-        was_short: set[str] = set()
+        telling = Telling(time.monotonic(), self.site.fleet.told_every)
         while True:
             self.loop.sleep(BEAT)
             now = time.monotonic()
             told = self.fabric.deliveries({n: h.asked_kb() for n, h in self.hosts.items() if h.up})
             for name, delivery in told.items():
                 self.hosts[name].delivery = delivery
-            late = now + self.site.fleet.told_late
-            if now - last_short >= 1.0:
-                last_short = now
-                for name in sorted(told):
-                    self.hosts[name].alive()
-                    share = told[name].share
-                    if share < 0.999 or name in was_short:
-                        self._later(late, name, ((1, share),))
-                    (was_short.add if share < 0.999 else was_short.discard)(name)
-            if now - last_use >= self.site.fleet.told_every:
-                last_use = now
-                for name in sorted(told):
-                    self._later(late, name, ((3, told[name].link), (4, told[name].uplink)))
+            second, notes = telling.due(now, told)
+            for name in sorted(told) if second else ():
+                self.hosts[name].alive()
+            for name, kinds in notes:
+                self._later(now + self.site.fleet.told_late, name, kinds)
             for host in list(self.hosts.values()):
                 host.sweep()
 
-    def _later(self, at: float, name: str, kinds: tuple[tuple[int, float], ...]) -> None:
+    def _later(self, at: float, name: str, kinds: Kinds) -> None:
         host = self.hosts[name]
         self.loop.call_at(at, lambda: host.note(kinds))
 
@@ -127,18 +113,6 @@
 
     # ---- the faults' stage ---------------------------------------------------------------------------------
 
-    @property
-    def troubled_hosts(self) -> dict[str, MediaHost]:
-        return self.hosts
-
-    @property
-    def list_service(self) -> ListService:
-        return self.lists
-
-    @property
-    def peer_network(self) -> PeerNetwork:
-        return self.network
-
     def in_service(self) -> list[str]:
         return sorted(n for n, h in self.hosts.items() if h.up and h.name in self.lists.lines)
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -14,8 +14,9 @@
 from ledgehitch.config import KINDS, Day, read_day
 from ledgehitch.lab.facts import PORTS
 from ledgehitch.model.agenda import Agenda
-from ledgehitch.model.day import ORPHANED, Ground, Result, played
+from ledgehitch.model.day import Ground, Result, played
 from ledgehitch.proof.check import figures_of, judged
+from ledgehitch.standins.places import ORPHANED
 from ledgehitch.standins.plan import site_of, steps_of
 from ledgehitch.standins.visiting import Seen
 
