One filter for what was seen, one count of changes, starts kept where they are shown

Quality and door each had a pair of filters that take turns and a cell by keyed hash (now keyed.py); windows had a version and a stamp that said the same; cells by rack and title carried start times that nothing read; what racks are called was worked out in two places; a field of the clocks was read by nothing.

--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -4,6 +4,7 @@
 is told; the records themselves are not kept by it.
 """
 
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -171,6 +172,11 @@
         wrong("terms.extra_window", "a budget for further tune-ins needs a window above 0")
 
 
+def rack_name(names: Sequence[str], rack: str) -> str:
+    """What people call the rack of this number, by a site's `rack_names`."""
+    return names[int(rack)] if rack.isdigit() and int(rack) < len(names) else f"rack-{rack}"
+
+
 def facts_of(site: Site, gateway: str) -> tuple[Ladder, tuple[Package, ...], Fleet, Terms]:
     """What the decision module of one gateway is told at start."""
     names = [g.name for g in site.gateways]
--- a/ledgehitch/door/queue.py
+++ b/ledgehitch/door/queue.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from blake3 import blake3
+from ledgehitch.keyed import cell_of
 
 CELLS = 1024
 IN_CELL = 64  # that wait in one cell
@@ -54,8 +54,7 @@
         return len(self._waiting)
 
     def _cell_of(self, name: bytes) -> int:
-        digest = blake3(self._era.to_bytes(8, "big", signed=True) + name, key=self._secret).digest(4)
-        return int.from_bytes(digest, "big") % CELLS
+        return cell_of(self._secret, self._era, name, CELLS)
 
     def _era_at(self, now: float) -> None:
         era = int(now // REKEY)
--- a/ledgehitch/door/returns.py
+++ b/ledgehitch/door/returns.py
@@ -9,14 +9,15 @@
 from typing import Any
 
 from blake3 import blake3
-from rbloom import Bloom
+
+from ledgehitch.keyed import Remembered
 
 AHEAD = 120  # seconds for which places are kept
 SHARE = 0.7  # of what is let in a second that returning clients may be told to take
 EARLY, LATE = 0.25, 3.0  # seconds around its time in which a ticket is good
 HEAD = struct.Struct(">Hd8sQ")  # key number, time, client, number
 MAC = 12
-REMEMBERED = 50_000  # used tickets in each of two filters
+REMEMBERED = 50_000  # used tickets, at least
 
 
 class Places:
@@ -50,8 +51,8 @@
     def __init__(self, number: int, secret: bytes) -> None:
         self._keys = {number: secret}
         self._newest = number
-        self._used = Bloom(REMEMBERED, 1e-6, _hash), Bloom(REMEMBERED, 1e-6, _hash)
-        self._remembered = self._issued = 0
+        self._used = Remembered(REMEMBERED, 1e-6)
+        self._issued = 0
         self.refused: dict[str, int] = {}
 
     def rotate(self, number: int, secret: bytes) -> None:
@@ -61,15 +62,14 @@
 
     def frozen(self) -> dict[str, Any]:
         """Keys and what was used, for a file that nobody else reads."""
-        return {"keys": [[n, k] for n, k in self._keys.items()], "used": [f.save_bytes() for f in self._used],
-                "issued": self._issued, "remembered": self._remembered}  # fmt: skip
+        keys = [[n, k] for n, k in self._keys.items()]
+        return {"keys": keys, "used": self._used.frozen(), "issued": self._issued}
 
     def thawed(self, held: Any) -> None:
         self._keys = {int(n): bytes(k) for n, k in held["keys"]}
         self._newest = list(self._keys)[-1]
-        new, old = (Bloom.load_bytes(raw, _hash) for raw in held["used"])
-        self._used = new, old
-        self._issued, self._remembered = int(held["issued"]), int(held["remembered"])
+        self._used.thawed(held["used"])
+        self._issued = int(held["issued"])
 
     def issue(self, at: float, name: bytes) -> str:
         self._issued += 1
@@ -103,16 +103,4 @@
             return "early"
         if now > at + LATE:
             return "late"
-        new, old = self._used
-        if mac in new or mac in old:
-            return "used"
-        new.add(mac)
-        self._remembered += 1
-        if self._remembered >= REMEMBERED:
-            self._remembered = 0
-            self._used = Bloom(REMEMBERED, 1e-6, _hash), new
-        return ""
-
-
-def _hash(key: Any) -> int:
-    return int.from_bytes(key.ljust(16, b"\0")[:16], "big", signed=True)
+        return "used" if self._used.seen(mac) else ""
--- a/ledgehitch/gateway/beside.py
+++ b/ledgehitch/gateway/beside.py
@@ -7,7 +7,8 @@
 
 import structlog
 
-from ledgehitch.config import BadInput, Site, read_site
+from ledgehitch.config import BadInput, read_site
+from ledgehitch.config.site import rack_name
 from ledgehitch.gateway.reports import JUDGED_EVERY, KeysOf, Reports
 from ledgehitch.http import ConnectFailed, Interrupted, Server
 from ledgehitch.loop import Event, Loop, TimedOut, endpoint
@@ -15,11 +16,6 @@
 log = structlog.get_logger("quality")
 
 
-def names_of(site: Site, rack: str) -> str:
-    names = site.fleet.rack_names
-    return names[int(rack)] if rack.isdigit() and int(rack) < len(names) else f"rack-{rack}"
-
-
 def take_reports(site_file: Path, name: str | None, state_dir: Path) -> int:
     """Runs until SIGTERM or SIGINT; SIGHUP reads the site anew, for what racks are called."""
     site = read_site(site_file)
@@ -47,7 +43,7 @@
         restore = loop.on_signals([signal.SIGTERM, signal.SIGINT, signal.SIGHUP], on)
         others = {g.name: g.reports_at or g.at for g in site.gateways if g.name != here.name}
         reports = Reports(loop, here.name, others, state_dir, KeysOf(here.name, state_dir).check)
-        reports.rack_name = lambda rack: names_of(site, rack)
+        reports.rack_name = lambda rack: rack_name(site.fleet.rack_names, rack)
         playing: dict[str, int] = {}
         reports.playing = lambda: playing
 
--- a/ledgehitch/gateway/reports.py
+++ b/ledgehitch/gateway/reports.py
@@ -287,10 +287,9 @@
 
 def _shown(groups: dict[str, dict[str, Side]]) -> dict[str, dict[str, dict[str, Any]]]:
     """Counts by kind and name; of start times the median and the 95th percentile, milliseconds."""
-    out: dict[str, dict[str, dict[str, Any]]] = {}
-    for kind, sides in groups.items():
-        for name, side in sides.items():
-            told = {f: getattr(side, f) for f in Cell.__struct_fields__}
-            told |= {"start_p50": side.start_at(0.5), "start_p95": side.start_at(0.95)}
-            out.setdefault(kind, {})[name] = told
-    return {kind: out.get(kind, {}) for kind in groups}
+
+    def shown(side: Side) -> dict[str, Any]:
+        told = {f: getattr(side, f) for f in (*Cell.__struct_fields__, "starts", "start")}
+        return told | {"start_p50": side.start_at(0.5), "start_p95": side.start_at(0.95)}
+
+    return {kind: {name: shown(side) for name, side in sides.items()} for kind, sides in groups.items()}
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -18,6 +18,7 @@
 from ledgehitch import __version__
 from ledgehitch.brain import Gateway
 from ledgehitch.config import BadInput, Site, facts_of
+from ledgehitch.config.site import rack_name
 from ledgehitch.door.decide import Door
 from ledgehitch.door.names import ORDER
 from ledgehitch.gateway.carry import Carrier
@@ -100,7 +101,8 @@
             self.reports = front.reports = Reports(
                 loop, name, others_at, state_dir, front.tokens.passes.check
             )
-            self.reports.rack_name, self.reports.playing = self.rack_name, self.playing
+            self.reports.rack_name = lambda rack: rack_name(self.rack_names, rack)
+            self.reports.playing = self.playing
             self.reports.start()
         front.rack_of = self.rack_of
         self.rack_names = site.fleet.rack_names
@@ -142,10 +144,6 @@
         line = self.listing.roll.lines.get(host)
         return str(line.cell % max(1, self.site.fleet.racks)) if line is not None else "?"
 
-    def rack_name(self, rack: str) -> str:
-        names = self.rack_names
-        return names[int(rack)] if rack.isdigit() and int(rack) < len(names) else f"rack-{rack}"
-
     def playing(self) -> dict[str, int]:
         """Viewings that play here now, by rack."""
         out: dict[str, int] = {}
--- a/ledgehitch/quality/limits.py
+++ b/ledgehitch/quality/limits.py
@@ -4,7 +4,7 @@
 a cell by chance shares its rate until the key changes.
 """
 
-from blake3 import blake3
+from ledgehitch.keyed import cell_of
 
 CELLS = 65536
 RATE, BURST = 5.0, 200.0  # reports a second and at once, for one client
@@ -23,8 +23,7 @@
         if era != self._era:
             self._era = era
             self._left, self._at = [BURST] * CELLS, [now] * CELLS
-        digest = blake3(era.to_bytes(8, "big") + client.encode(), key=self._secret).digest(4)
-        i = int.from_bytes(digest, "big") % CELLS
+        i = cell_of(self._secret, era, client.encode(), CELLS)
         self._left[i] = min(BURST, self._left[i] + (now - self._at[i]) * RATE)
         self._at[i] = max(self._at[i], now)
         if self._left[i] >= reports:
--- a/ledgehitch/quality/tally.py
+++ b/ledgehitch/quality/tally.py
@@ -11,10 +11,9 @@
 from typing import Any
 
 import msgspec
-from blake3 import blake3
 from ddsketch.mapping import LogarithmicMapping
-from rbloom import Bloom
 
+from ledgehitch.keyed import Remembered
 from ledgehitch.quality.facts import Report, Seen
 
 WINDOW = 10.0  # seconds of the gateway's time in one window
@@ -24,8 +23,8 @@
 MOST_CELLS = 20_000  # of rack and title in a window; further titles count as OTHERS
 MOST_SIDES = 2_000  # groups of one kind in a window whose start times are kept as sketches; the same
 OTHERS = "(others)"
-FORM = 3  # of what is kept on disk; another form is not read
-DOUBLES, ERROR = 400_000, 1e-4  # reports remembered by each of two filters; share wrongly taken for doubles
+FORM = 4  # of what is kept on disk; another form is not read
+DOUBLES, ERROR = 400_000, 1e-4  # reports remembered, at least; share wrongly taken for doubles
 RUNS, JUMPS = 0.05, 2.0  # a clock that runs so much too fast or slow, or jumps so many seconds, is marked
 LONG_ENOUGH = 8.0  # seconds over which a clock's rate is judged
 STALLED = 0.01  # share of the time in stalls from which a viewing is bad
@@ -34,18 +33,16 @@
 
 
 class Cell(msgspec.Struct):
-    """Counts of one rack and title in one window. `start` sums milliseconds over `starts`."""
+    """Counts of one rack and title in one window."""
 
     viewings: int = 0
     bad: int = 0
     stalled: int = 0
     slow: int = 0
     dropped: int = 0
-    starts: int = 0
-    start: int = 0
 
     def add(self, other: "Cell") -> None:
-        for name in self.__struct_fields__:
+        for name in Cell.__struct_fields__:
             setattr(self, name, getattr(self, name) + getattr(other, name))
 
 
@@ -55,25 +52,30 @@
 
 
 class Side(Cell):
-    """Counts of one rack, title, package or rung in one window. `sketch`: starts by the mapping's key."""
+    """Counts of one rack, title, package or rung in one window. `start` sums the starts' milliseconds,
+    `sketch` counts them by the mapping's key."""
 
+    start: int = 0
     sketch: dict[int, int] = {}
 
-    def add(self, other: Cell) -> None:
-        for name in Cell.__struct_fields__:
-            setattr(self, name, getattr(self, name) + getattr(other, name))
-        for key, n in getattr(other, "sketch", {}).items():
+    @property
+    def starts(self) -> int:
+        return sum(self.sketch.values())
+
+    def merge(self, other: "Side") -> None:
+        self.add(other)
+        self.start += other.start
+        for key, n in other.sketch.items():
             self.sketch[key] = self.sketch.get(key, 0) + n
 
     def started(self, milliseconds: int) -> None:
-        self.starts += 1
         self.start += milliseconds
         key = STARTS.key(max(1.0, float(milliseconds)))
         self.sketch[key] = self.sketch.get(key, 0) + 1
 
     def start_at(self, share: float) -> float | None:
         """The start time, milliseconds, that `share` of the starts do not exceed, to 5%; None without any."""
-        rank, passed = share * (sum(self.sketch.values()) - 1), 0
+        rank, passed = share * (self.starts - 1), 0
         for key in sorted(self.sketch):
             passed += self.sketch[key]
             if passed > rank:
@@ -95,7 +97,6 @@
     first_ts: float = 0.0
     last_ts: float = 0.0
     last_sn: int = -1
-    reported_to: float = 0.0  # up to where, in the gateway's time, stalls were reported
     marked: str = ""
     windows: dict[int, int] = field(default_factory=dict)  # what it counts as, by window: bits
     rungs: dict[int, int] = field(default_factory=dict)  # the rung that it counts under, by window
@@ -123,13 +124,11 @@
         self.counts = Counts()
         self.clocks: OrderedDict[str, _Clock] = OrderedDict()
         self.windows: dict[int, Window] = {}
-        self.versions: dict[int, int] = {}
+        self.changes = 0  # reports that were counted
+        self.versions: dict[int, int] = {}  # by window: `changes` when it last changed
         # By source and window: life, version, window.
         self.others: dict[str, dict[int, tuple[int, int, Window]]] = {}
-        self.changes = 0  # counted reports of this life
-        self.changed: dict[int, int] = {}  # by window: `changes` when it last changed
-        self._doubles = Bloom(DOUBLES, ERROR, _hash), Bloom(DOUBLES, ERROR, _hash)
-        self._remembered = 0
+        self._doubles = Remembered(DOUBLES, ERROR)
 
     # ---- reports -------------------------------------------------------------------------------------------
 
@@ -149,7 +148,7 @@
         if clock is None:
             self.counts.unknown += 1
             return "unknown"
-        if self._double(viewing, report.sn):
+        if self._doubles.seen(f"{viewing}/{report.sn}".encode()):
             self.counts.doubles += 1
             return "double"
         at = self._when(now, clock, report)
@@ -164,18 +163,6 @@
         self.counts.taken += 1
         return "taken"
 
-    def _double(self, viewing: str, sn: int) -> bool:
-        key = f"{viewing}/{sn}"
-        new, old = self._doubles
-        if key in new or key in old:
-            return True
-        new.add(key)
-        self._remembered += 1
-        if self._remembered >= DOUBLES:
-            self._remembered = 0
-            self._doubles = Bloom(DOUBLES, ERROR, _hash), new
-        return False
-
     def _when(self, now: float, clock: _Clock, report: Report) -> float:
         """When the report was made, in the gateway's time: by the least delay seen, never in the future."""
         ts = report.ts / 1000
@@ -220,29 +207,25 @@
         before = clock.windows.get(window, -1)
         rung = clock.rungs.setdefault(window, report.rung)
         had = max(0, before)
-        started = report.msd if report.sn == 0 else None
-        for counts in self._counts(window, seen, rung):
+        cell, sides = self._counts(window, seen, rung)
+        for counts in (cell, *sides):
             counts.viewings += before < 0
             counts.bad += bool(bits) and not had
             for name, bit in BITS.items():
                 if bits & bit and not had & bit:
                     setattr(counts, name, getattr(counts, name) + 1)
-            if started is not None:
-                if isinstance(counts, Side):
-                    counts.started(started)
-                else:
-                    counts.starts += 1
-                    counts.start += started
+        if report.msd is not None and report.sn == 0:
+            for side in sides:
+                side.started(report.msd)
         clock.windows[window] = had | bits
         while len(clock.windows) > 6:
             oldest = min(clock.windows)
             for held in (clock.windows, clock.rungs, clock.stalls):
                 held.pop(oldest, None)
-        self.versions[window] = self.versions.get(window, 0) + 1
         self.changes += 1
-        self.changed[window] = self.changes
+        self.versions[window] = self.changes
 
-    def _counts(self, window: int, seen: Seen, rung: int) -> Iterator[Cell]:
+    def _counts(self, window: int, seen: Seen, rung: int) -> tuple[Cell, list[Side]]:
         """All that a viewing counts in: its rack and title together, and each group that it is of."""
         held = self.windows.get(window)
         if held is None:
@@ -250,28 +233,25 @@
             while len(self.windows) > KEPT:
                 oldest = min(self.windows)
                 del self.windows[oldest], self.versions[oldest]
-                self.changed.pop(oldest, None)
         key = f"{seen.rack}\t{seen.title}"
         if key not in held.cells and len(held.cells) >= MOST_CELLS:
             key = f"{seen.rack}\t{OTHERS}"
-        yield held.cells.setdefault(key, Cell())
+        sides = []
         for kind, name in zip(KINDS, (seen.rack, seen.title, seen.package, str(rung)), strict=True):
-            key = f"{kind}\t{name}"
-            side = held.sides.get(key)
-            if side is None:
-                if len(held.sides) >= MOST_SIDES and kind == "title":
-                    key = f"{kind}\t{OTHERS}"
-                side = held.sides.setdefault(key, Side())
-            yield side
+            group = f"{kind}\t{name}"
+            if kind == "title" and group not in held.sides and len(held.sides) >= MOST_SIDES:
+                group = f"{kind}\t{OTHERS}"
+            sides.append(held.sides.setdefault(group, Side()))
+        return held.cells.setdefault(key, Cell()), sides
 
     # ---- exchange ------------------------------------------------------------------------------------------
 
     def summaries(self, life: int = 0, after: int = 0) -> Iterator[tuple[str, int, int, int, Window]]:
         """Own windows as they are told to others: source, window, life, version, window. All of them, or to
-        who heard this life's first `after` changes those that changed since."""
+        who heard of the first `after` changes in this life those that changed since."""
         for window, held in self.windows.items():
-            if life != self.life or self.changed.get(window, 0) > after:
-                yield self.source, window, self.life, self.versions.get(window, 0), held
+            if life != self.life or self.versions[window] > after:
+                yield self.source, window, self.life, self.versions[window], held
 
     def merge(self, source: str, window: int, life: int, version: int, told: Window) -> bool:
         """Takes another gateway's window if it is newer than what is known; whether it was."""
@@ -315,7 +295,7 @@
         for window in self._within(first, last):
             for key, side in window.sides.items():
                 kind, _, name = key.partition("\t")
-                out.setdefault(kind, {}).setdefault(name, Side()).add(side)
+                out.setdefault(kind, {}).setdefault(name, Side()).merge(side)
         return out
 
     # ---- for the file --------------------------------------------------------------------------------------
@@ -324,9 +304,9 @@
         """All that a restart needs so that nothing counts twice: tables, filters, clocks."""
         return {
             "source": self.source, "life": self.life, "windows": self.windows, "versions": self.versions,
-            "others": self.others, "counts": self.counts, "remembered": self._remembered,
-            "doubles": [f.save_bytes() for f in self._doubles], "form": FORM,
-            "clocks": {name: clock for name, clock in self.clocks.items()},
+            "others": self.others, "counts": self.counts, "doubles": self._doubles.frozen(),
+            "form": FORM,
+            "clocks": dict(self.clocks),
         }  # fmt: skip
 
     @classmethod
@@ -337,9 +317,8 @@
             raise ValueError(f"form {data.form}, this program writes {FORM}")
         tally = cls(data.source, max(life, data.life + 1))
         tally.windows, tally.versions, tally.others = data.windows, data.versions, data.others
-        tally.counts, tally._remembered = data.counts, data.remembered
-        new, old = (Bloom.load_bytes(raw, _hash) for raw in data.doubles)
-        tally._doubles = new, old
+        tally.counts, tally.changes = data.counts, max(data.versions.values(), default=0)
+        tally._doubles.thawed(data.doubles)
         tally.clocks = OrderedDict(data.clocks)
         return tally
 
@@ -352,11 +331,5 @@
     versions: dict[int, int]
     others: dict[str, dict[int, tuple[int, int, Window]]]
     counts: Counts
-    remembered: int
-    doubles: list[bytes]
+    doubles: list[Any]
     clocks: dict[str, _Clock]
-
-
-def _hash(key: Any) -> int:
-    """The same in every process: what Python hashes strings to is not."""
-    return int.from_bytes(blake3(key.encode()).digest(16), "big", signed=True)
