--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -13,7 +13,7 @@
 from ledgehitch.http.events import event
 from ledgehitch.http.parse import ResponseReader
 from ledgehitch.loop import Loop, Stream, TimedOut, connect, endpoint
-from ledgehitch.standins.viewers import REPORTS, offer_of
+from ledgehitch.standins.viewers import offer_of, reports_to
 
 ANSWER = offer_of(1).replace(b"a=recvonly", b"a=sendonly").replace(b"actpass", b"passive")
 
@@ -164,13 +164,7 @@
             f"Authorization: Bearer r-{number}\r\n"
         )
         response = asked(at, head, offer_of(number, f"r{number}"))
-        links = ", ".join(value for name, value in response.headers if name.lower() == "link")
-        found = REPORTS.search(links)
-        place = found[1] if found else ""
-        to, path = at, place
-        if place.startswith("http://"):
-            to, _, path = place.removeprefix("http://").partition("/")
-            path = f"/{path}"
+        to, path = reports_to(response, at)
         held.append((to, path, response.header("report-token") or ""))
 
     def post(i: int, batch: int) -> None:
--- a/ledgehitch/keyed.py
+++ b/ledgehitch/keyed.py
@@ -7,7 +7,7 @@
 
 
 def cell_of(secret: bytes, era: int, name: bytes, cells: int) -> int:
-    """The cell that a name shares with others until the era ends; nobody without the secret can aim at one."""
+    """The cell that a name shares with others for an era; nobody without the secret can aim at one."""
     digest = blake3(era.to_bytes(8, "big", signed=True) + name, key=secret).digest(4)
     return int.from_bytes(digest, "big") % cells
 
@@ -35,11 +35,8 @@
 
     def thawed(self, held: list[Any]) -> None:
         count, new, old = held
-        self._count, self._new, self._old = (
-            int(count),
-            Bloom.load_bytes(new, _hash),
-            Bloom.load_bytes(old, _hash),
-        )
+        self._new, self._old = Bloom.load_bytes(new, _hash), Bloom.load_bytes(old, _hash)
+        self._count = int(count)
 
 
 def _hash(key: Any) -> int:
--- a/ledgehitch/lab/carry.py
+++ b/ledgehitch/lab/carry.py
@@ -23,7 +23,7 @@
 from ledgehitch.standins.plan import site_of, steps_of
 
 LOOK = 2.0  # seconds between signs of life in the file of results
-KINDS = multiprocessing.get_context("fork")
+FORK = multiprocessing.get_context("fork")
 
 
 def one_run(day: Day, seed: int, gates_out: Sequence[int] = ()) -> dict[str, Any]:
@@ -122,11 +122,11 @@
                     assert isinstance(key, tuple)
                     if not self.store.claim(self.runs[key]):
                         self.came.others += 1
-                        self.planner.ended(time.monotonic(), name, key)
+                        self.planner.skipped(name, key)
                         continue
                     run = self.runs[key]
-                    ours, theirs = KINDS.Pipe(duplex=False)
-                    child = KINDS.Process(target=_child, args=(theirs, run.what, run.seed))
+                    ours, theirs = FORK.Pipe(duplex=False)
+                    child = FORK.Process(target=_child, args=(theirs, run.what, run.seed))
                     child.start()
                     theirs.close()
                     self._out[key] = child, ours, time.monotonic()
--- a/ledgehitch/lab/compare.py
+++ b/ledgehitch/lab/compare.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import numpy as np
@@ -96,8 +96,5 @@
             verdict, more = "the same", 0
         else:
             verdict, more = "cannot tell", max(1, answer.more)
-        out.append(
-            Answer(answer.condition, answer.measure, answer.pairs, answer.a, answer.b, answer.difference,
-                   answer.low, answer.high, p, verdict, more)
-        )  # fmt: skip
+        out.append(replace(answer, p=p, verdict=verdict, more=more))
     return out
--- a/ledgehitch/lab/decide.py
+++ b/ledgehitch/lab/decide.py
@@ -83,6 +83,10 @@
             e.used += took
             e.each = took if e.each == GUESS else (NEW * took + OLD * e.each) / (NEW + OLD)
 
+    def skipped(self, name: str, run: Hashable) -> None:
+        """A run that was begun needs no doing: it tells nothing of how long the others take."""
+        self.experiments[name].out.pop(run, None)
+
     def through(self) -> bool:
         return not any(e.waiting or e.out for e in self.experiments.values())
 
--- a/ledgehitch/lab/facts.py
+++ b/ledgehitch/lab/facts.py
@@ -47,10 +47,6 @@
     key: str
     what: Day
 
-    @property
-    def condition(self) -> tuple[str, str, str]:
-        return self.day, self.size, self.fault
-
 
 def read_plan(path: Path) -> Plan:
     """A plan in the configuration language; what is wrong is told with file, line and column."""
@@ -63,7 +59,7 @@
 def changed(day: Day, changes: Mapping[str, Any], where: str) -> Day:
     """The day with settings by dotted path, such as `shape.hosts` or `site.terms.cold_share`. Raises
     `BadInput` for one that does not exist."""
-    data = _plain(day)
+    data = plain(day)
     for path, value in changes.items():
         *parents, last = path.split(".")
         at = data
@@ -103,11 +99,12 @@
                     whole.append((day.name, size, fault, setting, made))
     for seed in range(plan.first_seed, plan.first_seed + plan.seeds):
         for day_name, size, fault, setting, made in whole:
-            key = blake3(canonical([_plain(made), seed])).hexdigest(16)
+            key = blake3(canonical([plain(made), seed])).hexdigest(16)
             yield Run(plan.name, day_name, size, fault, setting, seed, key, made)
 
 
-def _plain(day: Day) -> Any:
+def plain(day: Day) -> Any:
+    """The day as plain data, with the parts of the site that it wants otherwise."""
     data = msgspec.to_builtins(msgspec.structs.replace(day, site={}))
     return data | {"site": {part: msgspec.json.decode(raw) for part, raw in day.site.items()}}
 
--- a/ledgehitch/lab/report.py
+++ b/ledgehitch/lab/report.py
@@ -15,6 +15,9 @@
 import numpy as np  # noqa: E402
 from scipy import stats  # noqa: E402
 
+from ledgehitch.lab.facts import AS_IS  # noqa: E402
+from ledgehitch.lab.store import MEASURES  # noqa: E402
+
 Results = list[tuple[dict[str, Any], dict[str, Any]]]  # what run it was, all that it gave
 HEAD = """<!doctype html><html lang="en"><meta charset="utf-8"><title>{name}</title>
 <style>body{{font-family:sans-serif;max-width:75rem;margin:2rem auto;padding:0 1rem}}img{{max-width:100%}}
@@ -24,7 +27,7 @@
 
 
 def _label(run: Mapping[str, Any]) -> str:
-    return ", ".join(str(run[k]) for k in ("day", "size", "fault", "setting") if run[k] != "as it is")
+    return ", ".join(str(run[k]) for k in ("day", "size", "fault", "setting") if run[k] != AS_IS)
 
 
 def _grouped(results: Results) -> dict[str, list[dict[str, Any]]]:
@@ -41,7 +44,7 @@
 
 
 def _bars(groups: dict[str, list[dict[str, Any]]]) -> Any:
-    names = ("service", "worst_10s", "join_p50", "join_p95", "blocked", "short")
+    names = [name for name in MEASURES if name != "breaches"]
     figure, axes = plt.subplots(2, 3, figsize=(15, 3 + 0.5 * len(groups)))
     for ax, name in zip(axes.flat, names, strict=True):
         both = [_interval([r["measures"][name] for r in rs]) for rs in groups.values()]
@@ -128,7 +131,7 @@
 
 
 def _table(groups: dict[str, list[dict[str, Any]]]) -> str:
-    names = ("service", "worst_10s", "join_p50", "join_p95", "blocked", "short", "breaches")
+    names = MEASURES
     rows = ["<tr><th>run<th>seeds" + "".join(f"<th>{n}" for n in names)]
     for label, results in groups.items():
         cells = "".join(f"<td>{np.mean([r['measures'][n] for r in results]):.3f}" for n in names)
--- a/ledgehitch/lab/seek.py
+++ b/ledgehitch/lab/seek.py
@@ -1,17 +1,16 @@
 """Carries the search out: proposals over all cores, the worst one cut down and kept as a day."""
 
-import multiprocessing
 import os
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from ledgehitch.config import Day
-from ledgehitch.lab.carry import one_run
+from ledgehitch.lab.carry import FORK, one_run
+from ledgehitch.lab.facts import plain
 from ledgehitch.lab.search import BROKEN, Search, badness, smaller
 
 STILL = 0.9  # part of its badness that a cut-down script must keep, where no rule is broken
@@ -47,7 +46,7 @@
     """The worst script near `day` in so many tries, cut down. The same seed finds the same, on any number of
     cores: rounds are of a fixed size and heard in order."""
     search, gates = Search(day, random.Random(seed)), tuple(gates_out)
-    with multiprocessing.get_context("fork").Pool(cores or os.cpu_count()) as pool:
+    with FORK.Pool(cores or os.cpu_count()) as pool:
         while search.tried < tries:
             batch = search.proposals(min(16, tries - search.tried))
             results = pool.map(_played, [(d, s, gates, wanted) for d, s in batch], chunksize=1)
@@ -76,6 +75,4 @@
 def keep(found: Found, path: Path) -> None:
     """Writes the script as a day that `rehearse` plays, under the file's name."""
     day = msgspec.structs.replace(found.day, name=path.stem, seed=found.seed, source="lab search")
-    data: dict[str, Any] = msgspec.to_builtins(msgspec.structs.replace(day, site={}))
-    data["site"] = {part: msgspec.json.decode(raw) for part, raw in day.site.items()}
-    path.write_bytes(msgspec.json.format(msgspec.json.encode(data)) + b"\n")
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(plain(day))) + b"\n")
--- a/ledgehitch/standins/players.py
+++ b/ledgehitch/standins/players.py
@@ -42,7 +42,6 @@
 
     rack: str
     title: str
-    started: float  # day's time at which it began to play
     start_delay: float  # seconds from asking to the answer
     chance: random.Random
     lies: bool = False
--- a/ledgehitch/standins/viewers.py
+++ b/ledgehitch/standins/viewers.py
@@ -79,7 +79,6 @@
         self.racks = {h.name: str(h.cell % max(1, site.fleet.racks)) for h in site.hosts}
         self.client = Client(loop)
         self._telling = 0  # batches of reports on their way
-        self.took: dict[int, float] = {}  # from asking to the answer, by the viewer's number
         self._conns = 0
         self._left = 0
         self._home: Any = None
@@ -132,6 +131,7 @@
             steps = visit(v, self.day, target, self.booking, self.chance, self._now)
             told: Came | bool | None = None
             got: Got | None = None
+            took = 0.0
             while True:
                 try:
                     step = steps.send(told)
@@ -142,14 +142,13 @@
                     case Try(place, top):
                         tried_at = time.monotonic()
                         got = self._try(v if top == v.top else replace(v, top=top), place, tried_at)
-                        if got.kind == "plays":
-                            self.took[v.number] = time.monotonic() - tried_at
+                        took = time.monotonic() - tried_at
                         told = Came(got.kind, got.advice)
                     case Rest(seconds):
                         self.loop.sleep(max(0.0, seconds))
                     case Watch(place, seconds, in_time):
                         assert got is not None and got.response is not None
-                        told = self._watch(v, got.response, seconds, in_time, place)
+                        told = self._watch(v, got.response, seconds, in_time, place, took)
         finally:
             finished()
 
@@ -231,8 +230,10 @@
 
     # ---- watching ------------------------------------------------------------------------------------------
 
-    def _watch(self, v: Visit, response: Response, wanted: float, in_time: bool, place: float) -> bool:
-        """Watches so long, or until it breaks or is given up; whether the viewer is content to go."""
+    def _watch(self, v: Visit, response: Response, wanted: float, in_time: bool, place: float,
+               took: float) -> bool:  # fmt: skip
+        """Watches so long, or until it breaks or is given up; whether the viewer is content to go. `took`:
+        seconds from asking to the answer."""
         ufrag, media = media_of(response.body.decode("utf-8", "replace"))
         if media is None:
             return False
@@ -247,7 +248,7 @@
                 seen.heard(self._now(), float(parts[1]), int(parts[2]))
 
         self.signs[ufrag] = heard
-        player = self._player(v, ufrag, response) if self.reporting.every else None
+        player = self._player(v, ufrag, took) if self.reporting.every else None
         told_at = self._now()
         content = True
         try:
@@ -272,26 +273,17 @@
         self.loop.spawn(self._delete, location, place, name="leave", owner=self._home)
         return content
 
-    def _player(self, v: Visit, ufrag: str, response: Response) -> Player:
+    def _player(self, v: Visit, ufrag: str, took: float) -> Player:
         chance = random.Random(f"{self.seed}/{v.number}/player")
-        now = time.monotonic() - self.started
-        return Player(
-            self.racks.get(ufrag.partition("+")[0], "?"), v.title, now, self.took.pop(v.number, 0.0), chance,
-             chance.random() < self.reporting.lying, chance.uniform(0, 1e6),
-        )  # fmt: skip
+        rack, lies = self.racks.get(ufrag.partition("+")[0], "?"), chance.random() < self.reporting.lying
+        return Player(rack, v.title, took, chance, lies, chance.uniform(0, 1e6))
 
     def _tell(self, player: Player, response: Response, place: float) -> None:
         """Sends what the player has kept, late and in copies as the day says, in a task of its own."""
         _, at = self.gateways[picked(place, self.lean)]
         batch, player.kept = player.kept, []
         token = response.header("report-token") or ""
-        found = REPORTS.search(", ".join(value for name, value in response.headers if name.lower() == "link"))
-        whole = found[1] if found else ""
-        if whole.startswith("http://"):  # a process beside the gateway takes them
-            whole, _, path = whole.removeprefix("http://").partition("/")
-            to, path = whole, f"/{path}"
-        else:
-            to, path = str(at), whole
+        to, path = reports_to(response, str(at))
         fields = [("Authorization", f"Bearer {token}"), ("Content-Type", "application/json")]
         self.made.reports += 1
         self._telling += 1
@@ -346,6 +338,18 @@
                 call(text)
 
 
+def reports_to(response: Response, at: str) -> tuple[str, str]:
+    """Address and path for reports on a viewing that the gateway at `at` admitted: its own, or those of a
+    process beside it."""
+    links = ", ".join(value for name, value in response.headers if name.lower() == "link")
+    found = REPORTS.search(links)
+    where = found[1] if found else ""
+    if not where.startswith("http://"):
+        return at, where
+    to, _, path = where.removeprefix("http://").partition("/")
+    return to, f"/{path}"
+
+
 def media_of(answer: str) -> tuple[str, Endpoint | None]:
     """Where the media are, from an SDP answer: the credentials' name and the first candidate."""
     ufrag, media = "", None
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -142,6 +142,18 @@
     assert p.through() and p.decide(99.0) is None
 
 
+def test_runs_that_need_no_doing_say_nothing_of_how_long_the_others_take() -> None:
+    p = Planner(1)
+    p.added(0.0, "resumed", range(100), limit=1e9)
+    for n in range(60):
+        assert drained(p, 0.0) == [Start("resumed", n)]
+        p.skipped("resumed", n)
+    drained(p, 0.0)
+    p.added(0.0, "question", range(3))
+    p.ended(20.0, "resumed", 60)
+    assert drained(p, 20.0) == [Start("question", 0)], "a resumed sweep is no short question"
+
+
 @settings(max_examples=60, deadline=None, derandomize=True)
 @given(st.randoms(use_true_random=False))
 def test_each_run_is_begun_once_and_never_more_than_there_are_cores(chance: random.Random) -> None:
