The door stands behind the desk: repeats share one answer; rates, parts, kept state, limits by reload

The desk now knows every offer before the door does. New: offers a second by client (fixed memory) and package, set-ups at once of the fleet, this gateway's part of both; all from the site and changed by a reload; what the door knows outlives a restart. Viewers' stand-ins come back with their tickets; the door plays in the model.

--- a/ledgehitch/config/change.py
+++ b/ledgehitch/config/change.py
@@ -17,6 +17,9 @@
     ("pools*", "new viewings"),
     ("racks.*.hosts.*.at", "at once"),
     ("name", "at once"),
+    ("door.client_*", "at once"),
+    ("door.package_rates*", "at once"),
+    ("door.set_ups", "at once"),
     ("gateways.*.peer*", "restart"),
     ("*", "restart"),
 )
@@ -101,6 +104,8 @@
         and new < old
     ):
         return "viewers are answered sooner, more of them blocked"
+    if path[0] == "door" and isinstance(new, (int, float)) and 0 < new < (old or float("inf")):
+        return "who is over it is turned away at once; what is let in already stays"
     if path[-1] == "floor" and isinstance(new, (int, float)) and new > (old or 0):
         return "more is blocked where links are full"
     if path[-1] in ("fall_multiple", "cold_share", "warm_up") and path[0] == "terms":
--- a/ledgehitch/config/compiled.py
+++ b/ledgehitch/config/compiled.py
@@ -50,6 +50,12 @@
             )
         if p["join_target"] > p["patience"]:
             wrong(("packages", name, "join_target"), "the join target is longer than patience")
+    sold = data.get("packages", {})
+    for name in data["door"].get("package_rates", {}):
+        if name not in sold:
+            near = difflib.get_close_matches(name, sorted(sold), 1, 0.5)
+            hint = f"is {near[0]!r} meant?" if near else f"there are {', '.join(sorted(sold))}"
+            wrong(("door", "package_rates", name), f"no package {name!r}", hint)
     cells = max(1, len(racks)) * max((len(r.get("hosts", {})) for r in racks.values()), default=0)
     titles: dict[str, Any] = dict(data.get("titles", {}))
     pools = data.get("pools", {})
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -107,6 +107,10 @@
 
     on: bool = False
     order: tuple[Literal["token", "certificate", "address"], ...] = ("token", "certificate", "address")
+    client_rate: Amount = 0.0  # offers a second of one client at one gateway; 0: no limit
+    client_burst: Annotated[float, msgspec.Meta(ge=1)] = 20.0  # offers of one client that may come at once
+    package_rates: dict[Name, Positive] = {}  # offers a second of a package, of the whole fleet
+    set_ups: Amount = 0.0  # at once, of the whole fleet; 0: only what each gateway finds out itself
 
 
 class Site(Record, kw_only=True, frozen=True):
@@ -168,6 +172,9 @@
             wrong(f"hosts[{i}].kind", f"{h.kind!r} has no places, known are {', '.join(site.fleet.slots)}")
         if h.cell >= site.fleet.cells:
             wrong(f"hosts[{i}].cell", f"{h.cell} is no cell, there are {site.fleet.cells}")
+    for name in site.door.package_rates:
+        if name not in [p.name for p in site.packages]:
+            wrong(f"door.package_rates.{name}", "no such package is sold")
     if site.terms.extra_free is not None and not site.terms.extra_window:
         wrong("terms.extra_window", "a budget for further tune-ins needs a window above 0")
 
--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -12,11 +12,14 @@
 from typing import Any, Protocol
 
 from ledgehitch.door.heavy import Heavy
-from ledgehitch.door.limits import LEAST, Adapted, Pace
+from ledgehitch.door.limits import LEAST, NEW, OLD, Adapted, Pace
+from ledgehitch.door.part import Part
 from ledgehitch.door.queue import FairQueue, Waiting
+from ledgehitch.door.rates import ClientRates, PackageRates
 from ledgehitch.door.returns import Places, Tickets
 
 NEEDED = 0.35  # seconds before its patience's end by which a viewing must be let in
+SURELY = 1.3  # times as long as set-ups take of late: nearly all are through by then
 WAITS = 0.6  # part of the join target that one waits here at most: who joins later is worth little
 STEP = 1.0  # seconds between two looks at whether the least valuable are turned away at once
 CALM = 5  # looks in which nobody was pressed until they are let in again
@@ -27,6 +30,7 @@
     limit: float
 
     def ended(self, now: float, out: int, took: float, join_target: float, failed: bool) -> None: ...
+    def pressed(self, now: float) -> None: ...
     def room(self, out: int) -> int: ...
 
 
@@ -60,23 +64,37 @@
         may_advise: bool,
         longest_advice: float,
         limit: Limit | None = None,
+        gateways: int = 1,
     ) -> None:
-        """`values`, `targets`: of each package, its value and its join target in seconds."""
+        """`values`, `targets`: of each package, its value and its join target in seconds. `gateways`: how
+        many share the fleet's limits, as the site states it."""
         self.chance, self.values, self.targets = chance, values, targets
         self.may_advise, self.longest_advice = may_advise, longest_advice
         self.limit: Limit = limit if limit is not None else Adapted()
         self.queue = FairQueue(chance.randbytes(32))
         self.heavy, self.pace, self.places = Heavy(), Pace(), Places()
         self.tickets = Tickets(chance.randrange(1 << 16), chance.randbytes(32))
+        self.part, self.by_client, self.by_package = Part(gateways), ClientRates(), PackageRates()
+        self.takes = 0.0  # seconds of a set-up, lately
+        self.set_ups = 0.0  # of the fleet at once; 0: only the adapted limit counts
         self.out: dict[int, tuple[float, str]] = {}  # let in and not settled: since when, package
         self.levels = sorted(set(values.values())) or [1.0]
         self.ahead = 0.0
         self.level = 0  # packages worth less than `levels[level]` are turned away at once
-        self.counts = {"let_in": 0, "turned_away": 0, "returned": 0}
+        self.counts = {"let_in": 0, "turned_away": 0, "over_rate": 0, "returned": 0}
         self._due: deque[Decision] = deque()
         self._looked_at, self._calm = now, 0
         self._pressed: dict[float, int] = {}  # found no turn since the last look, by value
 
+    def limited(
+        self, client_rate: float, client_burst: float, package_rates: Mapping[str, float], set_ups: float
+    ) -> None:
+        """The site's limits, at start and at a reload. Who is in or waits already stays: a lower limit is
+        reached by letting nobody in until they are under it."""
+        self.by_client.changed(client_rate, client_burst)
+        self.by_package.changed(package_rates)
+        self.set_ups = set_ups
+
     # ---- what happens --------------------------------------------------------------------------------------
 
     def asked(
@@ -88,11 +106,20 @@
         self.heavy.asked(now, name)
         self.ahead = ahead
         value = self.values.get(package, self.levels[0])
-        until = patience - min(NEEDED, 0.5 * max(0.0, patience - now))
-        until = min(until, now + WAITS * self.targets.get(package, 1.0))
-        one = Waiting(conn, name, package, self.levels[0] / value, now, until)
+        until = patience - min(max(NEEDED, SURELY * self.takes), 0.5 * max(0.0, patience - now))
         returns = bool(ticket) and self.tickets.good(now + ahead, ticket, name)
+        if not returns:  # a promise is kept up to patience: who returns has missed the join target already
+            until = min(until, now + WAITS * self.targets.get(package, 1.0))
+        one = Waiting(conn, name, package, self.levels[0] / value, now, until)
         self.counts["returned"] += returns
+        wait = self.by_client.wait(now, name)
+        if wait > 0:
+            self._over(one, "over its rate", wait)
+            return
+        wait = 0.0 if returns else self.by_package.wait(now, package, self.part.share(now))
+        if wait > 0:
+            self._over(one, "the package is over its rate", wait)
+            return
         if value < self.levels[self.level] and not returns:
             self._turn(now, one, "brown-out")
             return
@@ -110,8 +137,13 @@
         held = self.out.pop(conn, None)
         if held is not None:
             since, package = held
+            self.takes = (NEW * (now - since) + OLD * self.takes) / (NEW + OLD)
             self.limit.ended(now, len(self.out) + 1, now - since, self.targets.get(package, 1.0), failed)
 
+    def given_up(self, now: float) -> None:
+        """A tune-in of one that was let in was not answered in its time."""
+        self.limit.pressed(now)
+
     # ---- what is decided -----------------------------------------------------------------------------------
 
     def decide(self, now: float) -> Decision | None:
@@ -120,7 +152,7 @@
         self._brown_out(now)
         if self._due:
             return self._due.popleft()
-        if self.limit.room(len(self.out)) <= 0:
+        if self._room(now) <= 0:
             return None
         first = self.queue.next(now)
         if first is None:
@@ -130,6 +162,23 @@
         self.counts["let_in"] += 1
         return Let(first.conn)
 
+    def has_room(self, now: float) -> bool:
+        """Whether one that waits could be let in now."""
+        return len(self.queue) > 0 and self._room(now) > 0
+
+    def _room(self, now: float) -> int:
+        """Of all limits on set-ups at once, the one place where they meet."""
+        room = self.limit.room(len(self.out))
+        if self.set_ups:
+            room = min(room, int(self.set_ups * self.part.share(now)) - len(self.out))
+        return room
+
+    def _over(self, one: Waiting, why: str, wait: float) -> None:
+        """A rate turns it away: the wait is what the rate says, and no ticket lets it go before others."""
+        self.counts["over_rate"] += 1
+        advice = min(wait, self.longest_advice) if self.may_advise else 0.0
+        self._due.append(Turn(one.conn, why, advice))
+
     def _turn(self, now: float, one: Waiting, why: str) -> None:
         self.counts["turned_away"] += 1
         if why != "brown-out":
@@ -174,7 +223,8 @@
 
     def state(self, now: float) -> dict[str, Any]:
         return {
-            "limit": round(self.limit.limit, 1), "out": len(self.out), "waiting": len(self.queue),
+            "limit": round(self.limit.limit, 1), "share": round(self.part.share(now), 4),
+            "out": len(self.out), "waiting": len(self.queue),
             "level": self.level, "let_in_a_second": round(self.pace.at(now), 1), **self.counts,
             "tickets_refused": dict(self.tickets.refused),
             "heaviest": self.heavy.heaviest(5), "heaviest_error": round(self.heavy.error(), 1),
--- a/ledgehitch/door/queue.py
+++ b/ledgehitch/door/queue.py
@@ -66,10 +66,10 @@
         self._by_length = [{} for _ in range(IN_CELL + 1)]
         for one in waiting:
             if one.cell >= 0:
-                self._line(one, fresh=False)
+                self._line(one, self._cell_of(one.name), fresh=False)
 
-    def _line(self, one: Waiting, fresh: bool) -> None:
-        number = one.cell = self._cell_of(one.name)
+    def _line(self, one: Waiting, number: int, fresh: bool) -> None:
+        one.cell = number
         cell = self._cells.get(number)
         if cell is None:
             cell = self._cells[number] = _Cell(1.0 if fresh else 0.0)
@@ -104,7 +104,7 @@
         if first:
             self._first[one.conn] = one
         else:
-            self._line(one, fresh=True)
+            self._line(one, number, fresh=True)
         return out
 
     def drop(self, conn: int) -> Waiting | None:
--- a/ledgehitch/door/returns.py
+++ b/ledgehitch/door/returns.py
@@ -13,7 +13,7 @@
 from ledgehitch.keyed import Remembered
 
 AHEAD = 120  # seconds for which places are kept
-SHARE = 0.7  # of what is let in a second that returning clients may be told to take
+SHARE = 0.6  # of what is let in a second that returning clients may be told to take
 EARLY, LATE = 0.25, 3.0  # seconds around its time in which a ticket is good
 HEAD = struct.Struct(">Hd8sQ")  # key number, time, client, number
 MAC = 12
@@ -40,10 +40,15 @@
         are taken. The place is taken."""
         self._at(now)
         room = max(0.2, SHARE * pace)
-        for second in range(int(now + least), min(int(now + most), self._from + AHEAD - 1) + 1):
-            if self._taken[second % AHEAD] < room:
+        over = 0.0  # places taken in the seconds before that will not be served in them
+        first, last = int(now + least), min(int(now + most), self._from + AHEAD - 1)
+        for second in range(self._from, last + 1):
+            taken = self._taken[second % AHEAD] + over
+            # Guards against promises of a faster time being forgotten when the fleet becomes slower.
+            if second >= first and taken < room:
                 self._taken[second % AHEAD] += 1.0
                 return max(least, second - now)
+            over = max(0.0, taken - room)
         return None
 
 
--- a/ledgehitch/gateway/carry.py
+++ b/ledgehitch/gateway/carry.py
@@ -14,6 +14,9 @@
 import structlog
 
 from ledgehitch import interface as say
+from ledgehitch.door.decide import Let
+from ledgehitch.door.names import name_of
+from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.gateway.gate import Gate, Shut
 from ledgehitch.gateway.mind import Mind
 from ledgehitch.gateway.peers import Peers, Refusal
@@ -24,7 +27,7 @@
 from ledgehitch.interface import Outcome, Package
 from ledgehitch.loop import Datagrams, Endpoint, Event, Loop, Task, TimedOut
 from ledgehitch.loop.timers import Timer
-from ledgehitch.signalling import Answer, Desk, End, Leave, Offer
+from ledgehitch.signalling import Answer, Desk, End, Kind, Leave, Offer
 from ledgehitch.signalling.sdp import wrong_answer
 
 LAYER = "urn:ietf:params:whep:ext:core:layer"
@@ -65,6 +68,7 @@
     joined: int = 0  # offers that were another's repeat
     plays: int = 0
     blocked: int = 0
+    turned_away: int = 0  # at the door
     aborted: int = 0
     left: int = 0
     ended: int = 0
@@ -91,6 +95,8 @@
         self.playing_at: dict[str, dict[int, None]] = {}
         self.followers: dict[str, Task] = {}
         self.counts = Counts()
+        self.doorman: Doorman | None = None  # without one everybody is let in as they come
+        self._at_door: dict[int, tuple[tuple[int, int], int, float]] = {}  # cells, highest rung, patience
         self.home: Task | None = None  # owns what is carried out, so that it outlives the request
         self._pump_due = False
         self._timer: Timer | None = None
@@ -107,6 +113,8 @@
     def _pump(self) -> None:
         self._pump_due = False
         now = time.monotonic()
+        if self.doorman is not None:
+            self._let_in(now, self.doorman)
         for decision in self.mind.pulled(now):
             match decision:
                 case say.TuneIn(vw, host, within):
@@ -115,11 +123,11 @@
                     self._set_rung(vw, rung)
                 case say.Block(vw, stay_away):
                     self.counts.blocked += 1
-                    self.desk.settled(now, vw, "blocked", advice=stay_away)
+                    self._settled(now, vw, "blocked", advice=stay_away)
                     self._forget(vw)
                 case say.Abort(vw):
                     self.counts.aborted += 1
-                    self.desk.settled(now, vw, "aborted")
+                    self._settled(now, vw, "aborted")
                     self._forget(vw)
                 case say.Probe(host):
                     self.counts.probes += 1
@@ -149,7 +157,8 @@
                     self._left(now, vw)
                 case End(vw):
                     self._end(now, vw)
-        asks = (self.mind.brain.wake_at(), self.watch.wake_at(), self.desk.wake_at())
+        at_door = self.doorman.door.wake_at() if self.doorman is not None else None
+        asks = (self.mind.brain.wake_at(), self.watch.wake_at(), self.desk.wake_at(), at_door)
         wake = min(at for at in asks if at is not None)
         # The timer that is set does where it is early enough: it stirs once for nothing at most.
         if self._timer is None or self._timer.call is None or wake < self._timer_at:
@@ -163,25 +172,58 @@
     # ---- viewings ------------------------------------------------------------------------------------------
 
     def ask(self, conn: int, key: bytes, vw: int, viewing: Viewing, cells: tuple[int, int], top: int,
-            patience: float, ufrag: str) -> Event:  # fmt: skip
-        """A viewer's offer, on connection `conn`: the event is set with the viewing's number when settled."""
+            patience: float, ufrag: str, ticket: str = "", address: str = "") -> Event:  # fmt: skip
+        """A viewer's offer, on connection `conn`: the event is set with the viewing's number when settled.
+        `ticket` and `address` are for the door."""
         now = time.monotonic()
         event = self.waiting[conn] = Event(self.loop)
         if self.desk.offered(now, conn, key, vw, ufrag):
             self.counts.asked += 1
             self.viewings[vw] = viewing
-            self.gate.asked(vw, viewing.package, patience)
-            name, title = viewing.package.name, viewing.title
-            self.mind.asked(now, vw, name, title, cells[0], cells[1], top, patience)
+            if self.doorman is None:
+                self._admit(now, vw, cells, top, patience)
+            else:
+                self._at_door[vw] = cells, top, patience
+                name = name_of(self.doorman.secret, viewing.token, "", address, self.doorman.order)
+                self.doorman.asked(now, vw, name, viewing.package.name, patience, ticket)
         else:
             self.counts.joined += 1
         self.stir()
         return event
 
+    def _admit(self, now: float, vw: int, cells: tuple[int, int], top: int, patience: float) -> None:
+        viewing = self.viewings[vw]
+        self.gate.asked(vw, viewing.package, patience)
+        name, title = viewing.package.name, viewing.title
+        self.mind.asked(now, vw, name, title, cells[0], cells[1], top, patience)
+
+    def _let_in(self, now: float, doorman: Doorman) -> None:
+        """Those whom the door lets in are the module's from here on; the others have their answer."""
+        while (decision := doorman.door.decide(now)) is not None:
+            vw = decision.conn
+            offer = self._at_door.pop(vw, None)
+            if offer is None:
+                continue  # its viewer had left
+            if isinstance(decision, Let):
+                self._admit(now, vw, *offer)
+            else:
+                self.counts.turned_away += 1
+                self.desk.settled(now, vw, "blocked", advice=decision.advice, why=decision.why,
+                                  ticket=decision.ticket)  # fmt: skip
+                self.viewings.pop(vw, None)
+
+    def _settled(self, now: float, vw: int, kind: Kind, answer: str = "", advice: float = 0.0) -> None:
+        """The module's answer to a viewing: the desk passes it on, the door has room again."""
+        self.desk.settled(now, vw, kind, answer, advice)
+        if self.doorman is not None:
+            self.doorman.settled(now, vw, kind != "plays")
+            if self._at_door:
+                self.stir()
+
     def overdue(self, conn: int, vw: int) -> None:
         """Patience ran out without a decision, which only a fault can bring about: the viewer is told."""
         log.error("no decision within patience", vw=vw)
-        self.desk.settled(time.monotonic(), vw, "aborted")
+        self._settled(time.monotonic(), vw, "aborted")
         self._left(time.monotonic(), vw)
         self.waiting.pop(conn, None)
 
@@ -206,6 +248,11 @@
         if v is None:
             return
         self.counts.left += 1
+        if self.doorman is not None:
+            self.doorman.gone(now, vw)
+            if self._at_door.pop(vw, None) is not None:
+                self.viewings.pop(vw, None)
+                return
         self.mind.left(now, vw)
         if v.task is None:
             self._forget(vw)
@@ -284,7 +331,7 @@
                 now = time.monotonic()
                 self.mind.ended(now, vw, True, Outcome.CANCELLED, host, now - sent, number)
                 # Guards against a fault of ours leaving a viewer without answer; one who left is owed none.
-                self.desk.settled(now, vw, "aborted")
+                self._settled(now, vw, "aborted")
                 self._forget(vw)
             if code not in (Outcome.OK, Outcome.FULL, Outcome.CONNECT_FAILED):
                 # It may have run: whatever came of it there is not wanted.
@@ -305,6 +352,8 @@
             with self.loop.deadline(max(within, 0.001)):
                 response = self.client.request(at, "POST", target, headers, v.offer or b"")
         except TimedOut:
+            if self.doorman is not None:
+                self.doorman.given_up(time.monotonic())
             return Outcome.TIMEOUT, {}, None
         except ConnectFailed:
             return Outcome.CONNECT_FAILED, {}, None
@@ -333,7 +382,7 @@
         self.playing_at.setdefault(host, {})[vw] = None
         self.counts.plays += 1
         self.mind.opened(now, vw, host, number, latency)
-        self.desk.settled(now, vw, "plays", response.body.decode("utf-8", "replace"))
+        self._settled(now, vw, "plays", response.body.decode("utf-8", "replace"))
 
     def _failed(self, now: float, vw: int, host: str, number: int, code: Outcome, latency: float,
                 loads: dict[str, float]) -> None:  # fmt: skip
--- a/ledgehitch/gateway/doorman.py
+++ b/ledgehitch/gateway/doorman.py
@@ -1,12 +1,22 @@
-"""Carries out what the door decides: holds requests until they are let in or turned away."""
+"""The door in a gateway: between the desk, which knows each offer, and the module; kept for the next start.
 
+A repeated offer never comes here: it is the desk's, and gets the answer that the first one gets.
+"""
+
+import secrets
 import time
+from collections.abc import Mapping, Sequence
 from typing import Any, Protocol
 
-from ledgehitch.door.decide import Decision, Turn
-from ledgehitch.http import NoAnswer, Request
-from ledgehitch.loop import Event, Loop
-from ledgehitch.loop.timers import Timer
+import msgspec
+import structlog
+
+from ledgehitch.door.decide import Decision, Door
+from ledgehitch.door.names import ORDER, By
+from ledgehitch.quality.keep import Keep
+
+KEPT_EVERY = 5.0  # seconds: tickets used since then may be used once more after a kill
+log = structlog.get_logger("door")
 
 
 class SomeDoor(Protocol):
@@ -26,57 +36,56 @@
 class Doorman:
     """Times are of the machine's monotonic clock, as patience must not depend on a clock that steps."""
 
-    def __init__(self, loop: Loop, door: SomeDoor) -> None:
-        self.loop, self.door = loop, door
-        self._waiting: dict[int, Event] = {}
-        self._timer: Timer | None = None
-
-    def enter(
-        self, request: Request, conn: int, name: bytes, package: str, wait: float, ticket: str
-    ) -> Turn | None:
-        """Returns when this one is let in (None), or turned away. `wait`: seconds of its patience."""
-        now = time.monotonic()
-        event = self._waiting[conn] = Event(self.loop)
-        self.door.asked(now, conn, name, package, now + wait, ticket, time.time() - now)
-        self._pump(now)
-        if not event.is_set:
-            request.hung_up(lambda: self._hung_up(conn))
-            event.wait()
-            request.hung_up(None)
-        self._waiting.pop(conn, None)
-        told = event.value
-        if told == "gone":
-            raise NoAnswer("the client hung up")
-        return told if isinstance(told, Turn) else None
-
-    def _hung_up(self, conn: int) -> None:
-        event = self._waiting.pop(conn, None)
-        now = time.monotonic()
-        self.door.gone(now, conn)
-        if event is not None and not event.is_set:
-            event.set("gone")
-        self._pump(now)
-
-    def settled(self, conn: int, failed: bool) -> None:
-        now = time.monotonic()
-        self.door.settled(now, conn, failed)
-        self._pump(now)
-
-    def _pump(self, now: float) -> None:
-        while (decision := self.door.decide(now)) is not None:
-            event = self._waiting.get(decision.conn)
-            if event is not None:  # it hung up before it was told that it is turned away
-                event.set(decision)
-        wake = self.door.wake_at()
-        if self._timer is not None:
-            self.loop.timers.cancel(self._timer)
-            self._timer = None
-        if wake is not None:
-            self._timer = self.loop.call_at(max(wake, now + 0.001), self._woken)
-
-    def _woken(self) -> None:
-        self._timer = None
-        self._pump(time.monotonic())
+    def __init__(self, door: SomeDoor, keep: Keep | None = None, order: Sequence[By] = ORDER) -> None:
+        self.door, self.keep, self.order = door, keep, order
+        self.secret = secrets.token_bytes(32)  # names clients, in this life and the next
+        self._kept_at = time.monotonic()
+        if keep is not None:
+            self._read(keep)
+            self.write()  # the keys of the first tickets outlive a kill, too
+
+    # ---- kept for the next start ---------------------------------------------------------------------------
+
+    def _read(self, keep: Keep) -> None:
+        held = keep.read()
+        if held is None or not isinstance(self.door, Door):
+            return
+        try:
+            self.door.thawed(time.monotonic(), held["door"])
+            self.secret = bytes(held["secret"])
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError, RuntimeError) as wrong:
+            log.error("what the door kept does not read, it starts anew", why=str(wrong))
+
+    def write(self) -> None:
+        if self.keep is not None and isinstance(self.door, Door):
+            self._kept_at = time.monotonic()
+            self.keep.write({"door": self.door.frozen(), "secret": self.secret})
+
+    def keep_now_and_then(self) -> None:
+        if time.monotonic() - self._kept_at >= KEPT_EVERY:
+            self.write()
+
+    def limited(self, client_rate: float, client_burst: float, package_rates: Mapping[str, float],
+                set_ups: float) -> None:  # fmt: skip
+        """The site's limits, at start and at a reload."""
+        if isinstance(self.door, Door):
+            self.door.limited(client_rate, client_burst, package_rates, set_ups)
+
+    # ---- viewings ------------------------------------------------------------------------------------------
+
+    def asked(self, now: float, vw: int, name: bytes, package: str, patience: float, ticket: str) -> None:
+        self.door.asked(now, vw, name, package, patience, ticket, time.time() - now)
+
+    def gone(self, now: float, vw: int) -> None:
+        self.door.gone(now, vw)
+
+    def settled(self, now: float, vw: int, failed: bool) -> None:
+        self.door.settled(now, vw, failed)
+
+    def given_up(self, now: float) -> None:
+        """A tune-in was not answered in its time."""
+        if isinstance(self.door, Door):
+            self.door.given_up(now)
 
     def state(self) -> dict[str, Any]:
         return self.door.state(time.monotonic())
--- a/ledgehitch/gateway/front.py
+++ b/ledgehitch/gateway/front.py
@@ -11,17 +11,13 @@
 
 import itertools
 import math
-import secrets
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
 from blake3 import blake3
 
-from ledgehitch.door.decide import Turn
-from ledgehitch.door.names import ORDER, By, name_of
 from ledgehitch.gateway.carry import LAYER, Carrier, Viewing
-from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.gateway.reports import RELATION, Reports, Tokens
 from ledgehitch.http import Feed, NoAnswer, Refused, Request, Response, problem
 from ledgehitch.http.events import event
@@ -56,9 +52,6 @@
         self.tokens: Tokens | None = None
         self.playing: Callable[[], dict[str, int]] = dict  # viewings that play now, by rack
         self.rack_of: Callable[[str], str] = lambda host: ""
-        self.doorman: Doorman | None = None  # without one everybody is let in as they come
-        self.door_secret = secrets.token_bytes(32)
-        self.door_order: tuple[By, ...] = ORDER
         self._conns = itertools.count(1)
         self._vws = itertools.count(1)
 
@@ -126,36 +119,10 @@
         digest.update(request.body)
         viewing = Viewing(token, method, sold, title, request.body, offer, asked_at=request.arrived)
         patience = request.arrived + wait
-        if self.doorman is not None:
-            name = name_of(self.door_secret, token, "", request.peer.rpartition(":")[0], self.door_order)
-            ticket = request.headers.get("return-ticket", "")
-            turned = self.doorman.enter(request, conn, name, package, patience - self.loop.now, ticket)
-            if turned is not None:
-                return _turned(turned)
-        failed = True
-        try:
-            response = self._asked(
-                request, conn, digest.digest(16), vw, viewing, cells, top, patience, offer.ufrag
-            )
-            failed = response.status != 201
-            return response
-        finally:
-            if self.doorman is not None:
-                self.doorman.settled(conn, failed)
-
-    def _asked(
-        self,
-        request: Request,
-        conn: int,
-        key: bytes,
-        vw: int,
-        viewing: Viewing,
-        cells: tuple[int, int],
-        top: int,
-        patience: float,
-        ufrag: str,
-    ) -> Response:
-        event = self.carrier.ask(conn, key, vw, viewing, cells, top, patience, ufrag)
+        event = self.carrier.ask(
+            conn, digest.digest(16), vw, viewing, cells, top, patience, offer.ufrag,
+            request.headers.get("return-ticket", ""), request.peer.rpartition(":")[0],
+        )  # fmt: skip
         request.hung_up(lambda: self.carrier.hung_up(conn))
         try:
             with self.loop.deadline(max(0.0, patience - self.loop.now) + LAST):
@@ -221,8 +188,9 @@
             response = Response(201, fields, settled.answer.encode())
         elif settled.kind == "blocked":
             fields = [("Retry-After", str(math.ceil(settled.advice)))] if settled.advice > 0 else []
-            response = problem(503, "no media host has room for this viewing", [*fields, *_cors()], BLOCKED,
-                               answer="blocked")  # fmt: skip
+            fields += [("Return-Ticket", settled.ticket)] if settled.ticket else []
+            why = f"not let in: {settled.why}" if settled.why else "no media host has room for this viewing"
+            response = problem(503, why, [*fields, *_cors()], BLOCKED, answer="blocked")
         else:
             response = problem(504, "the viewing could not be set up in time; it may have run", _cors(),
                                ABORTED, answer="aborted")  # fmt: skip
@@ -308,14 +276,6 @@
         return Response(200, [("Content-Type", "text/event-stream"), *_cors()], stream=stream)
 
 
-def _turned(turned: Turn) -> Response:
-    """Turned away at the door: nothing was asked of the fleet."""
-    fields = [("Retry-After", str(math.ceil(turned.advice)))] if turned.advice > 0 else []
-    if turned.ticket:
-        fields.append(("Return-Ticket", turned.ticket))
-    return problem(503, f"not let in: {turned.why}", [*fields, *_cors()], BLOCKED, answer="blocked")
-
-
 def _json(status: int, thing: Any) -> Response:
     return Response(status, [("Content-Type", "application/json")], msgspec.json.encode(thing))
 
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -34,6 +34,7 @@
 from ledgehitch.gateway.watch import Watch
 from ledgehitch.http import Limits, Server
 from ledgehitch.loop import Datagrams, Event, Loop, endpoint
+from ledgehitch.quality.keep import Keep
 from ledgehitch.signalling import Desk
 
 TOLD_EVERY = 5.0  # seconds between log lines with the loop's lag and the counters
@@ -90,8 +91,11 @@
             values = {p.name: p.value for p in packages}
             targets = {p.name: p.join_target for p in packages}
             chance = random.Random(secrets.randbits(64))
-            door = Door(time.monotonic(), chance, values, targets, terms.may_advise, terms.longest_advice)
-            front.doorman, front.door_order = Doorman(loop, door), site.door.order or ORDER
+            door = Door(time.monotonic(), chance, values, targets, terms.may_advise, terms.longest_advice,
+                        gateways=terms.gateways)  # fmt: skip
+            kept_door = Keep(state_dir / f"{name}.door", private=True) if state_dir is not None else None
+            self.carrier.doorman = Doorman(door, kept_door, site.door.order or ORDER)
+            self._limit(site)
         front.tokens = Tokens(name, state_dir)
         front.playing = self.playing
         self.reports: Reports | None = None
@@ -125,7 +129,7 @@
             "viewings": len(c.viewings),
             "counts": msgspec.to_builtins(c.counts),
             "list": {"epoch": self.listing.roll.epoch, "version": self.listing.roll.version},
-            "door": self.front.doorman.state() if self.front.doorman is not None else None,
+            "door": c.doorman.state() if c.doorman is not None else None,
             "hosts": {
                 h: {"in_service": gone is None, "viewings": len(c.playing_at.get(h, {}))}
                 for h, gone in c.gate.hosts.items()
@@ -157,6 +161,14 @@
         self.front.titles = {title: (t.first, t.spread) for title, t in site.titles.items()}
         if site.fleet.racks == self.site.fleet.racks:
             self.rack_names = site.fleet.rack_names
+        self._limit(site)
+
+    def _limit(self, site: Site) -> None:
+        """The door's limits, as the site has them now."""
+        d, doorman = site.door, self.carrier.doorman
+        if doorman is not None:
+            doorman.limited(d.client_rate, d.client_burst, d.package_rates, d.set_ups)
+            self.carrier.stir()
 
     def drain(self, draining: bool) -> None:
         self.front.draining = draining
@@ -170,6 +182,8 @@
             self.carrier.client.sweep()
             if self.recorder is not None:
                 self.recorder.flush()
+            if self.carrier.doorman is not None:
+                self.carrier.doorman.keep_now_and_then()
             if time.monotonic() - told >= TOLD_EVERY:
                 told = time.monotonic()
                 counts = msgspec.to_builtins(self.carrier.counts)
@@ -180,6 +194,8 @@
         self.carrier.client.close()
         if self.reports is not None:
             self.reports.stop()
+        if self.carrier.doorman is not None:
+            self.carrier.doorman.write()
         if self.recorder is not None:
             self.recorder.close()
 
--- a/ledgehitch/model/day.py
+++ b/ledgehitch/model/day.py
@@ -11,6 +11,7 @@
 
 from ledgehitch.config import Day, Site
 from ledgehitch.config.site import facts_of
+from ledgehitch.door.decide import Door
 from ledgehitch.gateway.roll import AGAIN
 from ledgehitch.gateway.watch import FIRST, LOST
 from ledgehitch.interface import Fleet, Ladder, Package, Row, Terms
@@ -120,6 +121,7 @@
     fronts: dict[str, Front] = field(default_factory=dict)
     hosts: dict[str, MediaHost] = field(default_factory=dict)
     kept: dict[str, list[Row]] = field(default_factory=dict)
+    kept_doors: dict[str, dict[str, Any]] = field(default_factory=dict)
     module_s: float = 0.0
     stopped_at_gate: int = 0
 
@@ -191,6 +193,21 @@
         at = self._ordinals[name]
         return ladder, packages, fleet, replace(terms, zone=self.site.gateways[at].zone, ordinal=at)
 
+    def door_of(self, name: str, seed: int) -> Door | None:
+        """A gateway's door where the site has one; it goes on from what its last life kept."""
+        d = self.site.door
+        if not d.on:
+            return None
+        _, packages, _, terms = self.facts_of(name)
+        values = {p.name: p.value for p in packages}
+        targets = {p.name: p.join_target for p in packages}
+        door = Door(self.agenda.now, random.Random(f"{seed}/door"), values, targets, terms.may_advise,
+                    terms.longest_advice, gateways=terms.gateways)  # fmt: skip
+        door.limited(d.client_rate, d.client_burst, d.package_rates, d.set_ups)
+        if name in self.kept_doors:
+            door.thawed(self.agenda.now, self.kept_doors[name])
+        return door
+
     def tune_in(self, host: str, key: str, front: Front, vw: int, package: str, title: str, rung: int,
                 answered: Callable[..., None]) -> None:  # fmt: skip
         self.hosts[host].tune_in(key, front, vw, package, title, rung, answered)
@@ -300,6 +317,8 @@
         front = self.fronts[step.gateway]
         if step.do == "kill":
             self.write("gateway", gateway=step.gateway, how="killed")
+            if front.door is not None:
+                self.kept_doors[step.gateway] = front.door.frozen()
             self.kept[step.gateway] = list(self.lists.lines.values())
             front.die()
             self.stopped_at_gate += front.stopped_at_gate
--- a/ledgehitch/model/viewers.py
+++ b/ledgehitch/model/viewers.py
@@ -81,8 +81,8 @@
         except StopIteration:
             return
         match step:
-            case Try(place, top):
-                self._try(place, top)
+            case Try(place, top, ticket):
+                self._try(place, top, ticket)
             case Rest(seconds):
                 self.crowd.ground.agenda.after(max(0.0, seconds), self._does, None)
             case Watch(_, seconds, in_time):
@@ -90,7 +90,7 @@
 
     # ---- asking --------------------------------------------------------------------------------------------
 
-    def _try(self, place: float, top: int) -> None:
+    def _try(self, place: float, top: int, ticket: str) -> None:
         c, g, v = self.crowd, self.crowd.ground, self.v
         front = c.gateway(place)
         c.chance.randrange(10)  # the stand-ins draw for the text of the offer here
@@ -103,7 +103,7 @@
         self.waits, self.repeat = c.conns, -1
         offer = f"{c.conns:x}"
         who = f"viewer-{g.seed}-{v.number}"
-        self._ask(front, self.waits, offer, who, top)
+        self._ask(front, self.waits, offer, who, top, ticket)
         patience = package.patience
         leaves = v.impatient_after if v.impatient_after is not None else patience + LATE_ANSWER
         g.agenda.after(leaves, self._gives_up, self.waits, v.impatient_after is not None)
@@ -112,7 +112,7 @@
             self.repeat = c.conns
             self._ask(front, self.repeat, offer, who, top)
 
-    def _ask(self, front: Front, conn: int, offer: str, who: str, top: int) -> None:
+    def _ask(self, front: Front, conn: int, offer: str, who: str, top: int, ticket: str = "") -> None:
         c, g, v = self.crowd, self.crowd.ground, self.v
         package = c.packages[v.package]
         now = g.agenda.now
@@ -123,7 +123,7 @@
         g.agenda.after(
             g.hop, front.take, front.asked, conn, f"{who}/{offer}".encode(), v.package, v.title,
             (held.first, held.spread), top, now + package.patience,
-            lambda *told: answered(conn, *told),
+            lambda *told: answered(conn, *told), who, ticket,
         )  # fmt: skip
 
     def _note_answer(self, conn: int, kind: str, resource: str) -> None:
@@ -134,16 +134,17 @@
         status = {"plays": 201, "blocked": 503, "aborted": 504}[kind]
         g.write("answer", conn=conn, status=status, kind=kind, extra=0, resource=resource)
 
-    def _answered(self, conn: int, kind: str, advice: float, resource: str, session: Session | None) -> None:
+    def _answered(self, conn: int, kind: str, advice: float, resource: str, session: Session | None,
+                  ticket: str = "") -> None:  # fmt: skip
         if conn != self.waits:
             return
         self.waits = -1
         self._note_answer(conn, kind, resource)
         self.resource, self.session = resource, session
-        self._does(Came(kind, advice))
+        self._does(Came(kind, advice, ticket))
 
-    def _repeat_answered(self, conn: int, kind: str, advice: float, resource: str, session: Session | None
-                         ) -> None:  # fmt: skip
+    def _repeat_answered(self, conn: int, kind: str, advice: float, resource: str, session: Session | None,
+                         ticket: str = "") -> None:  # fmt: skip
         if conn == self.repeat:
             self.repeat = -1
             self._note_answer(conn, kind, resource)
--- a/ledgehitch/signalling/__init__.py
+++ b/ledgehitch/signalling/__init__.py
@@ -4,9 +4,10 @@
 that is needed and passes the rest through.
 """
 
-from ledgehitch.signalling.decide import Answer, Desk, End, Leave, Settled
+from ledgehitch.signalling.decide import Answer, Desk, End, Kind, Leave, Settled
 from ledgehitch.signalling.sdp import BadSdp, Fragment, Offer, read_fragment, read_sdp
 
 __all__ = [
-    "Answer", "BadSdp", "Desk", "End", "Fragment", "Leave", "Offer", "Settled", "read_fragment", "read_sdp",
+    "Answer", "BadSdp", "Desk", "End", "Fragment", "Kind", "Leave", "Offer", "Settled", "read_fragment",
+    "read_sdp",
 ]  # fmt: skip
--- a/ledgehitch/signalling/decide.py
+++ b/ledgehitch/signalling/decide.py
@@ -47,12 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Settled:
-    """What a viewing came to. `advice` in seconds, 0 for none; `until`: the offer's repeats get the same."""
+    """What a viewing came to. `advice` in seconds, 0 for none; `until`: the offer's repeats get the same.
+    `why` and `ticket` are the door's, of who was not let in."""
 
     kind: Kind
     answer: str = ""
     advice: float = 0.0
     until: float = 0.0
+    why: str = ""
+    ticket: str = ""
 
 
 class Entry:
@@ -101,13 +104,14 @@
         self.entries[vw] = self._by_key[key] = self._by_resource[resource] = self._by_conn[conn] = entry
         return True
 
-    def settled(self, now: float, vw: int, kind: Kind, answer: str = "", advice: float = 0.0) -> None:
+    def settled(self, now: float, vw: int, kind: Kind, answer: str = "", advice: float = 0.0,
+                why: str = "", ticket: str = "") -> None:  # fmt: skip
         """The viewing has its one answer. A second one is refused: the first stands."""
         entry = self.entries.get(vw)
         if entry is None or entry.settled is not None:
             return
         again = AGAIN if kind == "plays" else max(advice, AGAIN_FAILED)
-        entry.settled = Settled(kind, answer, advice, now + again)
+        entry.settled = Settled(kind, answer, advice, now + again, why, ticket)
         entry.playing = kind == "plays"
         for conn in entry.conns or ():
             self._due.append(Answer(conn, vw))
