--- /dev/null
+++ b/ledgehitch/cli/daemon.py
@@ -0,0 +1,53 @@
+"""`daemon` and `why`: a gateway that operators run, and what it decided on a viewing."""
+
+import sys
+from pathlib import Path
+
+import click
+
+from ledgehitch.config import BadInput, facts_of
+from ledgehitch.daemon.logfile import LogFile
+from ledgehitch.daemon.run import run_daemon
+from ledgehitch.daemon.why import words_on
+from ledgehitch.gateway.versions import checked, first_version
+
+
+@click.command("daemon")
+@click.option("--site", "site_file", type=click.Path(path_type=Path), required=True)
+@click.option("--gateway", "name", default=None, help="Which of the site's gateways; the first if left out.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--state", type=click.Path(path_type=Path), required=True, help="Its directory: lock, admin "
+              "socket, keys and what the next life begins with.")  # fmt: skip
+@click.option("--record", type=click.Path(path_type=Path), default=None, help="Writes a flight record there.")
+@click.pass_obj
+def daemon_command(
+    logfile: LogFile, site_file: Path, name: str | None, seed: int, state: Path, record: Path | None
+) -> None:
+    """One gateway as a daemon, one of its name on this machine.
+
+    SIGTERM and SIGINT end what plays and stop; SIGUSR1 drains; SIGUSR2 opens the log file anew; SIGHUP
+    reloads the site. Operators call it at STATE/NAME.admin (`ledgehitch fleet`). Exit codes: 0 stopped as
+    told, 2 bad input, the place or the address is taken, 70 its loop stood still.
+    """
+    kept = state / f"{name or 'gateway'}.site.json"
+    first = first_version(site_file, kept, checked)
+    site = first.site
+    assert site is not None
+    name = name if name is not None else site.gateways[0].name
+    try:
+        facts_of(site, name)
+    except BadInput as wrong:
+        raise BadInput(f"{site_file}: {wrong}") from None
+    sys.exit(run_daemon(site, name, seed, state, record, (site_file, first, kept), logfile))
+
+
+@click.command("why")
+@click.argument("record", type=click.Path(path_type=Path))
+@click.argument("viewing", type=int)
+def why_command(record: Path, viewing: int) -> None:
+    """What was decided on VIEWING (its number) and on what, from a flight record."""
+    lines = words_on(record, viewing)
+    if not lines:
+        raise BadInput(f"{record}: nothing on viewing {viewing}")
+    for line in lines:
+        click.echo(line)
--- /dev/null
+++ b/ledgehitch/cli/fleet.py
@@ -0,0 +1,263 @@
+"""`fleet ...`: many gateways at once."""
+
+import json
+import os
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from ledgehitch.config import BadInput, Site, read_site
+from ledgehitch.fleet.carry import WITHIN, Caller, Work
+from ledgehitch.fleet.found import Found, Target, counted
+from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
+from ledgehitch.fleet.plan import Action, Over, Plan, Rolling, Terms, foretold
+from ledgehitch.gateway.versions import checked
+from ledgehitch.loop import Loop
+
+GOOD = ("answered", "slow", "draining")
+LOOK = {"answered": "green", "draining": "yellow", "slow": "yellow"}
+
+
+def targets_of(site: Site, admin_dir: Path | None, only: tuple[str, ...]) -> list[Target]:
+    """Where each gateway takes the admin call: where its site says, or at a Unix socket of this machine."""
+    known = [g.name for g in site.gateways]
+    for name in only:
+        if name not in known:
+            raise BadInput(f"no gateway {name!r}, known are {', '.join(known)}")
+    out = []
+    for g in site.gateways:
+        if only and g.name not in only:
+            continue
+        if admin_dir is not None:
+            at = f"unix:{admin_dir / g.name}.admin"
+        elif g.admin_at:
+            at = g.admin_at
+        else:
+            raise BadInput(f"gateway {g.name} has no admin_at in the site: name it, or give --admin-dir")
+        out.append(Target(g.name, at, g.zone, g.rack))
+    return out
+
+
+class Fleet:
+    """What all commands share."""
+
+    def __init__(
+        self, site_file: Path, admin_dir: Path | None, plans: Path, within: float, cert: Path | None
+    ) -> None:
+        self.site_file, self.admin_dir, self.plans, self.within = site_file, admin_dir, plans, within
+        self.cert = cert
+        self.site = read_site(site_file)
+
+    def targets(self, only: tuple[str, ...] = ()) -> list[Target]:
+        return targets_of(self.site, self.admin_dir, only)
+
+    def caller(self, loop: Loop) -> Caller:
+        return Caller(loop, self.within)
+
+    def found(self, only: tuple[str, ...] = ()) -> list[Found]:
+        loop = Loop()
+        found: list[Found] = loop.run(lambda: self.caller(loop).ask_all(self.targets(only)))
+        return found
+
+    def lock(self) -> Path:
+        self.plans.mkdir(parents=True, exist_ok=True)
+        return self.plans / f"{self.site.name}.lock"
+
+
+@click.group()
+@click.option("--site", "site_file", type=click.Path(path_type=Path), required=True)
+@click.option(
+    "--admin-dir",
+    type=click.Path(path_type=Path),
+    default=None,
+    help="Where the gateways of this machine have their state; else each one's admin_at counts.",
+)
+@click.option(
+    "--plans", type=click.Path(path_type=Path), default=Path("plans"), show_default=True, help="Journals."
+)
+@click.option(
+    "--within",
+    type=click.FloatRange(0.01, 600),
+    default=WITHIN,
+    show_default=True,
+    help="Seconds for one gateway's answer.",
+)
+@click.option(
+    "--cert",
+    type=click.Path(path_type=Path),
+    default=None,
+    help="An operator's certificate with its key (ledgehitch keys), for gateways over TLS.",
+)
+@click.pass_context
+def fleet(
+    ctx: click.Context,
+    site_file: Path,
+    admin_dir: Path | None,
+    plans: Path,
+    within: float,
+    cert: Path | None,
+) -> None:
+    """Many gateways at once: what they are, and changes in measured steps."""
+    ctx.obj = Fleet(site_file, admin_dir, plans, within, cert)
+
+
+@fleet.command()
+@click.argument("gateways", nargs=-1)
+@click.option("--json", "as_json", is_flag=True)
+@click.pass_obj
+def status(work: Fleet, gateways: tuple[str, ...], as_json: bool) -> None:
+    """What each gateway is now. Exit code 1 where one does not answer as it should."""
+    found = work.found(gateways)
+    if as_json:
+        import msgspec
+
+        click.echo(msgspec.json.encode(found).decode())
+    else:
+        console = Console(highlight=False, width=None if sys.stdout.isatty() else 140)
+        console.print(table_of(found, {t.name: t for t in work.targets(gateways)}))
+        console.print(", ".join(f"{n} {kind}" for kind, n in counted(found).items()))
+    sys.exit(0 if all(f.kind in GOOD for f in found) else 1)
+
+
+def table_of(found: list[Found], targets: dict[str, Target]) -> Table:
+    table = Table(
+        "gateway", "hall", "rack", "is", "viewings", "asked", "blocked", "p50", "p99", "up", "why", box=None
+    )
+    for f in found:
+        t, s = targets[f.name], f.state
+        row = [f.name, t.zone, t.rack, f"[{LOOK.get(f.kind, 'bold red')}]{f.kind}[/]"]
+        if s is None:
+            row += ["-"] * 6
+        else:
+            c = s.counts
+            joins = [f"{s.joins_ms[q]:.0f} ms" if q in s.joins_ms else "-" for q in ("50", "99")]
+            row += [str(s.viewings), str(c.asked), str(c.blocked + c.turned_away), *joins, f"{s.up_s:.0f} s"]
+        table.add_row(*row, f.why)
+    return table
+
+
+def _rolled(name: str, summary: str, action: Action) -> Any:
+    """A command that changes gateways in measured steps."""
+
+    @fleet.command(name, help=summary)
+    @click.argument("gateways", nargs=-1)
+    @click.option(
+        "--at-once", type=click.IntRange(1), default=1, show_default=True, help="Gateways under way."
+    )
+    @click.option("--share", type=click.FloatRange(0, 1), default=0.0, help="Or this part of them, if less.")
+    @click.option("--drain-within", type=click.FloatRange(0), default=30.0, show_default=True,
+                  help="Seconds for what plays to end by itself.")  # fmt: skip
+    @click.option("--back-within", type=click.FloatRange(0.1), default=60.0, show_default=True)
+    @click.option("--settle", type=click.FloatRange(0), default=1.0, show_default=True)
+    @click.option("--failures", type=click.IntRange(1), default=1, show_default=True, help="That stop it.")
+    @click.option("--worse", type=click.FloatRange(0, 1), default=0.05, show_default=True,
+                  help="By which blocked and aborted may rise.")  # fmt: skip
+    @click.option("--halls-together", is_flag=True, help="Do not finish a hall before the next begins.")
+    @click.option("--plan", "only_plan", is_flag=True, help="Say what would be done, and do nothing.")
+    @click.pass_obj
+    def command(work: Fleet, gateways: tuple[str, ...], at_once: int, share: float, drain_within: float,
+                back_within: float, settle: float, failures: int, worse: float, halls_together: bool,
+                only_plan: bool) -> None:  # fmt: skip
+        terms = Terms(at_once, share, drain_within, back_within, settle, failures, worse, not halls_together)
+        digest = ""
+        if action == "reload":
+            compiled = checked(work.site_file)
+            if compiled.mistakes:
+                raise BadInput("\n".join(compiled.mistakes))
+            digest = compiled.digest
+        made = time.strftime("%Y%m%d-%H%M%S", time.gmtime())
+        plan = Plan(f"{made}-{os.getpid()}-{action}", action, work.targets(gateways), terms, digest)
+        if only_plan:
+            for number, group in enumerate(foretold(plan), 1):
+                click.echo(f"{number}. {action} {', '.join(group)}")
+            return
+        older = unfinished(work.plans) if work.plans.is_dir() else []
+        if older:
+            raise BadInput(f"{older[-1]} is not at its end: `fleet resume` or `fleet give-up` first")
+        journal = Journal(work.plans / f"{plan.id}.journal", work.lock())
+        journal.append(head_of(plan))
+        _work(work, journal, plan)
+
+    return command
+
+
+_rolled("restart", "Restart gateways in measured steps.", "restart")
+_rolled("drain", "Have gateways take no new viewings.", "drain")
+_rolled("undrain", "Have gateways take viewings again.", "undrain")
+_rolled("apply", "Have gateways read the site anew, and see that they run it.", "reload")
+
+
+def _work(work: Fleet, journal: Journal, plan: Plan) -> None:
+    loop = Loop()
+    rolling = Rolling(time.monotonic(), plan, journal.lines[1:])
+
+    def tell(line: dict[str, Any]) -> None:
+        click.echo("  ".join(str(line[k]) for k in ("ev", "gateway", "why") if k in line))
+
+    try:
+        over: Over = loop.run(lambda: Work(loop, work.caller(loop), journal, rolling, tell).run())
+    finally:
+        journal.close()
+    click.echo(", ".join(f"{n} {step}" for step, n in sorted(rolling.told().items())))
+    if not over.ended:
+        click.echo(f"stopped: {over.why}\njournal: {journal.path}; go on with `fleet resume`", err=True)
+        sys.exit(1)
+
+
+@fleet.command()
+@click.argument("journal_file", type=click.Path(path_type=Path), required=False)
+@click.option("--again", is_flag=True, help="Also try those once more that had failed.")
+@click.pass_obj
+def resume(work: Fleet, journal_file: Path | None, again: bool) -> None:
+    """Go on with a plan that was cut off or stopped, the newest one if none is named."""
+    path = _newest(work, journal_file)
+    journal = Journal(path, work.lock())
+    plan = plan_of(journal.lines, path)
+    if again:
+        journal.append({"ev": "again"})
+    _work(work, journal, plan)
+
+
+@fleet.command("give-up")
+@click.argument("journal_file", type=click.Path(path_type=Path), required=False)
+@click.pass_obj
+def give_up(work: Fleet, journal_file: Path | None) -> None:
+    """Say that a plan is not to be gone on with."""
+    journal = Journal(_newest(work, journal_file), work.lock())
+    journal.append({"ev": "given up", "t": round(time.time(), 3)})
+    journal.close()
+
+
+def _newest(work: Fleet, named: Path | None) -> Path:
+    if named is not None:
+        return named
+    older = unfinished(work.plans) if work.plans.is_dir() else []
+    if not older:
+        raise BadInput(f"{work.plans}: no plan is under way")
+    return older[-1]
+
+
+@fleet.command()
+@click.argument("journal_file", type=click.Path(path_type=Path), required=False)
+@click.option("--json", "as_json", is_flag=True)
+@click.pass_obj
+def log(work: Fleet, journal_file: Path | None, as_json: bool) -> None:
+    """What a plan did, line by line; the newest one if none is named."""
+    found = sorted(work.plans.glob("*.journal"))
+    path = journal_file or (found[-1] if found else None)
+    if path is None:
+        raise BadInput(f"{work.plans}: no journals")
+    for line in lines_of(path):
+        if as_json:
+            click.echo(json.dumps(line))
+        elif line["ev"] == "plan":
+            plan = plan_of([line], path)
+            click.echo(f"{plan.id}: {plan.action} of {len(plan.targets)} gateways")
+        else:
+            at = time.strftime("%H:%M:%S", time.gmtime(line.get("t", 0)))
+            click.echo("  ".join([at, *(str(line[k]) for k in ("ev", "gateway", "why") if k in line)]))
--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -2,7 +2,7 @@
 
 import importlib
 import logging
-import sys
+from pathlib import Path
 from typing import Any
 
 import click
@@ -10,12 +10,16 @@
 
 import ledgehitch
 from ledgehitch.config.read import BadInput
+from ledgehitch.daemon.logfile import LogFile
 
 # Each command's module is loaded when it is called: `config check` needs no statistics, `up` no parser.
 COMMANDS = {
     "up": ("run", "up"),
     "serve": ("run", "serve_command"),
     "reports": ("run", "reports_command"),
+    "daemon": ("daemon", "daemon_command"),
+    "why": ("daemon", "why_command"),
+    "fleet": ("fleet", "fleet"),
     "standin": ("standins", "standin"),
     "rehearse": ("days", "rehearse_command"),
     "check-tape": ("days", "check_tape"),
@@ -55,8 +59,12 @@
     default="info",
     show_default=True,
 )
-def root(style: str, log_level: str) -> None:
+@click.option("--log-file", type=click.Path(path_type=Path), default=None, help="Standard error if left "
+              "out; a daemon opens it anew on SIGUSR2.")  # fmt: skip
+@click.pass_context
+def root(ctx: click.Context, style: str, log_level: str, log_file: Path | None) -> None:
     """A session front: admits viewers to media hosts and sets the rate at which they play."""
+    ctx.obj = LogFile(log_file)
     last: Any = structlog.processors.JSONRenderer() if style == "json" else structlog.dev.ConsoleRenderer()
     structlog.configure(
         processors=[
@@ -66,7 +74,7 @@
             last,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(log_level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=ctx.obj),
         cache_logger_on_first_use=True,
     )
 
--- a/ledgehitch/config/change.py
+++ b/ledgehitch/config/change.py
@@ -21,6 +21,7 @@
     ("door.package_rates*", "at once"),
     ("door.set_ups", "at once"),
     ("gateways.*.peer*", "restart"),
+    ("gateways.*.rack", "at once"),
     ("*", "restart"),
 )
 
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -90,6 +90,10 @@
     zone: str = ""
     peer_at: str = ""  # where it hears other gateways
     peer_via: str = ""  # where others send to reach it, if not there
+    rack: str = ""  # for the order of restarts
+    admin_at: str = ""  # where operators call it from other machines, over TLS; empty: its Unix socket alone
+    members_at: str = ""  # where it hears whether others are there; empty: it takes no part in membership
+    members_via: str = ""  # where others send to reach it, if not there
     reports_at: str = ""  # where `ledgehitch reports` takes players' reports; empty: the gateway does
 
 
--- /dev/null
+++ b/ledgehitch/daemon/admin.py
@@ -0,0 +1,160 @@
+"""The admin call: what a gateway is and does, and what operators may have it do. HTTP/1.1, version 1.
+
+GET  /v1/state, /v1/viewings, /v1/hosts, /v1/limits, /v1/why/ID     for who may look
+POST /v1/drain, /v1/undrain, /v1/reload                             for who may operate
+"""
+
+import os
+import time
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+
+from ledgehitch import __version__
+from ledgehitch.daemon.facts import VERSION, Counts, Done, Drain, HostSeen, Reload, Role, State
+from ledgehitch.daemon.life import Life
+from ledgehitch.daemon.why import words_on
+from ledgehitch.gateway.serve import Running
+from ledgehitch.http import Refused, Request, Response
+from ledgehitch.loop import forked
+
+MOST = 1000  # viewings in one answer
+MOST_WORDS = 60_000  # bytes of an answer to why: what a pipe holds
+T = TypeVar("T")
+
+
+class Admin:
+    def __init__(self, running: Running, life: Life, started_by: str, changed: Callable[[], None]) -> None:
+        """`changed`: called when something was asked of the life, so that it is pulled."""
+        self.running, self.life, self.started_by, self.changed = running, life, started_by, changed
+        self.born = time.monotonic()
+        self.members: Callable[[], dict[str, str]] = dict
+        self.calls = 0
+
+    def handle(self, request: Request, role: Role) -> Response:
+        self.calls += 1
+        match request.method, request.path.strip("/").split("/"):
+            case "GET", ["v1", "state"]:
+                return self._told(self.state())
+            case "GET", ["v1", "hosts"]:
+                return self._told(self.hosts())
+            case "GET", ["v1", "limits"]:
+                return self._told({"door": self.state().door, "terms": msgspec.to_builtins(self._terms())})
+            case "GET", ["v1", "viewings"]:
+                return self._told(self.viewings(request.query("most") or "100"))
+            case "GET", ["v1", "why", which]:
+                return self._told(self.why(which))
+            case "POST", ["v1", "drain"]:
+                return self._operates(role, self._drain, self._read(request, Drain))
+            case "POST", ["v1", "undrain"]:
+                return self._operates(role, self._undrain, None)
+            case "POST", ["v1", "reload"]:
+                return self._operates(role, self._reload, self._read(request, Reload))
+            case _, ["v1", "state" | "hosts" | "limits" | "viewings" | "drain" | "undrain" | "reload"]:
+                raise Refused(405, f"{request.method} is not done here")
+        raise Refused(404, f"nothing at {request.path[:100]!r}; this is version {VERSION}: /v1/state")
+
+    def _told(self, thing: Any) -> Response:
+        fields = [("Content-Type", "application/json"), ("Admin-Version", VERSION)]
+        return Response(200, fields, msgspec.json.encode(thing))
+
+    def _read(self, request: Request, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(request.body or b"{}", type=kind)
+        except msgspec.MsgspecError as wrong:
+            raise Refused(400, f"the call does not read: {wrong}") from None
+
+    def _operates(self, role: Role, call: Callable[[Any], bool], what: Any) -> Response:
+        if role != "operate":
+            raise Refused(403, "this certificate may look, not operate")
+        boot = self.running.boot
+        if getattr(what, "if_boot", "") not in ("", boot):
+            raise Refused(412, f"another life runs here: {boot}, started by {self.started_by or 'somebody'}")
+        changed = call(what)
+        self.changed()
+        return self._told(Done(changed, self.life.phase, boot))
+
+    # ---- what is asked -------------------------------------------------------------------------------------
+
+    def _drain(self, drain: Drain) -> bool:
+        if not 0 <= drain.within < 1e9:
+            raise Refused(400, f"within: {drain.within:g} s is no time to drain within")
+        return self.life.drain(time.monotonic(), drain.within, drain.then, drain.ticket or "an operator")
+
+    def _undrain(self, _: None) -> bool:
+        return self.life.undrain(time.monotonic())
+
+    def _reload(self, _: Reload) -> bool:
+        if self.running.versions is None:
+            raise Refused(409, "this gateway has no site file to read again")
+        self.running.versions.reload()
+        return True
+
+    # ---- what is told --------------------------------------------------------------------------------------
+
+    def _terms(self) -> Any:
+        return self.running.site.terms
+
+    def state(self) -> State:
+        r, now = self.running, time.monotonic()
+        c = r.carrier
+        counts = {f: getattr(c.counts, f) for f in Counts.__struct_fields__}
+        versions = r.versions
+        return State(
+            name=r.name, boot=r.boot, version=__version__, admin=VERSION, pid=os.getpid(),
+            phase=self.life.phase, why=self.life.why, for_s=round(now - self.life.since, 3),
+            up_s=round(now - self.born, 3), started_by=self.started_by, viewings=len(c.viewings),
+            counts=Counts(**counts), joins_ms=c.joins.ms(now),
+            config=versions.reloads.state() if versions is not None else {}, hosts=self.hosts(),
+            members=self.members(), door=c.doorman.state() if c.doorman is not None else None,
+            zone=next(g.zone for g in r.site.gateways if g.name == r.name),
+        )  # fmt: skip
+
+    def hosts(self) -> dict[str, HostSeen]:
+        c = self.running.carrier
+        return {h: HostSeen(gone is None, len(c.playing_at.get(h, {}))) for h, gone in c.gate.hosts.items()}
+
+    def viewings(self, most: str) -> list[dict[str, Any]]:
+        if not most.isdigit():
+            raise Refused(400, f"most is a number, not {most[:20]!r}")
+        out = []
+        for vw, v in list(self.running.carrier.viewings.items())[: min(int(most), MOST)]:
+            entry = self.running.carrier.desk.entries.get(vw)
+            out.append({"vw": vw, "viewing": entry.resource if entry is not None else "", "title": v.title,
+                        "package": v.package.name, "host": v.host, "rung": v.in_force,
+                        "plays": bool(v.session), "tune_ins": v.tune_ins})  # fmt: skip
+        return out
+
+    def why(self, which: str) -> dict[str, Any]:
+        """`which`: a viewing's resource or its number, which the record goes on knowing when it has ended."""
+        recorder = self.running.recorder
+        if recorder is None:
+            raise Refused(409, "this gateway keeps no flight record: start it with --record")
+        entry = self.running.carrier.desk.of(which)
+        if entry is None and not which.isdigit():
+            raise Refused(404, "no such viewing plays; one that has ended is known by its number alone")
+        vw = entry.vw if entry is not None else int(which)
+        recorder.flush()
+        ours, theirs = os.pipe()
+
+        def tell() -> None:
+            lines, size = [], 0
+            for line in reversed(words_on(recorder.path, vw)):
+                size += len(line) + 8
+                if size > MOST_WORDS:
+                    break
+                lines.append(line)
+            os.write(theirs, msgspec.json.encode(lines[::-1]))
+
+        try:
+            # A copy of the process reads the record, so that set-ups do not wait for it.
+            if forked(self.running.loop, tell) != 0:
+                raise Refused(500, "the record does not read")
+            lines = msgspec.json.decode(os.read(ours, 65536), type=list[str])
+        finally:
+            os.close(ours)
+            os.close(theirs)
+        if not lines:
+            raise Refused(404, f"the record holds nothing on viewing {vw}")
+        return {"vw": vw, "lines": lines}
--- /dev/null
+++ b/ledgehitch/daemon/facts.py
@@ -0,0 +1,73 @@
+"""What crosses the border of the admin call, version 1. Times are seconds."""
+
+from typing import Any, Literal
+
+import msgspec
+
+VERSION = "1"  # of the admin call: rises when something that is here changes its meaning
+Role = Literal["look", "operate"]
+
+
+class Counts(msgspec.Struct, frozen=True):
+    """Since this life began."""
+
+    asked: int = 0
+    plays: int = 0
+    blocked: int = 0
+    aborted: int = 0
+    left: int = 0
+    turned_away: int = 0
+
+
+class HostSeen(msgspec.Struct, frozen=True):
+    """One media host as this gateway sees it."""
+
+    in_service: bool
+    viewings: int
+
+
+class State(msgspec.Struct, frozen=True):
+    """One gateway: who it is, what it does, what it holds."""
+
+    name: str
+    boot: str
+    version: str
+    admin: str
+    pid: int
+    phase: str
+    why: str  # who asked for the drain
+    for_s: float  # seconds in this phase
+    up_s: float
+    started_by: str  # the ticket of the restart that this life came from
+    viewings: int
+    counts: Counts
+    joins_ms: dict[str, float]  # of the last minute: 50, 99
+    config: dict[str, Any]  # digest that runs, digest told, what waits for a restart
+    hosts: dict[str, HostSeen] = {}
+    members: dict[str, str] = {}  # other gateways as this one sees them
+    door: dict[str, Any] | None = None
+    zone: str = ""
+
+
+class Drain(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """POST /v1/drain. `if_boot`: only where this life still runs."""
+
+    within: float = 0.0
+    then: Literal["stay", "stop", "restart"] = "stay"
+    ticket: str = ""
+    if_boot: str = ""
+
+
+class Reload(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """POST /v1/reload."""
+
+    ticket: str = ""
+    if_boot: str = ""
+
+
+class Done(msgspec.Struct, frozen=True):
+    """What became of a call that changes something."""
+
+    changed: bool
+    phase: str
+    boot: str
--- /dev/null
+++ b/ledgehitch/daemon/run.py
@@ -0,0 +1,201 @@
+"""Runs a gateway as a daemon: carries out what its life decides, takes admin calls, runs anew in place."""
+
+import gc
+import os
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import structlog
+
+from ledgehitch.config import Site
+from ledgehitch.daemon.admin import Admin
+from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Say
+from ledgehitch.daemon.logfile import LogFile
+from ledgehitch.daemon.place import Place
+from ledgehitch.daemon.supervisor import Supervisor
+from ledgehitch.daemon.watchdog import Watchdog
+from ledgehitch.gateway.serve import Running, say_ready
+from ledgehitch.gateway.versions import Compiled, Versions
+from ledgehitch.http import Request, Response, Server
+from ledgehitch.loop import Endpoint, Event, Loop, endpoint
+from ledgehitch.loop.timers import Timer
+
+TICKET = "LEDGEHITCH_STARTED_BY"  # in the environment: the ticket of the restart that began this life
+LIST_WITHIN = 3.0  # seconds to wait for the list before serving with its last copy
+SIGN = 1.0
+STILL = 20.0  # seconds of CPU without a turn of the loop after which the process ends
+log = structlog.get_logger("daemon")
+
+
+class Daemon:
+    """`run` within a task; gives the exit code, and whether the process is to run anew."""
+
+    def __init__(self, loop: Loop, site: Site, name: str, seed: int, place: Place, record: Path | None,
+                 source: tuple[Path, Compiled, Path | None], logfile: LogFile,
+                 environment: dict[str, str]) -> None:  # fmt: skip
+        self.loop, self.site, self.name, self.place, self.logfile = loop, site, name, place, logfile
+        self.supervisor = Supervisor(environment)
+        self.running = Running(loop, site, name, seed, place.directory, record)
+        self.running.front.draining = True  # until it is ready
+        held = lambda: len(self.running.carrier.viewings)  # noqa: E731
+        self.running.versions = Versions(loop, *source, self.running.place, name, held)
+        self.life = Life(time.monotonic(), max(p.patience for p in site.packages))
+        self.admin = Admin(self.running, self.life, environment.get(TICKET, ""), self.stir)
+        self.on_leave: Callable[[bool], None] = lambda back_soon: None
+        self.running.front.elsewhere = self._elsewhere
+        self.chance = random.Random(seed + 3)
+        self.over = Event(loop)
+        self._timer: Timer | None = None
+        self._pulling = False
+
+    def run(self) -> Exit:
+        restore = self.loop.on_signals(
+            [signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGUSR2, signal.SIGHUP], self._on
+        )
+        watchdog = Watchdog(STILL, lambda text: void_write(self.logfile, text))
+        admin = self._serve_admin()
+        if self.place.stale:
+            log.warning("the last life was not ended in order", pid=self.place.stale)
+        self.loop.spawn(self._signs, watchdog, name="signs of life")
+        self._wait_for_list()
+        self.life.serves(time.monotonic())
+        self.stir()
+        say_ready(str(self.running.server.at))
+        log.info("serves", gateway=self.name, at=str(self.running.server.at), boot=self.running.boot,
+                 pid=os.getpid(), started_by=self.admin.started_by)  # fmt: skip
+        self.over.wait()
+        exit_as = self.over.value
+        assert isinstance(exit_as, Exit)
+        watchdog.stop()
+        admin.close()
+        self.running.stop()
+        self.place.let_go()
+        restore()
+        log.info("is over", again=exit_as.again, why=self.life.why)
+        return exit_as
+
+    def _elsewhere(self) -> str:
+        """Another gateway, of this hall where there is one, for those who ask while this one drains."""
+        mine = next(g for g in self.site.gateways if g.name == self.name)
+        others = [g for g in self.site.gateways if g.name != self.name]
+        near = [g for g in others if g.zone == mine.zone] or others
+        return self.chance.choice(near).at if near else ""
+
+    def _serve_admin(self) -> Server:
+        at = Endpoint(endpoint(f"unix:{self.place.admin}").family, str(self.place.admin))
+        before = os.umask(0o177)
+        try:
+            # Only who may write to the socket gets here: its owner, and root.
+            return Server(self.loop, at, self._asked)
+        finally:
+            os.umask(before)
+
+    def _asked(self, request: Request) -> Response:
+        return self.admin.handle(request, "operate")
+
+    def _wait_for_list(self) -> None:
+        until = time.monotonic() + LIST_WITHIN
+        while not self.running.carrier.at and time.monotonic() < until:
+            self.loop.sleep(0.02)
+
+    def _signs(self, watchdog: Watchdog) -> None:
+        """That the loop turns: to our own watchdog, and to the supervisor's where it has one."""
+        every = min(SIGN, self.supervisor.every or SIGN)
+        while True:
+            watchdog.sign()
+            if self.supervisor.every:
+                self.supervisor.say("WATCHDOG=1")
+            self.loop.sleep(every)
+
+    def _on(self, number: int) -> None:
+        name = signal.Signals(number).name
+        now = time.monotonic()
+        if number in (signal.SIGTERM, signal.SIGINT):
+            self.life.drain(now, 0.0, "stop", name)
+        elif number == signal.SIGUSR1:
+            self.life.drain(now, 1e9, "stay", name)
+        elif number == signal.SIGUSR2:
+            self.logfile.reopen()
+            log.info("the log file is opened anew")
+        elif self.running.versions is not None:
+            self.supervisor.say(f"RELOADING=1\nMONOTONIC_USEC={int(now * 1e6)}")
+            self.running.versions.reload()
+            self.supervisor.say("READY=1")
+        self.stir()
+
+    # ---- the life ------------------------------------------------------------------------------------------
+
+    def stir(self) -> None:
+        if not self._pulling:
+            self._pulling = True
+            self.loop.call_soon(self._pull)
+
+    def _pull(self) -> None:
+        self._pulling = False
+        now = time.monotonic()
+        self.life.held(now, len(self.running.carrier.viewings))
+        while (decision := self.life.decide(now)) is not None:
+            match decision:
+                case Admit(open):
+                    self.running.drain(not open)
+                case EndAll():
+                    log.info("ends what still plays", viewings=len(self.running.carrier.viewings))
+                    self.running.carrier.end_all()
+                case Leave(back_soon):
+                    self.on_leave(back_soon)
+                case Say(text):
+                    self.supervisor.say(text)
+                case Exit() as exit_as:
+                    self.over.set(exit_as)
+        if self._timer is not None:
+            self.loop.timers.cancel(self._timer)
+            self._timer = None
+        wake = self.life.wake_at()
+        if wake is not None:
+            self._timer = self.loop.call_at(max(wake, now + 0.005), self.stir)
+
+
+def void_write(file: LogFile, text: str) -> None:
+    file.write(text + "\n")
+
+
+def run_daemon(site: Site, name: str, seed: int, state_dir: Path, record: Path | None,
+               source: tuple[Path, Compiled, Path | None], logfile: LogFile) -> int:  # fmt: skip
+    """Runs until the life is over. A restart does not come back: the process runs anew in its place."""
+    place = Place(state_dir, name)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(2_000, 4, 1_000)
+    loop = Loop(_report)
+    ticket = ""
+
+    def main() -> Exit:
+        nonlocal ticket
+        daemon = Daemon(loop, site, name, seed, place, record, source, logfile, dict(os.environ))
+        exit_as = daemon.run()
+        ticket = daemon.life.why
+        return exit_as
+
+    try:
+        exit_as = loop.run(main)
+    except OSError as problem:
+        print(f"ledgehitch: {name}: {problem}", file=sys.stderr)
+        return 2
+    if exit_as.again:
+        os.environ[TICKET] = ticket
+        sys.stdout.flush()
+        os.execv(sys.executable, [sys.executable, *_own_words()])
+    return int(exit_as.code)
+
+
+def _own_words() -> list[str]:
+    """The words after the interpreter with which this process was started."""
+    return sys.orig_argv[1:]
+
+
+def _report(name: str, error: BaseException) -> None:
+    log.error("task failed", task=name, error=f"{type(error).__name__}: {error}", exc_info=error)
--- /dev/null
+++ b/ledgehitch/daemon/why.py
@@ -0,0 +1,63 @@
+"""What was decided on a viewing and what it was decided on, in plain words from the flight recorder."""
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from ledgehitch.gateway.record import entries, segments
+from ledgehitch.interface import Outcome
+
+KINDS = {1: "share delivered", 2: "rung in force", 3: "use of the link", 4: "use of the uplink"}
+
+
+def words_on(path: Path, vw: int) -> list[str]:
+    """Lines of a record on one viewing, oldest first; the first line says when it asked."""
+    found: list[str] = []
+    for segment in segments(path):
+        found += told(entries(segment), vw)
+    return found
+
+
+def told(some: Iterable[list[Any]], vw: int) -> list[str]:
+    out = []
+    for name, *args in some:
+        if name == "pulled":
+            out += [f"{args[0]:.3f}  {word}" for d in args[1] if (word := _decided(d, vw))]
+        elif len(args) > 1 and args[1] == vw:
+            word = _happened(name, args)
+            if word:
+                out.append(f"{args[0]:.3f}  {word}")
+    return out
+
+
+def _decided(decision: list[Any], vw: int) -> str:
+    match decision:
+        case ["TuneIn", n, host, within] if n == vw:
+            return f"-> tune in at {host}, answer wanted within {within:.3f} s"
+        case ["SetRung", n, rung] if n == vw:
+            return f"-> rung {rung}"
+        case ["Block", n, stay_away] if n == vw:
+            return "-> blocked" + (f", come again in {stay_away:.1f} s" if stay_away else "")
+        case ["Abort", n] if n == vw:
+            return "-> aborted"
+    return ""
+
+
+def _happened(name: str, args: list[Any]) -> str:
+    match name, args[2:]:
+        case "asked", [package, title, first, spread, top, patience]:
+            return (
+                f"asked for {title} as {package}, held by cells {first} to {first + spread - 1}, rungs up to "
+                f"{top}, patience up to {patience:.3f}"
+            )
+        case "opened", [host, number, latency]:
+            return f"tune-in {number + 1} at {host} plays after {latency:.3f} s"
+        case "told", [host, kind, value]:
+            return f"{host} says: {KINDS.get(kind, f'kind {kind}')} {value:g}"
+        case "ended", [closed, code, host, latency, number, *_]:
+            how = Outcome(code).name.lower().replace("_", " ") if code in list(Outcome) else f"code {code}"
+            what = "the viewing ended" if closed else f"tune-in {number + 1} failed"
+            return f"{what} at {host}: {how}" + (f" after {latency:.3f} s" if latency else "")
+        case "left", _:
+            return "the viewer left"
+    return ""
--- a/ledgehitch/gateway/carry.py
+++ b/ledgehitch/gateway/carry.py
@@ -18,6 +18,7 @@
 from ledgehitch.door.names import name_of
 from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.gateway.gate import Gate, Shut
+from ledgehitch.gateway.joins import Joins
 from ledgehitch.gateway.mind import Mind
 from ledgehitch.gateway.peers import Peers, Refusal
 from ledgehitch.gateway.roll import Line
@@ -94,7 +95,7 @@
         self.at: dict[str, str] = {}  # addresses of media hosts
         self.playing_at: dict[str, dict[int, None]] = {}
         self.followers: dict[str, Task] = {}
-        self.counts = Counts()
+        self.counts, self.joins = Counts(), Joins()
         self.doorman: Doorman | None = None  # without one everybody is let in as they come
         self._at_door: dict[int, tuple[tuple[int, int], int, float]] = {}  # cells, highest rung, patience
         self.home: Task | None = None  # owns what is carried out, so that it outlives the request
@@ -284,6 +285,15 @@
         self._forget(vw)
         self.stir()
 
+    def end_all(self) -> None:
+        """What plays is told its end, here and at its media host: this gateway goes. Who is owed an answer
+        is left alone."""
+        now = time.monotonic()
+        for vw, v in list(self.viewings.items()):
+            if v.session:
+                self.desk.ended(now, vw)
+                self._end(now, vw)
+
     def _lost(self, now: float, host: str) -> None:
         for vw in list(self.playing_at.get(host, {})):
             self.ended_there(now, vw, Outcome.RESET)
@@ -381,6 +391,7 @@
         v.offer = v.read = None
         self.playing_at.setdefault(host, {})[vw] = None
         self.counts.plays += 1
+        self.joins.joined(now, now - v.asked_at)
         self.mind.opened(now, vw, host, number, latency)
         self._settled(now, vw, "plays", response.body.decode("utf-8", "replace"))
 
--- a/ledgehitch/gateway/front.py
+++ b/ledgehitch/gateway/front.py
@@ -47,6 +47,7 @@
         self.loop, self.carrier = loop, carrier
         self.packages, self.titles, self.rates, self.state = packages, titles, rates, state
         self.draining = False
+        self.elsewhere: Callable[[], str] = str  # where who asks a gateway that drains may be taken
         self.reports: Reports | None = None  # where they are taken in this process
         self.reports_at = ""  # http://ADDRESS where they are taken in a process beside
         self.tokens: Tokens | None = None
@@ -111,6 +112,10 @@
         top = self._top(request, offer)
         wait = min(_wait(request.headers.get("prefer")), sold.patience)
         if self.draining:
+            other = self.elsewhere()
+            if other:
+                there = [("Location", f"http://{other}{request.target}"), *_cors()]
+                raise Refused(307, "this gateway drains, another takes it", there)
             raise Refused(503, "this gateway drains", [("Retry-After", "0")])
         conn, vw = next(self._conns), next(self._vws)
         digest = blake3()
--- a/ledgehitch/http/message.py
+++ b/ledgehitch/http/message.py
@@ -8,7 +8,7 @@
 REASONS = {
     100: "Continue", 200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 307: "Temporary Redirect",
     400: "Bad Request",
-    401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed", 406: "Not Acceptable",
+    401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 406: "Not Acceptable",
     408: "Request Timeout", 409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
     415: "Unsupported Media Type", 422: "Unprocessable Content", 428: "Precondition Required",
     429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,566 @@
+"""Daemons and fleets: lives, places, journals, plans cut off anywhere, answers judged, daemons restarted."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ledgehitch.config import BadInput
+from ledgehitch.daemon.facts import VERSION, Counts, State
+from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Say, Then
+from ledgehitch.daemon.logfile import LogFile
+from ledgehitch.daemon.place import Place, holder
+from ledgehitch.daemon.supervisor import Supervisor
+from ledgehitch.daemon.why import told
+from ledgehitch.fleet.carry import Caller
+from ledgehitch.fleet.found import Found, Target, judged
+from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
+from ledgehitch.fleet.plan import Ask, Call, Joins, Over, Plan, Rolling, Terms, Write, foretold
+from ledgehitch.http import Request, Response, Server
+from ledgehitch.loop import Loop, endpoint
+from tests.rig import Rig
+
+ROOT = Path(__file__).parent.parent
+T = 1000.0
+THENS: list[Then] = ["stay", "stop", "restart"]
+TAKES_IT = """
+import os, sys
+from pathlib import Path
+from ledgehitch.daemon.place import Place
+Place(Path(sys.argv[1]), "g0")
+os._exit(0)
+"""
+
+
+# ---- a life ------------------------------------------------------------------------------------------------
+
+
+def pulled(life: Life, now: float) -> list[Any]:
+    return list(iter(lambda: life.decide(now), None))
+
+
+def test_a_drain_waits_for_what_plays_and_ends_the_rest_at_its_limit() -> None:
+    life = Life(T, 3.0)
+    life.serves(T)
+    assert pulled(life, T) == [Admit(True), Say("READY=1\nSTATUS=serves")]
+    life.held(T, 5)
+    assert life.drain(T, 10.0, "restart", "plan-1/g0") and life.phase == "draining"
+    assert pulled(life, T)[:1] == [Admit(False)] and pulled(life, T + 9.9) == []
+    assert pulled(life, T + 10.0) == [EndAll()] and str(life.phase) == "ending"
+    life.held(T + 10.05, 1)  # it was owed its answer when the limit passed
+    assert pulled(life, T + 10.2) == [EndAll()]
+    life.held(T + 10.3, 0)
+    assert pulled(life, T + 10.4) == [Leave(True), Exit(0, True)] and str(life.phase) == "over"
+    assert not life.drain(T + 11, 0.0, "stop", "late") and pulled(life, T + 20) == []
+
+
+def test_a_drain_is_never_weakened_and_only_one_that_stays_is_taken_back() -> None:
+    life = Life(T, 3.0)
+    life.serves(T)
+    life.held(T, 1)
+    assert life.drain(T, 100.0, "stay", "an operator")
+    assert not life.drain(T, 200.0, "stay", "another"), "longer changes nothing"
+    assert life.drain(T, 50.0, "stay", "shorter") and life.limit == T + 50.0
+    assert life.undrain(T + 1) and life.phase == "ready" and pulled(life, T + 1)[-2:][0] == Admit(True)
+    assert life.drain(T + 2, 9.0, "stop", "SIGTERM") and not life.undrain(T + 3)
+    assert not life.drain(T + 3, 90.0, "restart", "weaker") and life.then == "stop"
+    assert life.drain(T + 4, 0.0, "stop", "SIGTERM again"), "a second one hurries"
+    assert EndAll() in pulled(life, T + 4)
+    assert Exit(0, False) in pulled(life, T + 4 + 3.0 + 1.1), "one that never ends does not hold it for good"
+
+
+def test_a_drained_gateway_stays_and_takes_viewings_again() -> None:
+    life = Life(T, 3.0)
+    life.serves(T)
+    life.drain(T, 5.0, "stay", "x")
+    pulled(life, T)
+    assert life.phase == "drained" and life.wake_at() is None
+    assert life.undrain(T + 100) and Admit(True) in pulled(life, T + 100)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_a_life_admits_only_while_ready_and_is_over_once(seed: int) -> None:
+    chance = random.Random(seed)
+    life, now, admits, over, held = Life(T, 3.0), T, False, 0, 0
+    for _ in range(80):
+        now += chance.choice([0.0, 0.05, 1.0, 4.0])
+        match chance.randrange(7):
+            case 0:
+                life.serves(now)
+            case 1:
+                then = chance.choice(THENS)
+                life.drain(now, chance.choice([0.0, 2.0, 60.0]), then, "w")
+            case 2:
+                life.undrain(now)
+            case _:
+                held = max(0, held + chance.choice([-2, -1, 1]) if admits else held - chance.randrange(2))
+                life.held(now, held)
+        for decision in pulled(life, now):
+            assert over == 0, "nothing after the end"
+            match decision:
+                case Admit(open):
+                    admits = open
+                case Exit():
+                    over += 1
+                    assert not admits
+                case EndAll():
+                    assert life.phase == "ending" and held
+        assert admits == (life.phase == "ready")
+
+
+def test_a_place_is_one_processs_and_a_killed_ones_is_taken_over(tmp_path: Path) -> None:
+    place = Place(tmp_path / "state", "g0")
+    assert place.stale == 0 and holder(tmp_path / "state", "g0") == os.getpid()
+    words = [sys.executable, "-c", TAKES_IT, str(tmp_path / "state")]
+    second = subprocess.run(words, capture_output=True, text=True, cwd=ROOT)
+    assert second.returncode == 1 and f"runs already, as process {os.getpid()}" in second.stderr
+    place.let_go()
+    killed = subprocess.run(words, capture_output=True, text=True, cwd=ROOT)
+    assert killed.returncode == 0 and holder(tmp_path / "state", "g0") == 0
+    after = Place(tmp_path / "state", "g0")
+    assert after.stale > 0 and (tmp_path / "state").stat().st_mode & 0o077 == 0
+    after.let_go()
+    assert Place(tmp_path / "state", "g0").stale == 0
+
+
+def test_the_supervisor_is_told_by_datagrams_and_its_absence_harms_nobody(tmp_path: Path) -> None:
+    with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as sock:
+        sock.bind(str(tmp_path / "notify"))
+        there = Supervisor({"NOTIFY_SOCKET": str(tmp_path / "notify"), "WATCHDOG_USEC": "4000000"})
+        there.say("READY=1")
+        assert sock.recv(100) == b"READY=1" and there.every == 2.0
+    there.say("STOPPING=1")
+    assert there.refused == 1
+    Supervisor({}).say("READY=1")
+    assert Supervisor({"WATCHDOG_USEC": "4000000", "WATCHDOG_PID": "1"}).every == 0.0
+
+
+def test_a_log_file_that_was_moved_away_is_opened_anew(tmp_path: Path) -> None:
+    file = LogFile(tmp_path / "log")
+    file.write("one\n")
+    (tmp_path / "log").rename(tmp_path / "log.1")
+    file.write("two\n")
+    file.reopen()
+    file.write("three\n")
+    assert (tmp_path / "log.1").read_text() == "one\ntwo\n" and (tmp_path / "log").read_text() == "three\n"
+    (tmp_path / "log").rename(tmp_path / "log.2")
+    (tmp_path / "log").mkdir()
+    file.reopen()
+    assert "not opened anew" in (tmp_path / "log.2").read_text(), "the old one goes on"
+
+
+def test_a_loop_that_stands_still_ends_with_the_place_where_it_stood() -> None:
+    code = """
+import sys
+from ledgehitch.daemon.watchdog import Watchdog
+def stuck():
+    while True:
+        pass
+dog = Watchdog(0.2, lambda text: print(text, flush=True))
+stuck()
+"""
+    ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, cwd=ROOT)
+    assert ended.returncode == 70 and "in stuck" in ended.stdout
+
+
+def test_why_is_told_in_plain_words() -> None:
+    entries = [
+        ["asked", 1.0, 7, "recorded", "clip-1", 2, 3, 3, 4.0],
+        ["asked", 1.0, 8, "live", "clip-2", 0, 1, 3, 4.0],
+        ["pulled", 1.001, [["TuneIn", 7, "h1", 0.5], ["Block", 8, 2.0]]],
+        ["ended", 1.5, 7, False, 40, "h1", 0.5, 0, []], ["pulled", 1.5, [["TuneIn", 7, "h2", 0.5]]],
+        ["opened", 1.6, 7, "h2", 1, 0.1], ["told", 5.0, 7, "h2", 1, 0.8],
+        ["pulled", 5.0, [["SetRung", 7, 1]]],
+    ]  # fmt: skip
+    lines = [line.split("  ", 1)[1] for line in told(entries, 7)]
+    assert lines == [
+        "asked for clip-1 as recorded, held by cells 2 to 4, rungs up to 3, patience up to 4.000",
+        "-> tune in at h1, answer wanted within 0.500 s", "tune-in 1 failed at h1: timeout after 0.500 s",
+        "-> tune in at h2, answer wanted within 0.500 s", "tune-in 2 at h2 plays after 0.100 s",
+        "h2 says: share delivered 0.8", "-> rung 1",
+    ]  # fmt: skip
+    assert told(entries, 8)[-1].endswith("-> blocked, come again in 2.0 s")
+
+
+# ---- what a gateway turned out to be -----------------------------------------------------------------------
+
+
+def state(name: str, boot: str = "b0", phase: str = "ready", started_by: str = "", **more: Any) -> State:
+    counts, config = more.pop("counts", Counts()), more.pop("config", {})
+    return State(name, boot, "0", VERSION, 1, phase, "", 1.0, 1.0, started_by, 0, counts, {}, config, **more)
+
+
+def test_answers_are_judged_for_what_they_are() -> None:
+    target = Target("g0", "unix:x")
+    good = msgspec.json.encode(state("g0"))
+
+    def kind(body: bytes = good, status: int = 200, version: str = VERSION, took: float = 0.1) -> str:
+        return judged(target, took, 1.0, status, version, body).kind
+
+    assert kind() == "answered" and kind(took=0.9) == "slow"
+    assert kind(msgspec.json.encode(state("g1"))) == "impostor"
+    assert kind(version="0") == "wrong version" and kind(version="") == "wrong version"
+    assert kind(b"{}") == "unknown" and kind(status=500) == "unknown" and kind(status=403) == "refused"
+    assert kind(msgspec.json.encode(state("g0", phase="drained"))) == "draining"
+
+
+def test_each_gateway_is_reported_as_what_it_is_though_some_stall(tmp_path: Path) -> None:
+    loop = Loop()
+
+    def at(name: str) -> str:
+        return f"unix:{tmp_path / name}"
+
+    fields = [("Admin-Version", VERSION)]
+
+    def answers(name: str, as_name: str = "") -> None:
+        body = msgspec.json.encode(state(as_name or name))
+        Server(loop, endpoint(at(name)), lambda request: Response(200, fields, body))
+
+    def silent(request: Request) -> Response:
+        loop.sleep(60.0)
+        return Response(200)
+
+    def drips(request: Request) -> Response:
+        def stream(send: Callable[[bytes], None]) -> None:
+            for byte in msgspec.json.encode(state("drips")):
+                send(bytes([byte]))
+                loop.sleep(0.1)
+
+        return Response(200, fields, stream=stream)
+
+    def main() -> list[Found]:
+        answers("good")
+        answers("fake", "somebody")
+        Server(loop, endpoint(at("silent")), silent)
+        Server(loop, endpoint(at("drips")), drips)
+        Server(loop, endpoint(at("old")), lambda request: Response(404))
+        names = ["good", "fake", "silent", "drips", "old", "dead"]
+        began = time.monotonic()
+        found = Caller(loop, 0.4).ask_all([Target(n, at(n)) for n in names])
+        assert time.monotonic() - began < 4.0, "those that stall are asked side by side"
+        return found
+
+    found = {f.name: f.kind for f in loop.run(main)}
+    assert found == {"good": "answered", "fake": "impostor", "silent": "silent", "drips": "silent",
+                     "old": "wrong version", "dead": "refused"}  # fmt: skip
+
+
+# ---- journals ----------------------------------------------------------------------------------------------
+
+TARGETS = [Target(f"g{n}", f"unix:{n}", f"hall-{n % 2}", f"r{n % 4}") for n in range(8)]
+
+
+def test_a_journal_cut_off_at_any_byte_gives_its_whole_lines(tmp_path: Path) -> None:
+    path, lock = tmp_path / "p.journal", tmp_path / "lock"
+    plan = Plan("p", "restart", TARGETS)
+    journal = Journal(path, lock)
+    with pytest.raises(BadInput, match=f"another tool works on this fleet: process {os.getpid()}"):
+        Journal(path, lock)
+    journal.append(head_of(plan))
+    for n in range(4):
+        journal.append({"ev": "done", "gateway": f"g{n}"})
+    journal.close()
+    whole = path.read_bytes()
+    ends = [i + 1 for i, byte in enumerate(whole) if byte == 10]
+    for cut in range(len(whole) + 1):
+        path.write_bytes(whole[:cut])
+        again = Journal(path, lock)
+        assert len(again.lines) == sum(end <= cut for end in ends)
+        again.append({"ev": "resumed"})
+        again.close()
+        assert lines_of(path)[-1] == {"ev": "resumed"}
+    assert plan_of(lines_of(path), path) == plan and unfinished(tmp_path) == [path]
+    for at in (5, ends[1] + 25):
+        path.write_bytes(whole[:at] + b"?" + whole[at + 1 :])
+        with pytest.raises(BadInput, match="does not fit its checksum"):
+            lines_of(path)
+
+
+def test_a_full_disk_stops_the_tool_before_it_touches_anything(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    journal = Journal(tmp_path / "p.journal", tmp_path / "lock")
+    journal.append(head_of(Plan("p", "restart", TARGETS)))
+    real = os.pwrite
+    monkeypatch.setattr(os, "pwrite", lambda fd, data, at: real(fd, data[:9], at))
+    with pytest.raises(BadInput, match="nothing more is done: No space left"):
+        journal.append({"ev": "intended", "gateway": "g0", "boot": "b"})
+    monkeypatch.undo()
+    assert [line["ev"] for line in lines_of(tmp_path / "p.journal")] == ["plan"]
+
+
+# ---- plans -------------------------------------------------------------------------------------------------
+
+
+class Gateways:
+    """A fleet in miniature behind a plan: lives, restarts that take time, calls and answers that are lost."""
+
+    def __init__(self, chance: random.Random, lossy: float = 0.0) -> None:
+        self.chance, self.lossy, self.now = chance, lossy, T
+        self.lives = {t.name: 1 for t in TARGETS}
+        self.by = {t.name: "" for t in TARGETS}
+        self.away: dict[str, float] = {}  # until when a restart takes
+        self.restarts: dict[str, list[str]] = {t.name: [] for t in TARGETS}  # tickets carried out
+        self.broken: set[str] = set()
+        self.blocked = 0
+        self.most_away = 0
+
+    def boot(self, name: str) -> str:
+        return f"{name}-{self.lives[name]}"
+
+    def ask(self, name: str) -> Found:
+        if self.now < self.away.get(name, 0.0) or name in self.broken:
+            return Found(name, "refused", "nobody listens")
+        if self.chance.random() < self.lossy:
+            return Found(name, "silent", "no whole answer")
+        counts = Counts(asked=int(self.now - T) * 20, blocked=self.blocked)
+        told = state(name, self.boot(name), started_by=self.by[name], counts=counts)
+        return Found(name, "answered", state=told)
+
+    def restart(self, name: str, ticket: str) -> None:
+        self.restarts[name].append(ticket)
+        self.lives[name] += 1
+        self.by[name] = ticket
+        self.away[name] = self.now + self.chance.uniform(0.1, 3.0)
+        self.most_away = max(self.most_away, sum(self.now < until for until in self.away.values()))
+
+    def call(self, call: Call) -> tuple[int, str]:
+        if self.chance.random() < self.lossy:
+            return 0, "lost on its way"
+        if self.now < self.away.get(call.name, 0.0) or call.name in self.broken:
+            return 0, "nobody listens"
+        if call.if_boot != self.boot(call.name):
+            return 412, "another life"
+        self.restart(call.name, call.ticket)
+        return (0, "its answer was lost") if self.chance.random() < self.lossy else (200, "")
+
+
+def rolled(gateways: Gateways, rolling: Rolling, journal: Callable[[dict[str, Any]], None], steps: int = 4000
+           ) -> Iterator[Any]:  # fmt: skip
+    """Carries a plan out; gives each decision before it is carried out, so that it can be cut off there."""
+    for _ in range(steps):
+        while (decision := rolling.decide(gateways.now)) is not None:
+            yield decision
+            match decision:
+                case Write(line):
+                    journal(dict(line))
+                case Ask(name):
+                    rolling.found(gateways.now, gateways.ask(name))
+                case Call():
+                    rolling.called(gateways.now, decision.name, *gateways.call(decision))
+                case Over():
+                    return
+        gateways.now += 0.1
+    raise AssertionError("it never came to its end")
+
+
+def test_a_restart_goes_hall_by_hall_and_never_over_its_number() -> None:
+    plan = Plan("p", "restart", TARGETS, Terms(at_once=3, settle=0.5))
+    assert foretold(plan) == [["g0", "g4", "g2"], ["g6"], ["g1", "g5", "g3"], ["g7"]]
+    gateways, lines = Gateways(random.Random(1)), list[dict[str, Any]]()
+    last = list(rolled(gateways, Rolling(T, plan), lines.append))[-1]
+    assert last == Over(True, "") and all(len(r) == 1 for r in gateways.restarts.values())
+    assert gateways.most_away <= 3
+    order = [line["gateway"] for line in lines if line["ev"] == "intended"]
+    assert {name[1] for name in order[:4]} == {"0", "2", "4", "6"}, "one hall after the other"
+    share = Terms(at_once=8, share=0.25)
+    assert max(map(len, foretold(Plan("p", "restart", TARGETS, share)))) == 2
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_cut_off_anywhere_and_resumed_no_gateway_is_touched_twice_or_left_out(seed: int) -> None:
+    chance = random.Random(seed)
+    plan = Plan("p", "restart", TARGETS, Terms(at_once=chance.randrange(1, 5), settle=0.3, failures=9,
+                                               one_hall=chance.random() < 0.5))  # fmt: skip
+    gateways, lines = Gateways(chance, lossy=chance.choice([0.0, 0.2])), list[dict[str, Any]]()
+    while True:
+        rolling = Rolling(gateways.now, plan, lines)
+        cut = chance.randrange(1, 60)
+        for number, decision in enumerate(rolled(gateways, rolling, lines.append)):
+            if number == cut:
+                if isinstance(decision, Call) and chance.random() < 0.5:
+                    gateways.call(decision)  # sent, and cut off before its answer was noted
+                break
+        if rolling.over:
+            break
+        gateways.now += chance.choice([0.0, 1.0, 10.0])
+    for name, tickets in gateways.restarts.items():
+        assert len(tickets) == 1 or (not tickets and rolling.all[name].step == "failed"), (name, tickets)
+    assert set(rolling.told()) <= {"done", "failed"}
+    if not gateways.lossy:
+        assert rolling.told() == {"done": len(TARGETS)}
+
+
+def test_who_was_restarted_by_somebody_else_is_not_touched_and_who_stays_away_stops_the_plan() -> None:
+    plan = Plan("p", "restart", TARGETS, Terms(settle=0.2, back_within=5.0, within=0.0))
+    gateways, lines = Gateways(random.Random(3)), list[dict[str, Any]]()
+    rolling = Rolling(T, plan)
+    for decision in rolled(gateways, rolling, lines.append):
+        if isinstance(decision, Call) and decision.name == "g4":
+            gateways.restart("g4", "somebody")  # between what was found and the call
+        if isinstance(decision, Call) and decision.name == "g2":
+            gateways.broken.add("g2")
+    assert gateways.restarts["g4"] == ["somebody"] and rolling.all["g4"].step == "skipped"
+    assert rolling.all["g2"].step == "failed" and rolling.stopped.startswith("1 failed: g2: not back in 5 s")
+    assert sum(map(len, gateways.restarts.values())) < 4, "nothing new began"
+    gateways.broken.clear()
+    again = Rolling(gateways.now, plan, [*lines, {"ev": "again"}])
+    assert list(rolled(gateways, again, lines.append))[-1] == Over(True, "")
+    assert all(len(r) == 1 for r in gateways.restarts.values())
+
+
+def test_joins_that_get_worse_stop_the_plan() -> None:
+    plan = Plan("p", "restart", TARGETS, Terms(settle=2.0))
+    gateways, lines = Gateways(random.Random(4)), list[dict[str, Any]]()
+    rolling = Rolling(T, plan)
+    before = Joins()
+    for _ in range(2):
+        for t in TARGETS:
+            before.heard(gateways.ask(t.name))
+        gateways.now += 2.0
+    rolling.measured(before)
+    assert rolling.baseline == 0.0
+    for _ in rolled(gateways, rolling, lines.append):
+        gateways.blocked += 3
+        for t in TARGETS:
+            rolling.found(gateways.now, gateways.ask(t.name)) if rolling.all[t.name].step == "done" else None
+    assert "turned away or fail, 0.0% before" in rolling.stopped
+    assert rolling.told().get("planned", 0) > 0
+
+
+def test_a_reload_is_done_where_the_new_version_runs() -> None:
+    plan = Plan("p", "reload", TARGETS[:2], Terms(settle=0.0, back_within=2.0), digest="new")
+    rolling, runs, calls = Rolling(T, plan), {"g0": "new", "g1": "old"}, list[str]()
+    now = T
+    while not rolling.over:
+        while (decision := rolling.decide(now)) is not None:
+            if isinstance(decision, Ask):
+                told = state(decision.name, config={"runs": runs[decision.name]})
+                rolling.found(now, Found(decision.name, "answered", state=told))
+            elif isinstance(decision, Call):
+                calls.append(decision.name)
+                rolling.called(now, decision.name, 200)
+                runs["g1"] = "new"
+        now += 0.1
+    assert calls == ["g1"] and rolling.told() == {"skipped": 1, "done": 1}
+
+
+# ---- real daemons ------------------------------------------------------------------------------------------
+
+
+class Daemons:
+    """Gateways of a small site as daemons on loopback, ended by their numbers."""
+
+    def __init__(self, directory: Path, gateways: int) -> None:
+        self.directory = directory
+        self.site = _site_of(gateways)
+        (directory / "site.json").write_bytes(msgspec.json.encode(self.site))
+        self.children: dict[str, subprocess.Popen[str]] = {}
+
+    def start(self, name: str, *more: str) -> None:
+        d = self.directory
+        words = ["--log-level", "warning", "daemon", "--site", str(d / "site.json"), "--gateway", name,
+                 "--state", str(d / "state"), *more]  # fmt: skip
+        self.children[name] = subprocess.Popen(
+            [sys.executable, "-m", "ledgehitch", *words], stdout=subprocess.PIPE, text=True, cwd=ROOT
+        )
+
+    def ready(self, name: str) -> None:
+        out = self.children[name].stdout
+        assert out is not None and "gateway" in json.loads(out.readline())
+
+    def fleet(self, *words: str) -> subprocess.CompletedProcess[str]:
+        d = self.directory
+        command = [sys.executable, "-m", "ledgehitch", "fleet", "--site", str(d / "site.json"), "--admin-dir",
+                   str(d / "state"), "--plans", str(d / "plans"), *words]  # fmt: skip
+        return subprocess.run(command, capture_output=True, text=True, timeout=120, cwd=ROOT)
+
+    def end(self) -> dict[str, int]:
+        for child in self.children.values():
+            child.send_signal(signal.SIGCONT)
+            child.send_signal(signal.SIGTERM)
+        codes = {}
+        for name, child in self.children.items():
+            try:
+                codes[name] = child.wait(20)
+            except subprocess.TimeoutExpired:
+                child.kill()
+                codes[name] = child.wait()
+        return codes
+
+
+def _site_of(gateways: int) -> Any:
+    from ledgehitch.config import Day
+    from ledgehitch.rehearsal.play import free_ports
+    from ledgehitch.standins.plan import site_of
+
+    raw = {
+        "name": "fleet", "length": 60.0, "arrivals": {"rate": 1.0, "mix": [{"package": "recorded"}]},
+        "shape": {"gateways": gateways, "hosts": 3, "titles": 3, "zones": 2},
+    }  # fmt: skip
+    return site_of(msgspec.convert(raw, Day), 1, free_ports(1 + 3 * gateways))
+
+
+def test_real_daemons_are_restarted_once_each_and_told_truthfully(tmp_path: Path) -> None:
+    daemons = Daemons(tmp_path, 3)
+    try:
+        for name in ("g0", "g1"):
+            daemons.start(name)
+        for name in ("g0", "g1"):
+            daemons.ready(name)
+        found = {f["name"]: f["kind"] for f in json.loads(daemons.fleet("status", "--json").stdout)}
+        assert found == {"g0": "answered", "g1": "answered", "g2": "refused"}
+        assert daemons.fleet("restart", "--plan", "g0", "g1").stdout == "1. restart g0\n2. restart g1\n"
+        pids = {name: child.pid for name, child in daemons.children.items()}
+        rolled = daemons.fleet("restart", "g0", "g1", "--settle", "0.1", "--drain-within", "0")
+        assert rolled.returncode == 0 and "2 done" in rolled.stdout, rolled.stdout + rolled.stderr
+        answer = daemons.fleet("status", "--json", "g0", "g1")
+        told = {f["name"]: f["state"] for f in json.loads(answer.stdout)}
+        assert all(s["started_by"].endswith(f"restart/{n}") and s["pid"] == pids[n] for n, s in told.items())
+        assert daemons.fleet("log").stdout.count("done") == 2
+        # One that is stopped is told as silent, and a plan that meets it stops and can be gone on with.
+        daemons.children["g1"].send_signal(signal.SIGSTOP)
+        stopped = daemons.fleet("--within", "0.5", "drain", "g0", "g1")
+        assert stopped.returncode == 1 and "g1: silent" in stopped.stderr
+        daemons.children["g1"].send_signal(signal.SIGCONT)
+        refused = daemons.fleet("restart", "g0")
+        assert refused.returncode == 2 and "fleet resume" in refused.stderr, "one plan at a time"
+        resumed = daemons.fleet("resume", "--again")
+        assert resumed.returncode == 0 and "2 done" in resumed.stdout, resumed.stdout + resumed.stderr
+        kinds = {f["name"]: f["kind"] for f in json.loads(daemons.fleet("status", "--json").stdout)}
+        assert kinds == {"g0": "draining", "g1": "draining", "g2": "refused"}
+        assert daemons.fleet("undrain", "g0", "g1").returncode == 0
+    finally:
+        codes = daemons.end()
+    assert codes == {"g0": 0, "g1": 0}
+
+
+def test_a_gateway_that_drains_sends_viewers_elsewhere_and_ends_what_plays_at_its_limit() -> None:
+    def day(rig: Rig) -> None:
+        rig.gateway.front.elsewhere = lambda: "127.0.0.1:9"
+        place = str(rig.offer(1).header("location"))
+        rig.gateway.drain(True)
+        moved = rig.offer(2)
+        assert moved.status == 307 and moved.header("location") == "http://127.0.0.1:9/whep/recorded/clip-1"
+        with rig.client.stream(rig.at, place + "/events") as (_, parts):
+            rig.gateway.carrier.end_all()
+            seen = b"".join(parts)
+        assert b"event: inactive" in seen and not rig.gateway.carrier.viewings
+        rig.until(lambda: any(host.deleted for host in rig.hosts.values()))
+        assert rig.client.request(rig.at, "DELETE", place).status == 404
+
+    Rig().run(day)
