Gateways know which others are there, and share the fleet's limits without ever taking more

Each gateway's part of limits came from the number that the site states, dead or not. Who leaves for good (fleet retire) lends its part to the others, renewed only while a majority answers that it knows the same leavers; who comes back waits until a majority has promised on disk to know it and the longest loan has ended.

--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -188,6 +188,7 @@
 
 _rolled("restart", "Restart gateways in measured steps.", "restart")
 _rolled("drain", "Have gateways take no new viewings.", "drain")
+_rolled("retire", "Have gateways leave for good: drained, told to the others, stopped.", "retire")
 _rolled("undrain", "Have gateways take viewings again.", "undrain")
 _rolled("apply", "Have gateways read the site anew, and see that they run it.", "reload")
 
--- a/ledgehitch/daemon/facts.py
+++ b/ledgehitch/daemon/facts.py
@@ -53,7 +53,7 @@
     """POST /v1/drain. `if_boot`: only where this life still runs."""
 
     within: float = 0.0
-    then: Literal["stay", "stop", "restart"] = "stay"
+    then: Literal["stay", "restart", "stop", "leave"] = "stay"
     ticket: str = ""
     if_boot: str = ""
 
--- a/ledgehitch/daemon/life.py
+++ b/ledgehitch/daemon/life.py
@@ -10,10 +10,10 @@
 from typing import Literal
 
 Phase = Literal["starting", "ready", "draining", "drained", "ending", "over"]
-Then = Literal["stay", "stop", "restart"]
+Then = Literal["stay", "restart", "stop", "leave"]  # leave: stop, and not be counted on any more
 ENDING = 1.0  # seconds, beyond patience, that what is left may take to be told its end
 AGAIN = 0.1  # seconds between two looks at what is left
-RANK: dict[Then, int] = {"stay": 0, "stop": 2, "restart": 1}
+RANK: dict[Then, int] = {"stay": 0, "restart": 1, "stop": 2, "leave": 3}
 
 
 @dataclass(frozen=True)
@@ -155,7 +155,7 @@
         again = self.then == "restart"
         self._enter(now, "over")
         self._look_at = math.inf
-        self._due += [Leave(back_soon=again), Exit(0, again)]
+        self._due += [Leave(back_soon=self.then != "leave"), Exit(0, again)]
 
     def wake_at(self) -> float | None:
         if self._due:
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -15,10 +15,11 @@
 from ledgehitch.daemon.admin import Admin
 from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Say
 from ledgehitch.daemon.logfile import LogFile
+from ledgehitch.daemon.membership import Membership
 from ledgehitch.daemon.place import Place
 from ledgehitch.daemon.supervisor import Supervisor
 from ledgehitch.daemon.watchdog import Watchdog
-from ledgehitch.gateway.serve import Running, say_ready
+from ledgehitch.gateway.serve import Running, peer_key, say_ready
 from ledgehitch.gateway.versions import Compiled, Versions
 from ledgehitch.http import Request, Response, Server
 from ledgehitch.loop import Endpoint, Event, Loop, endpoint
@@ -49,6 +50,7 @@
         self.running.front.elsewhere = self._elsewhere
         self.chance = random.Random(seed + 3)
         self.over = Event(loop)
+        self.membership = self._members(seed)
         self._timer: Timer | None = None
         self._pulling = False
 
@@ -78,10 +80,22 @@
         log.info("is over", again=exit_as.again, why=self.life.why)
         return exit_as
 
+    def _members(self, seed: int) -> Membership | None:
+        """Where the site gives this gateway a place in membership, and a key to the fleet."""
+        here = next(g for g in self.site.gateways if g.name == self.name)
+        key = peer_key(self.site)
+        if not here.members_at or key is None:
+            return None
+        doorman = self.running.carrier.doorman
+        some = Membership(self.loop, self.site, self.name, key, self.place.directory, seed + 4, doorman)
+        self.admin.members, self.on_leave = some.told, some.leave
+        return some
+
     def _elsewhere(self) -> str:
         """Another gateway, of this hall where there is one, for those who ask while this one drains."""
         mine = next(g for g in self.site.gateways if g.name == self.name)
-        others = [g for g in self.site.gateways if g.name != self.name]
+        there = self.membership.there if self.membership is not None else lambda name: True
+        others = [g for g in self.site.gateways if g.name != self.name and there(g.name)]
         near = [g for g in others if g.zone == mine.zone] or others
         return self.chance.choice(near).at if near else ""
 
--- a/ledgehitch/fleet/carry.py
+++ b/ledgehitch/fleet/carry.py
@@ -66,7 +66,7 @@
         elif call.action == "undrain":
             path, body = "undrain", b""
         else:
-            then: Any = "restart" if call.action == "restart" else "stay"
+            then: Any = {"restart": "restart", "retire": "leave"}.get(call.action, "stay")
             path, body = "drain", msgspec.json.encode(Drain(within, then, call.ticket, call.if_boot))
         try:
             with self.loop.deadline(self.within):
--- a/ledgehitch/fleet/plan.py
+++ b/ledgehitch/fleet/plan.py
@@ -15,7 +15,7 @@
 
 from ledgehitch.fleet.found import Found, Target
 
-Action = Literal["restart", "drain", "undrain", "reload"]
+Action = Literal["restart", "drain", "undrain", "reload", "retire"]
 Step = Literal["planned", "intended", "sent", "back", "done", "failed", "skipped"]
 ENOUGH = 40  # viewings asked for since, from which on joins are judged
 
@@ -208,6 +208,8 @@
         state = found.state
         assert state is not None
         match self.plan.action:
+            case "retire":
+                return False
             case "restart":
                 return state.started_by == self.ticket(one.target.name)
             case "drain":
@@ -249,6 +251,9 @@
                 return
         else:
             one.served_from = math.inf
+            if self.plan.action == "retire" and found.kind == "refused" and one.step != "intended":
+                self._to(now, one, "done")  # it is gone, as it was told to
+                return
         if found.kind == "impostor" or now - one.since > self._allowed():
             why = f"{found.kind}: {found.why}" if found.why else found.kind
             self._to(now, one, "failed", f"not back in {self._allowed():g} s, {why}")
@@ -258,6 +263,8 @@
         assert state is not None
         if self.plan.action == "reload" and self.plan.digest:
             return state.config.get("runs") == self.plan.digest
+        if self.plan.action == "retire":
+            return False
         if self.plan.action == "drain":
             return state.phase in ("draining", "drained", "ending")
         return state.phase == "ready"
@@ -273,7 +280,7 @@
         return now - one.served_from >= self.plan.terms.settle
 
     def _allowed(self) -> float:
-        drains = self.plan.terms.within if self.plan.action == "restart" else 0.0
+        drains = self.plan.terms.within if self.plan.action in ("restart", "retire") else 0.0
         return drains + self.plan.terms.back_within
 
     def _to(self, now: float, one: One, step: Step, why: str = "") -> None:
--- a/ledgehitch/gateway/doorman.py
+++ b/ledgehitch/gateway/doorman.py
@@ -71,6 +71,11 @@
         if isinstance(self.door, Door):
             self.door.limited(client_rate, client_burst, package_rates, set_ups)
 
+    def shared(self, sharing: int, until: float) -> None:
+        """By how many the fleet's limits are divided, and up to when a part larger than stated is lent."""
+        if isinstance(self.door, Door):
+            self.door.part.told(sharing, until)
+
     # ---- viewings ------------------------------------------------------------------------------------------
 
     def asked(self, now: float, vw: int, name: bytes, package: str, patience: float, ticket: str) -> None:
--- /dev/null
+++ b/ledgehitch/members/roster.py
@@ -0,0 +1,93 @@
+"""What one gateway believes of the others: who is there, at which incarnation. Free of I/O, clock and chance.
+
+News on a member is an incarnation and a status. The higher incarnation counts; at the same one the graver
+status does. Only a member itself raises its incarnation, so it can always refute what others say of it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Literal, NamedTuple
+
+Status = Literal["alive", "suspect", "away", "dead", "left"]
+STATUSES: tuple[Status, ...] = ("alive", "suspect", "away", "dead", "left")  # rising in gravity
+GRAVITY = {status: number for number, status in enumerate(STATUSES)}
+LIFE = 1 << 16  # incarnations of one life: what is above counts starts, what is below refutations
+
+
+class News(NamedTuple):
+    member: int
+    incarnation: int
+    status: Status
+
+
+@dataclass(slots=True)
+class Entry:
+    incarnation: int = 0
+    status: Status = "alive"
+    since: float = 0.0
+
+
+class Roster:
+    def __init__(
+        self, now: float, me: int, members: int, life: int, floors: dict[int, int] | None = None
+    ) -> None:
+        """`members`: gateways of the site, numbered from 0. `life`: rises with each start. `floors`: of who
+        came back after it had left: what is said of it below that incarnation is void for good."""
+        self.me, self.incarnation = me, life * LIFE
+        self.entries = {n: Entry(since=now) for n in range(members)}
+        self.entries[me].incarnation = self.incarnation
+        self.floors: dict[int, int] = dict(floors or {})
+        self.news: list[News] = [News(me, self.incarnation, "alive")]  # to be passed on, taken by the caller
+
+    def status(self, member: int) -> Status:
+        return self.entries[member].status
+
+    def heard(self, now: float, some: Iterable[News]) -> list[News]:
+        """What others say; gives what changed here by it."""
+        changed = []
+        for member, incarnation, status in some:
+            if member == self.me:
+                self._refute(now, incarnation, status)
+                continue
+            entry = self.entries.get(member)
+            if entry is None or incarnation < self.floors.get(member, 0):
+                continue  # of another version of the site, or of before it came back
+            if (incarnation, GRAVITY[status]) > (entry.incarnation, GRAVITY[entry.status]):
+                entry.incarnation, entry.status, entry.since = incarnation, status, now
+                changed.append(News(member, incarnation, status))
+        self.news += changed
+        return changed
+
+    def _refute(self, now: float, incarnation: int, status: Status) -> None:
+        """Guards against being taken for dead by those who could not reach us, and against a lost state file:
+        the incarnation rises over whatever is said."""
+        own = self.entries[self.me]
+        if incarnation > self.incarnation or (incarnation == self.incarnation and status != own.status):
+            self.incarnation = incarnation + 1
+            own.incarnation, own.since = self.incarnation, now
+            self.news.append(News(self.me, self.incarnation, own.status))
+
+    def doubt(self, now: float, member: int, status: Status) -> list[News]:
+        """What this gateway itself comes to believe of another, at the incarnation that it knows."""
+        return self.heard(now, [News(member, self.entries[member].incarnation, status)])
+
+    def leaves(self, now: float, status: Status) -> None:
+        """This one goes: `left` for good, `away` to be back soon."""
+        self.entries[self.me].status, self.entries[self.me].since = status, now
+        self.news.append(News(self.me, self.incarnation, status))
+
+    def promised(self, member: int, incarnation: int) -> bool:
+        """A member that had left is back: nothing older is believed any more. Whether this is new, and must
+        be on disk before it is answered."""
+        if incarnation <= self.floors.get(member, 0):
+            return False
+        self.floors[member] = incarnation
+        return True
+
+    def left(self) -> tuple[tuple[int, int], ...]:
+        """Who has left, and at which incarnation."""
+        return tuple((n, e.incarnation) for n, e in sorted(self.entries.items()) if e.status == "left")
+
+    def there(self) -> list[int]:
+        """Others that are not known to be gone."""
+        return [n for n, e in self.entries.items() if n != self.me and e.status in ("alive", "suspect")]
