--- a/ledgehitch/daemon/membership.py
+++ b/ledgehitch/daemon/membership.py
@@ -45,7 +45,7 @@
                    if i != me and (g.members_via or g.members_at)}  # fmt: skip
         self.bad: dict[str, int] = {}
         self._timer: Timer | None = None
-        loop.spawn(self._hear, name="members")
+        self._hearing = loop.spawn(self._hear, name="members")
         self._pull()
 
     @staticmethod
@@ -100,6 +100,13 @@
         self.members.leaves(time.monotonic(), not back_soon)
         self._pull()
 
+    def close(self) -> None:
+        """Nothing is heard or said any more."""
+        self._hearing.cancel()
+        self.socket.close()
+        if self._timer is not None:
+            self.loop.timers.cancel(self._timer)
+
     def told(self) -> dict[str, str]:
         return {self.names[n]: status for n, status in self.members.told().items()}
 
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -75,6 +75,8 @@
         watchdog.stop()
         admin.close()
         self.running.stop()
+        if self.membership is not None:
+            self.membership.close()
         self.place.let_go()
         restore()
         log.info("is over", again=exit_as.again, why=self.life.why)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -262,7 +262,7 @@
             if second.told()["g0"] == "left":
                 break
         assert second.told()["g0"] == "left" and not second.there("g0")
-        first.socket.close()
+        first.close()
         again = Membership(loop, some, "g0", key, tmp_path / "0", 1, doorman)
         assert again.life == 2 and again.members.parts.returning and door.part.share(0.0) == 0.0
 
