A gateway that leaves for good still knows it had left when it comes back

The pull that told the others it leaves took its own word back from disk, so that it would have returned without waiting: its part would have been there twice. Only a life that is not leaving takes its part again.

--- a/ledgehitch/daemon/membership.py
+++ b/ledgehitch/daemon/membership.py
@@ -43,6 +43,7 @@
         self.socket = Datagrams(loop, endpoint(here.members_at))
         self.at = {i: endpoint(g.members_via or g.members_at) for i, g in enumerate(site.gateways)
                    if i != me and (g.members_via or g.members_at)}  # fmt: skip
+        self._leaving = False
         self.bad: dict[str, int] = {}
         self._timer: Timer | None = None
         self._hearing = loop.spawn(self._hear, name="members")
@@ -83,8 +84,8 @@
                     self.floors = dict(floors)
                     self._write()
         sharing, until = self.members.sharing(now)
-        if sharing and self.has_left and not self.members.parts.returning:
-            self.has_left = False  # it takes its part again
+        if sharing and self.has_left and not self._leaving:
+            self.has_left = False  # it has waited and takes its part again
             self._write()
         if self.doorman is not None:
             self.doorman.shared(sharing, until)
@@ -94,6 +95,7 @@
 
     def leave(self, back_soon: bool) -> None:
         """Told to others as the process goes; for good, it is on disk first."""
+        self._leaving = True
         if not back_soon:
             self.has_left = True
             self._write()
