Operators call from other machines over TLS; certificates and fleet keys are made, changed, revoked

The admin call stood on a Unix socket alone, and the fleet's key could only be changed with all gateways down. TLS 1.3 runs over the loop's own streams (ssl in memory, nothing blocks); both sides show certificates of the fleet's authority, judged by role, name, time and revocation, with the reason told. The fleet's key changes in three steps (add, use, drop) with a rolling restart after each; files with secrets are refused where others may read them.

--- a/ledgehitch/cli/daemon.py
+++ b/ledgehitch/cli/daemon.py
@@ -10,6 +10,7 @@
 from ledgehitch.daemon.run import run_daemon
 from ledgehitch.daemon.why import words_on
 from ledgehitch.gateway.versions import checked, first_version
+from ledgehitch.keys.store import Keys
 
 
 @click.command("daemon")
@@ -19,9 +20,21 @@
 @click.option("--state", type=click.Path(path_type=Path), required=True, help="Its directory: lock, admin "
               "socket, keys and what the next life begins with.")  # fmt: skip
 @click.option("--record", type=click.Path(path_type=Path), default=None, help="Writes a flight record there.")
+@click.option(
+    "--keys",
+    type=click.Path(path_type=Path),
+    default=None,
+    help="Directory with its certificate, for operators on other machines (`ledgehitch keys`).",
+)
 @click.pass_obj
 def daemon_command(
-    logfile: LogFile, site_file: Path, name: str | None, seed: int, state: Path, record: Path | None
+    logfile: LogFile,
+    site_file: Path,
+    name: str | None,
+    seed: int,
+    state: Path,
+    record: Path | None,
+    keys: Path | None,
 ) -> None:
     """One gateway as a daemon, one of its name on this machine.
 
@@ -38,7 +51,11 @@
         facts_of(site, name)
     except BadInput as wrong:
         raise BadInput(f"{site_file}: {wrong}") from None
-    sys.exit(run_daemon(site, name, seed, state, record, (site_file, first, kept), logfile))
+    sys.exit(
+        run_daemon(
+            site, name, seed, state, record, (site_file, first, kept), logfile, Keys(keys) if keys else None
+        )
+    )
 
 
 @click.command("why")
--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -17,6 +17,11 @@
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
 from ledgehitch.fleet.plan import Action, Over, Plan, Rolling, Terms, foretold
 from ledgehitch.gateway.versions import checked
+from ledgehitch.http import Client, ConnectFailed
+from ledgehitch.http.client import TLS
+from ledgehitch.keys.contexts import context
+from ledgehitch.keys.judge import Refused, shown, taken
+from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Loop
 
 GOOD = ("answered", "slow", "draining")
@@ -36,7 +41,7 @@
         if admin_dir is not None:
             at = f"unix:{admin_dir / g.name}.admin"
         elif g.admin_at:
-            at = g.admin_at
+            at = TLS + g.admin_at.removeprefix(TLS)
         else:
             raise BadInput(f"gateway {g.name} has no admin_at in the site: name it, or give --admin-dir")
         out.append(Target(g.name, at, g.zone, g.rack))
@@ -57,7 +62,20 @@
         return targets_of(self.site, self.admin_dir, only)
 
     def caller(self, loop: Loop) -> Caller:
-        return Caller(loop, self.within)
+        if self.cert is None:
+            return Caller(loop, self.within)
+        keys = Keys(self.cert.parent)
+        names = {t.at: t.name for t in self.targets()}
+
+        def judge(address: str, certificate: bytes) -> None:
+            """Guards against an impostor at a gateway's address: it must show that gateway's certificate."""
+            try:
+                taken(shown(certificate), time.time(), ("gateway",), keys.revoked(), names.get(address, ""))
+            except Refused as why:
+                raise ConnectFailed(str(why)) from None
+
+        client = Client(loop, context(keys.ca, self.cert, False), judge)
+        return Caller(loop, self.within, client)
 
     def found(self, only: tuple[str, ...] = ()) -> list[Found]:
         loop = Loop()
--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -20,6 +20,7 @@
     "daemon": ("daemon", "daemon_command"),
     "why": ("daemon", "why_command"),
     "fleet": ("fleet", "fleet"),
+    "keys": ("keys", "keys"),
     "standin": ("standins", "standin"),
     "rehearse": ("days", "rehearse_command"),
     "check-tape": ("days", "check_tape"),
--- a/ledgehitch/daemon/membership.py
+++ b/ledgehitch/daemon/membership.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +23,7 @@
 
 
 class Membership:
-    def __init__(self, loop: Loop, site: Site, name: str, key: bytes, directory: Path, seed: int,
+    def __init__(self, loop: Loop, site: Site, name: str, ring: Sequence[bytes], directory: Path, seed: int,
                  doorman: Doorman | None) -> None:  # fmt: skip
         self.loop, self.site, self.doorman = loop, site, doorman
         self.names = [g.name for g in site.gateways]
@@ -34,8 +35,8 @@
         # Guards against a lost state file: one that does not know whether it had left counts as returning.
         self.has_left = bool(held.get("has_left", not held and self._others_may_know(directory, name)))
         self._write()
-        secret = blake3(key, derive_key_context=CONTEXT).digest()
-        self.frames = Peers(secret, me, time.time_ns())
+        secrets = [blake3(key, derive_key_context=CONTEXT).digest() for key in ring]
+        self.frames = Peers(secrets, me, time.time_ns())
         now = time.monotonic()
         self.members = Members(now, me, len(self.names), self.life, random.Random(seed), self.has_left,
                                self.floors)  # fmt: skip
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -19,9 +19,14 @@
 from ledgehitch.daemon.place import Place
 from ledgehitch.daemon.supervisor import Supervisor
 from ledgehitch.daemon.watchdog import Watchdog
-from ledgehitch.gateway.serve import Running, peer_key, say_ready
+from ledgehitch.gateway.serve import Running, peer_ring, say_ready
 from ledgehitch.gateway.versions import Compiled, Versions
+from ledgehitch.http import Refused as NotTaken
 from ledgehitch.http import Request, Response, Server
+from ledgehitch.http.client import TLS
+from ledgehitch.keys.contexts import context
+from ledgehitch.keys.judge import Refused, shown, taken
+from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Endpoint, Event, Loop, endpoint
 from ledgehitch.loop.timers import Timer
 
@@ -37,7 +42,8 @@
 
     def __init__(self, loop: Loop, site: Site, name: str, seed: int, place: Place, record: Path | None,
                  source: tuple[Path, Compiled, Path | None], logfile: LogFile,
-                 environment: dict[str, str]) -> None:  # fmt: skip
+                 environment: dict[str, str], keys: Keys | None = None) -> None:  # fmt: skip
+        self.keys = keys
         self.loop, self.site, self.name, self.place, self.logfile = loop, site, name, place, logfile
         self.supervisor = Supervisor(environment)
         self.running = Running(loop, site, name, seed, place.directory, record)
@@ -59,7 +65,7 @@
             [signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGUSR2, signal.SIGHUP], self._on
         )
         watchdog = Watchdog(STILL, lambda text: void_write(self.logfile, text))
-        admin = self._serve_admin()
+        admins = self._serve_admin()
         if self.place.stale:
             log.warning("the last life was not ended in order", pid=self.place.stale)
         self.loop.spawn(self._signs, watchdog, name="signs of life")
@@ -73,7 +79,8 @@
         exit_as = self.over.value
         assert isinstance(exit_as, Exit)
         watchdog.stop()
-        admin.close()
+        for admin in admins:
+            admin.close()
         self.running.stop()
         if self.membership is not None:
             self.membership.close()
@@ -85,11 +92,11 @@
     def _members(self, seed: int) -> Membership | None:
         """Where the site gives this gateway a place in membership, and a key to the fleet."""
         here = next(g for g in self.site.gateways if g.name == self.name)
-        key = peer_key(self.site)
-        if not here.members_at or key is None:
+        ring = peer_ring(self.site)
+        if not here.members_at or not ring:
             return None
         doorman = self.running.carrier.doorman
-        some = Membership(self.loop, self.site, self.name, key, self.place.directory, seed + 4, doorman)
+        some = Membership(self.loop, self.site, self.name, ring, self.place.directory, seed + 4, doorman)
         self.admin.members, self.on_leave = some.told, some.leave
         return some
 
@@ -101,17 +108,30 @@
         near = [g for g in others if g.zone == mine.zone] or others
         return self.chance.choice(near).at if near else ""
 
-    def _serve_admin(self) -> Server:
+    def _serve_admin(self) -> list[Server]:
         at = Endpoint(endpoint(f"unix:{self.place.admin}").family, str(self.place.admin))
         before = os.umask(0o177)
         try:
             # Only who may write to the socket gets here: its owner, and root.
-            return Server(self.loop, at, self._asked)
+            servers = [Server(self.loop, at, lambda request: self.admin.handle(request, "operate"))]
         finally:
             os.umask(before)
-
-    def _asked(self, request: Request) -> Response:
-        return self.admin.handle(request, "operate")
+        here = next(g for g in self.site.gateways if g.name == self.name)
+        if here.admin_at and self.keys is not None:
+            tls = context(self.keys.ca, self.keys.directory / f"{self.name}.pem", True)
+            far = endpoint(here.admin_at.removeprefix(TLS))
+            servers.append(Server(self.loop, far, self._asked_from_afar, tls=tls))
+        return servers
+
+    def _asked_from_afar(self, request: Request) -> Response:
+        assert self.keys is not None
+        try:
+            one = shown(request.certificate)
+            role = taken(one, time.time(), ("operate", "look"), self.keys.revoked())
+        except Refused as why:
+            log.warning("an operator is refused", why=str(why), peer=request.peer)
+            raise NotTaken(403, str(why)) from None
+        return self.admin.handle(request, "operate" if role == "operate" else "look")
 
     def _wait_for_list(self) -> None:
         until = time.monotonic() + LIST_WITHIN
@@ -180,7 +200,8 @@
 
 
 def run_daemon(site: Site, name: str, seed: int, state_dir: Path, record: Path | None,
-               source: tuple[Path, Compiled, Path | None], logfile: LogFile) -> int:  # fmt: skip
+               source: tuple[Path, Compiled, Path | None], logfile: LogFile, keys: Keys | None = None,
+               ) -> int:  # fmt: skip
     """Runs until the life is over. A restart does not come back: the process runs anew in its place."""
     place = Place(state_dir, name)
     gc.collect()
@@ -191,7 +212,7 @@
 
     def main() -> Exit:
         nonlocal ticket
-        daemon = Daemon(loop, site, name, seed, place, record, source, logfile, dict(os.environ))
+        daemon = Daemon(loop, site, name, seed, place, record, source, logfile, dict(os.environ), keys)
         exit_as = daemon.run()
         ticket = daemon.life.why
         return exit_as
--- a/ledgehitch/gateway/peers.py
+++ b/ledgehitch/gateway/peers.py
@@ -1,6 +1,7 @@
 """Messages between gateways as datagrams: bounded, keyed by `blake3`, replay-safe. Free of I/O."""
 
 import struct
+from collections.abc import Sequence
 
 from blake3 import blake3
 
@@ -17,12 +18,13 @@
 
 
 class Peers:
-    """Frames of one gateway. `life` rises with each start (its wall clock in ns does)."""
+    """Frames of one gateway. The first key of the ring signs, all are taken. `life` rises with each start
+    (its wall clock in ns does)."""
 
-    def __init__(self, key: bytes, me: int, life: int) -> None:
-        if len(key) != 32:
+    def __init__(self, ring: Sequence[bytes], me: int, life: int) -> None:
+        if not ring or any(len(key) != 32 for key in ring):
             raise ValueError("a peer key has 32 bytes")
-        self._key, self.me, self.life = key, me, life
+        self._ring, self.me, self.life = list(ring), me, life
         self._sent = 0
         self._seen: dict[int, tuple[int, int, int]] = {}  # by sender: life, highest number, bits under it
         self.refused: dict[str, int] = {}
@@ -32,7 +34,7 @@
             raise ValueError(f"{len(words)} bytes do not fit into a datagram")
         self._sent += 1
         body = HEAD.pack(MARK, self.me, to, self.life, self._sent, wall) + words
-        return body + blake3(body, key=self._key).digest(MAC)
+        return body + blake3(body, key=self._ring[0]).digest(MAC)
 
     def words(self, wall: float, data: bytes) -> tuple[int, bytes]:
         """Who said what; raises `Refusal` and counts it."""
@@ -49,7 +51,7 @@
         mark, sender, to, life, number, sent_at = HEAD.unpack_from(body)
         if mark != MARK:
             raise Refusal("mark")
-        if blake3(body, key=self._key).digest(MAC) != mac:
+        if all(blake3(body, key=key).digest(MAC) != mac for key in self._ring):
             raise Refusal("mac")
         if to != self.me or sender == self.me:
             raise Refusal("address")
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -17,7 +17,7 @@
 
 from ledgehitch import __version__
 from ledgehitch.brain import Gateway
-from ledgehitch.config import BadInput, Site, facts_of
+from ledgehitch.config import Site, facts_of
 from ledgehitch.config.site import rack_name
 from ledgehitch.door.decide import Door
 from ledgehitch.door.names import ORDER
@@ -33,6 +33,7 @@
 from ledgehitch.gateway.versions import Compiled, Versions
 from ledgehitch.gateway.watch import Watch
 from ledgehitch.http import Limits, Server
+from ledgehitch.keys.store import ring_in
 from ledgehitch.loop import Datagrams, Event, Loop, endpoint
 from ledgehitch.quality.keep import Keep
 from ledgehitch.signalling import Desk
@@ -42,21 +43,9 @@
 log = structlog.get_logger("gateway")
 
 
-def peer_key(site: Site) -> bytes | None:
-    """The 32 bytes that gateways share, from a file that only its owner can read."""
-    if not site.peer_key_file:
-        return None
-    path = Path(site.peer_key_file)
-    try:
-        mode = path.stat().st_mode & 0o077
-        key = path.read_bytes()
-    except OSError as problem:
-        raise BadInput(f"{path}: the peer key cannot be read: {problem.strerror}") from None
-    if mode:
-        raise BadInput(f"{path}: others than its owner may read the peer key (chmod 600)")
-    if len(key) != 32:
-        raise BadInput(f"{path}: a peer key has 32 bytes, not {len(key)}")
-    return key
+def peer_ring(site: Site) -> list[bytes]:
+    """The keys that gateways share, from a file that only its owner can read; none where none is named."""
+    return ring_in(Path(site.peer_key_file)) if site.peer_key_file else []
 
 
 class Running:
@@ -69,8 +58,8 @@
         me = [g.name for g in site.gateways].index(name) if name in [g.name for g in site.gateways] else -1
         ladder, packages, fleet, terms = facts_of(site, name)
         here = site.gateways[me]
-        key = peer_key(site)
-        self.peers = Peers(key, me, time.time_ns()) if key and terms.may_tell else None
+        ring = peer_ring(site)
+        self.peers = Peers(ring, me, time.time_ns()) if ring and terms.may_tell else None
         brain = Gateway(seed, time.monotonic(), ladder, packages, fleet, terms)
         self.versions: Versions | None = None
         self.recorder = Recorder(record) if record is not None else None
--- a/ledgehitch/http/client.py
+++ b/ledgehitch/http/client.py
@@ -1,16 +1,18 @@
 """The client: keeps connections open for each address, closes idle ones, never sends a request twice."""
 
+import ssl
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from ledgehitch.http.message import Response
 from ledgehitch.http.parse import ResponseReader
-from ledgehitch.loop import Endpoint, Loop, Stream, connect, endpoint
+from ledgehitch.loop import AnyStream, Endpoint, Loop, Stream, TlsStream, connect, endpoint
 
 IDLE = 10.0  # seconds that a connection is kept unused: less than servers keep theirs
 KEPT = 64  # unused connections kept for one address
 MOST_BODY = 1 << 20
+TLS = "tls:"  # before an address that is spoken to over TLS
 
 
 class ConnectFailed(Exception):
@@ -27,9 +29,12 @@
     A call that is cut short by its deadline closes its connection: the other side sees it end.
     """
 
-    def __init__(self, loop: Loop) -> None:
-        self.loop = loop
-        self._pools: dict[str, deque[tuple[float, Stream]]] = {}
+    def __init__(self, loop: Loop, tls: ssl.SSLContext | None = None,
+                 judge: Callable[[str, bytes], None] = lambda address, shown: None) -> None:  # fmt: skip
+        """`tls` is for addresses such as `tls:127.0.0.1:80`; `judge` is shown each one's certificate (DER)
+        and raises an error that says why it is not the one that is meant."""
+        self.loop, self.tls, self.judge = loop, tls, judge
+        self._pools: dict[str, deque[tuple[float, AnyStream]]] = {}
         self._endpoints: dict[str, Endpoint] = {}
         self.opened = self.reused = self.dirty = 0
 
@@ -100,7 +105,7 @@
         finally:
             stream.close()
 
-    def _stream(self, address: str) -> Stream:
+    def _stream(self, address: str) -> AnyStream:
         pool = self._pools.get(address)
         while pool:
             _, stream = pool.pop()
@@ -113,17 +118,35 @@
             stream.close()
         return self._connect(address)
 
-    def _connect(self, address: str) -> Stream:
+    def _connect(self, address: str) -> AnyStream:
         at = self._endpoints.get(address)
         if at is None:
-            at = self._endpoints[address] = endpoint(address)
+            at = self._endpoints[address] = endpoint(address.removeprefix(TLS))
         self.opened += 1
         try:
-            return connect(self.loop, at)
+            stream = connect(self.loop, at)
         except OSError as problem:
             raise ConnectFailed(str(problem)) from None
+        return self._wrapped(address, stream) if address.startswith(TLS) else stream
 
-    def _keep(self, address: str, stream: Stream) -> None:
+    def _wrapped(self, address: str, stream: Stream) -> TlsStream:
+        if self.tls is None:
+            stream.close()
+            raise ConnectFailed(f"{address} asks for a certificate, and none is given")
+        wrapped = TlsStream(stream, self.tls, False)
+        fine = False
+        try:
+            wrapped.handshake()
+            self.judge(address, wrapped.certificate())
+            fine = True
+            return wrapped
+        except OSError as problem:
+            raise ConnectFailed(f"no TLS with {address}: {problem}") from None
+        finally:
+            if not fine:
+                stream.close()
+
+    def _keep(self, address: str, stream: AnyStream) -> None:
         pool = self._pools.setdefault(address, deque())
         if len(pool) >= KEPT:
             pool.popleft()[1].close()
@@ -150,7 +173,7 @@
 
 
 def _written(address: str, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
-    host = "localhost" if address.startswith("unix:") else address
+    host = "localhost" if address.startswith("unix:") else address.removeprefix(TLS)
     lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
     lines += [f"{name}: {value}" for name, value in headers]
     if body or method in ("POST", "PUT", "PATCH"):
--- a/ledgehitch/http/message.py
+++ b/ledgehitch/http/message.py
@@ -33,6 +33,7 @@
         "hung_up",
         "reset",
         "peer",
+        "certificate",
     )
 
     def __init__(self, method: str, target: str, headers: dict[str, str], body: bytes = b"",
@@ -44,6 +45,7 @@
         self.hung_up: Callable[[Callable[[], None] | None], None] = lambda _: None
         self.reset: Callable[[], None] = lambda: None  # ends its connection so that the client sees a reset
         self.peer = ""
+        self.certificate = b""  # what the client showed over TLS (DER)
 
     def query(self, name: str) -> str | None:
         """The first value of a query parameter."""
--- a/ledgehitch/http/server.py
+++ b/ledgehitch/http/server.py
@@ -1,12 +1,13 @@
 """The server: a task for each connection, limits on what a client may hold up."""
 
+import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from ledgehitch.http.message import NoAnswer, Refused, Request, Response, problem
 from ledgehitch.http.parse import RequestReader
-from ledgehitch.loop import Closed, Endpoint, Listener, Loop, Stream, TimedOut
+from ledgehitch.loop import AnyStream, Closed, Endpoint, Listener, Loop, Stream, TimedOut, TlsStream
 
 
 @dataclass(frozen=True)
@@ -29,14 +30,15 @@
 
     def __init__(self, loop: Loop, at: Endpoint, handler: Callable[[Request], Response],
                  limits: Limits | None = None, report: Callable[[str, BaseException], None] | None = None,
-                 ) -> None:  # fmt: skip
+                 tls: ssl.SSLContext | None = None) -> None:  # fmt: skip
+        self.tls = tls
         self.loop, self.handler, self.limits = loop, handler, limits or Limits()
         self.listener = Listener(loop, at)
         self.at = self.listener.at
         self.report = report or loop.report
-        self.open: dict[Stream, None] = {}
+        self.open: dict[AnyStream, None] = {}
         self.served: dict[int, int] = {}
-        self.turned_away = self.slow = 0
+        self.turned_away = self.slow = self.refused_handshakes = 0
         self.task = loop.spawn(self._accept, name=f"listen {self.at}")
 
     def _accept(self) -> None:
@@ -66,7 +68,22 @@
         self.listener.close()
         self.task.cancel()
 
-    def _connection(self, stream: Stream) -> None:
+    def _connection(self, plain: Stream) -> None:
+        stream: AnyStream = plain
+        certificate = b""
+        if self.tls is not None:
+            wrapped = stream = TlsStream(plain, self.tls, True)
+            try:
+                with self.loop.deadline(self.limits.request_within):
+                    wrapped.handshake()
+                certificate = wrapped.certificate()
+            except (OSError, TimedOut):
+                self.refused_handshakes += 1
+                self.open.pop(plain, None)
+                plain.close()
+                return
+            self.open.pop(plain, None)
+            self.open[stream] = None
         reader = RequestReader(self.limits.head, self.limits.body)
         try:
             keep = first = True
@@ -82,7 +99,7 @@
                 if not requests:
                     return
                 for request in requests:
-                    request.peer = stream.peer
+                    request.peer, request.certificate = stream.peer, certificate
                     request.hung_up = lambda call: self._on_hang_up(stream, call)
                     request.reset = stream.reset
                     keep = self._answer(stream, request) and request.keep
@@ -96,7 +113,7 @@
             self.open.pop(stream, None)
             stream.close()
 
-    def _read(self, stream: Stream, reader: RequestReader, first: bool) -> list[Request]:
+    def _read(self, stream: AnyStream, reader: RequestReader, first: bool) -> list[Request]:
         try:
             with self.loop.deadline(self.limits.idle):
                 data = stream.receive(likely_empty=not first)
@@ -121,7 +138,7 @@
             request.arrived = since if told is False and len(requests) else stream.since
         return requests
 
-    def _answer(self, stream: Stream, request: Request) -> bool:
+    def _answer(self, stream: AnyStream, request: Request) -> bool:
         try:
             response = self.handler(request)
         except Refused as refused:
@@ -156,7 +173,7 @@
     def _refusal(self, refused: Refused) -> Response:
         return problem(refused.status, refused.detail, refused.headers)
 
-    def _send(self, stream: Stream, data: bytes) -> None:
+    def _send(self, stream: AnyStream, data: bytes) -> None:
         try:
             rest = stream.send_now(data)
             if rest:
@@ -166,7 +183,7 @@
             self.slow += 1
             raise OSError("the client does not take its answer") from None
 
-    def _drain(self, stream: Stream) -> None:
+    def _drain(self, stream: AnyStream) -> None:
         try:
             with self.loop.deadline(0.2):
                 while stream.receive():
@@ -174,7 +191,7 @@
         except TimedOut:
             pass
 
-    def _on_hang_up(self, stream: Stream, call: Callable[[], None] | None) -> None:
+    def _on_hang_up(self, stream: AnyStream, call: Callable[[], None] | None) -> None:
         """Calls once if the client hangs up while its request is at work; None withdraws it."""
         if stream.fd < 0:
             return
--- a/ledgehitch/loop/__init__.py
+++ b/ledgehitch/loop/__init__.py
@@ -8,9 +8,10 @@
 from ledgehitch.loop.children import Child, forked
 from ledgehitch.loop.kernel import Cancelled, Event, Loop, Task, TimedOut
 from ledgehitch.loop.sockets import Datagrams, Endpoint, Listener, Stream, connect, endpoint
+from ledgehitch.loop.tls import AnyStream, TlsStream
 
 __all__ = [
+    "AnyStream", "TlsStream", "forked",
     "Cancelled", "Channel", "Child", "Closed", "Datagrams", "Endpoint", "Event", "Listener", "Loop", "Stream",
     "Task", "TimedOut", "connect", "endpoint",
-    "forked",
 ]  # fmt: skip
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -246,9 +246,9 @@
 
     def main() -> None:
         doorman = Doorman(door)
-        first = Membership(loop, some, "g0", key, tmp_path / "0", 1, doorman)
-        second = Membership(loop, some, "g1", key, tmp_path / "1", 2, None)
-        stranger = Membership(loop, some, "g2", bytes(32), tmp_path / "2", 3, None)
+        first = Membership(loop, some, "g0", [key], tmp_path / "0", 1, doorman)
+        second = Membership(loop, some, "g1", [key], tmp_path / "1", 2, None)
+        stranger = Membership(loop, some, "g2", [bytes(32)], tmp_path / "2", 3, None)
         for _ in range(400):
             loop.sleep(0.02)
             if first.members.counts["answered"] and second.members.counts["answered"]:
@@ -263,7 +263,7 @@
                 break
         assert second.told()["g0"] == "left" and not second.there("g0")
         first.close()
-        again = Membership(loop, some, "g0", key, tmp_path / "0", 1, doorman)
+        again = Membership(loop, some, "g0", [key], tmp_path / "0", 1, doorman)
         assert again.life == 2 and again.members.parts.returning and door.part.share(0.0) == 0.0
 
     loop.run(main)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -219,7 +219,7 @@
 
 def test_datagrams_are_taken_once_from_who_has_the_key_and_only_fresh() -> None:
     key = bytes(range(32))
-    a, b = Peers(key, 0, 100), Peers(key, 1, 100)
+    a, b = Peers([key], 0, 100), Peers([key], 1, 100)
 
     def refused(data: bytes, wall: float = 1000.0) -> str:
         with pytest.raises(Refusal) as why:
@@ -235,9 +235,9 @@
     assert refused(frames[50], wall=1000.1 + FRESH) == "stale"
     assert refused(a.frame(1000.0, 2, b"x")) == "address"
     assert refused(frames[60][:-1] + bytes([frames[60][-1] ^ 1])) == "mac"
-    assert refused(Peers(bytes(32), 0, 100).frame(1000.0, 1, b"")) == "mac"
+    assert refused(Peers([bytes(32)], 0, 100).frame(1000.0, 1, b"")) == "mac"
     assert refused(b"short") == refused(bytes(MOST + 1)) == "size"
-    newer = Peers(key, 0, 101)
+    newer = Peers([key], 0, 101)
     assert b.words(1000.0, newer.frame(1000.0, 1, b"again"))[1] == b"again"
     assert refused(a.frame(1000.0, 1, b"old life")) == "former life"
     with pytest.raises(ValueError, match="do not fit"):
@@ -248,8 +248,8 @@
 @given(st.binary(max_size=200), st.integers(0, 250), st.integers(0, 255))
 def test_no_bytes_make_a_peer_believe_them(data: bytes, at: int, flip: int) -> None:
     key = bytes(range(32))
-    b = Peers(key, 1, 1)
-    frame = bytearray(Peers(key, 0, 1).frame(0.0, 1, b"words" * 20))
+    b = Peers([key], 1, 1)
+    frame = bytearray(Peers([key], 0, 1).frame(0.0, 1, b"words" * 20))
     if flip:
         frame[at % len(frame)] ^= flip
         with pytest.raises(Refusal):
