--- a/ledgehitch/members/decide.py
+++ b/ledgehitch/members/decide.py
@@ -15,10 +15,11 @@
 from ledgehitch.members.words import MOST_NEWS, Words, digest_of
 
 PERIOD = 1.0  # seconds between two questions
-DIRECT = 0.4  # of a period for the answer, before others are asked to ask
+DIRECT = 0.3  # of a period for the answer, before it is asked again and others are asked to ask
+TRIES = 2  # after the first
 HELPERS = 3
 SPREAD = 3  # times log2 of the members that a piece of news is passed on
-DOUBT = 4.0  # times log10 of the members, in periods: how long a suspect may refute
+DOUBT = 5.0  # times log10 of the members, in periods: how long a suspect may refute
 AWAY = 60.0  # seconds in which one that said it is back soon is expected back
 SLOWEST = 8  # by how much one that is slow itself may stretch its periods
 AGAIN_DEAD = 5  # periods after which one that is held for dead is asked again: a parted fleet grows together
@@ -72,7 +73,7 @@
         self._turns: list[int] = []
         self._sequence = 0
         self._out: dict[int, tuple[int, float]] = {}  # questions: whom, when
-        self._probe: tuple[int, int, float, bool] | None = None  # sequence, whom, since, helpers asked
+        self._probe: tuple[int, int, float, int] | None = None  # sequence, whom, since, tries after the first
         self._for: dict[int, tuple[int, int, float]] = {}  # our sequence: for whom, its sequence, when
         self._next = now + chance.random() * PERIOD
         self._looked = now
@@ -155,22 +156,23 @@
                 self.counts["deaths"] += 1
                 self._noted(now, self.roster.doubt(now, member, "dead"))
         probe = self._probe
-        if (
-            probe is not None
-            and not probe[3]
-            and now - probe[2] >= DIRECT * PERIOD * (1 + self.slow / SLOWEST)
-        ):
-            self._ask_for(now, probe)
+        if probe is not None and probe[3] < TRIES and now >= self._next_try(probe):
+            self._try_again(now, probe)
         if now >= self._next:
             self._period(now)
 
-    def _ask_for(self, now: float, probe: tuple[int, int, float, bool]) -> None:
-        number, whom, since, _ = probe
-        self._probe = number, whom, since, True
-        self._send(whom, "join" if self.parts.returning else "ask", number)  # the first may have been lost
-        helpers = [n for n in self.roster.there() if n != whom and self.roster.status(n) == "alive"]
-        for helper in self.chance.sample(helpers, min(HELPERS, len(helpers))):
-            self._send(helper, "ask for", number, about=whom)
+    def _next_try(self, probe: tuple[int, int, float, int]) -> float:
+        return probe[2] + (1 + probe[3]) * DIRECT * PERIOD * (1 + self.slow / SLOWEST)
+
+    def _try_again(self, now: float, probe: tuple[int, int, float, int]) -> None:
+        """The question or its answer may have been lost: it is asked again, and by others too."""
+        number, whom, since, tries = probe
+        self._probe = number, whom, since, tries + 1
+        self._send(whom, "join" if self.parts.returning else "ask", number)
+        if tries == 0:
+            helpers = [n for n in self.roster.there() if n != whom and self.roster.status(n) == "alive"]
+            for helper in self.chance.sample(helpers, min(HELPERS, len(helpers))):
+                self._send(helper, "ask for", number, about=whom)
 
     def _period(self, now: float) -> None:
         self._next = now + PERIOD * (1 + self.slow / SLOWEST) * self.chance.uniform(0.9, 1.1)
@@ -186,7 +188,7 @@
         whom = self._turn()
         if whom >= 0:
             number = self._question(now, whom)
-            self._probe = number, whom, now, False
+            self._probe = number, whom, now, 0
         if self._periods % AGAIN_DEAD == 0:
             dead = [n for n, e in self.roster.entries.items() if e.status == "dead"]
             if dead:
@@ -268,6 +270,6 @@
         if self._due:
             return 0.0
         at = [self._next, *self._doubts.values()]
-        if self._probe is not None and not self._probe[3]:
-            at.append(self._probe[2] + DIRECT * PERIOD * (1 + self.slow / SLOWEST))
+        if self._probe is not None and self._probe[3] < TRIES:
+            at.append(self._next_try(self._probe))
         return min(at)
