fleet watch: halls, gateways, media hosts and a running plan, live in the terminal

During a rolling restart staff looked at one status after the other. The interface (textual) shows all and one chosen gateway; it asks in a process of its own, so that a gateway that stalls holds up no key, and says how old what it shows is. What is shown is worked out in a module free of I/O.

Tested with a feed that fails and one that never answers: keys go on, nothing is asked twice at once.

--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -16,6 +16,7 @@
 from ledgehitch.fleet.found import Found, Target, counted
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
 from ledgehitch.fleet.plan import Action, Over, Plan, Rolling, Terms, foretold
+from ledgehitch.fleet.show import COLOURS, line_words
 from ledgehitch.gateway.versions import checked
 from ledgehitch.http import Client, ConnectFailed
 from ledgehitch.http.client import TLS
@@ -25,7 +26,6 @@
 from ledgehitch.loop import Loop
 
 GOOD = ("answered", "slow", "draining")
-LOOK = {"answered": "green", "draining": "yellow", "slow": "yellow"}
 
 
 def targets_of(site: Site, admin_dir: Path | None, only: tuple[str, ...]) -> list[Target]:
@@ -148,7 +148,7 @@
     )
     for f in found:
         t, s = targets[f.name], f.state
-        row = [f.name, t.zone, t.rack, f"[{LOOK.get(f.kind, 'bold red')}]{f.kind}[/]"]
+        row = [f.name, t.zone, t.rack, f"[{COLOURS.get(f.kind, 'bold red')}]{f.kind}[/]"]
         if s is None:
             row += ["-"] * 6
         else:
@@ -216,7 +216,7 @@
     rolling = Rolling(time.monotonic(), plan, journal.lines[1:])
 
     def tell(line: dict[str, Any]) -> None:
-        click.echo("  ".join(str(line[k]) for k in ("ev", "gateway", "why") if k in line))
+        click.echo(line_words(line))
 
     try:
         over: Over = loop.run(lambda: Work(loop, work.caller(loop), journal, rolling, tell).run())
@@ -279,4 +279,33 @@
             click.echo(f"{plan.id}: {plan.action} of {len(plan.targets)} gateways")
         else:
             at = time.strftime("%H:%M:%S", time.gmtime(line.get("t", 0)))
-            click.echo("  ".join([at, *(str(line[k]) for k in ("ev", "gateway", "why") if k in line)]))
+            click.echo(f"{at}  {line_words(line)}")
+
+
+@fleet.command()
+@click.option("--every", type=click.FloatRange(0.2, 600), default=2.0, show_default=True)
+@click.pass_obj
+def watch(work: Fleet, every: float) -> None:
+    """Halls, gateways, media hosts and a running plan, live in the terminal."""
+    import asyncio
+
+    import msgspec
+
+    from ledgehitch.fleet.screen import FleetScreen
+
+    words = ["--site", str(work.site_file), "--plans", str(work.plans), "--within", str(work.within)]
+    words += ["--admin-dir", str(work.admin_dir)] if work.admin_dir is not None else []
+    words += ["--cert", str(work.cert)] if work.cert is not None else []
+
+    async def feed() -> tuple[list[Found], list[dict[str, Any]]]:
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ledgehitch", "fleet", *words, "status", "--json",
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        out, err = await child.communicate()
+        if child.returncode not in (0, 1):
+            raise ValueError(err.decode("utf-8", "replace").strip()[-200:])
+        newest = sorted(work.plans.glob("*.journal"))
+        return msgspec.json.decode(out, type=list[Found]), lines_of(newest[-1]) if newest else []
+
+    FleetScreen(feed, {t.name: t.zone for t in work.targets()}, every).run()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Daemons and fleets: lives, places, journals, plans cut off anywhere, answers judged, daemons restarted."""
 
+import asyncio
 import json
 import os
 import random
@@ -16,9 +17,10 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from textual.widgets import DataTable, Static
 
 from ledgehitch.config import BadInput
-from ledgehitch.daemon.facts import VERSION, Counts, State
+from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, State
 from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Say, Then
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.place import Place, holder
@@ -28,6 +30,8 @@
 from ledgehitch.fleet.found import Found, Target, judged
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
 from ledgehitch.fleet.plan import Ask, Call, Joins, Over, Plan, Rolling, Terms, Write, foretold
+from ledgehitch.fleet.screen import FleetScreen
+from ledgehitch.fleet.show import halls_of, hosts_of, plan_words
 from ledgehitch.http import Request, Response, Server
 from ledgehitch.loop import Loop, endpoint
 from tests.rig import Rig
@@ -564,3 +568,69 @@
         assert rig.client.request(rig.at, "DELETE", place).status == 404
 
     Rig().run(day)
+
+
+# ---- the terminal interface --------------------------------------------------------------------------------
+
+SEEN = [
+    Found("g0", "answered", state=state("g0", counts=Counts(100, 90, 5, 1), zone="north",
+                                        hosts={"h1": HostSeen(True, 4), "h2": HostSeen(False, 9)})),
+    Found("g1", "silent", "no whole answer in 1.5 s"),
+    Found("g2", "draining", "draining: p/g2", state=state("g2", phase="draining", zone="south")),
+]  # fmt: skip
+LINES = [
+    head_of(Plan("p", "restart", [Target("g0", "x"), Target("g1", "x"), Target("g2", "x")])),
+    {"ev": "intended", "gateway": "g0", "boot": "b"}, {"ev": "done", "gateway": "g0"},
+    {"ev": "intended", "gateway": "g2", "boot": "b"}, {"ev": "sent", "gateway": "g2"},
+]  # fmt: skip
+
+
+def test_what_is_shown_of_halls_hosts_and_plans() -> None:
+    assert halls_of(SEEN, {"g0": "north", "g1": "north", "g2": "south"}) == [
+        ("north", "1 of 2", "0", "100", "6.0%", "-"), ("south", "0 of 1", "0", "0", "-", "-")]  # fmt: skip
+    assert SEEN[0].state is not None
+    assert hosts_of(SEEN[0].state)[0].split() == ["h2", "9", "not", "in", "service"]
+    assert plan_words(LINES)[:2] == ["p: restart, 1 of 3 done", "under way; now g2"]
+    stopped = plan_words([*LINES, {"ev": "failed", "gateway": "g2", "why": "silent"},
+                          {"ev": "stopped", "why": "1 failed"}])  # fmt: skip
+    assert stopped[:2] == ["p: restart, 1 of 3 done, 1 failed", "stopped: 1 failed"]
+    assert plan_words([]) == []
+
+
+def test_the_screen_goes_on_while_a_question_hangs_and_says_what_is_old() -> None:
+    asked = 0
+
+    async def feed() -> tuple[list[Found], list[dict[str, Any]]]:
+        nonlocal asked
+        asked += 1
+        if asked == 2:
+            raise ValueError("the site does not read")
+        if asked > 2:
+            await asyncio.sleep(3600)
+        return SEEN, LINES
+
+    async def look() -> None:
+        screen = FleetScreen(feed, {"g0": "north", "g1": "north", "g2": "south"}, every=3600.0)
+        async with screen.run_test(size=(140, 40)) as pilot:
+            table = screen.query_one("#gateways", DataTable)
+            for _ in range(200):
+                await pilot.pause(0.01)
+                if table.row_count == 3:
+                    break
+            assert table.row_count == 3 and asked == 1
+            assert "1 answered, 1 draining, 1 silent" in str(screen.query_one("#news", Static).render())
+            await pilot.press("down", "t")
+            assert table.row_count == 2, "only those in trouble"
+            await pilot.press("r")
+            await pilot.pause(0.05)
+            assert "not asked: the site does not read" in str(screen.query_one("#news", Static).render())
+            await pilot.press("r")
+            await pilot.pause(0.05)
+            assert asked == 3
+            await pilot.press("t", "r")
+            assert table.row_count == 3 and asked == 3, "keys are heard; nothing is asked twice at once"
+            screen.asked_at -= 5 * 3600.0
+            screen._say_age()
+            assert "s old" in str(screen.query_one("#news", Static).render())
+
+    asyncio.run(look())
