--- a/ledgehitch/fleet/carry.py
+++ b/ledgehitch/fleet/carry.py
@@ -16,7 +16,7 @@
 from ledgehitch.loop import Event, Loop, TimedOut
 
 WITHIN = 1.5  # seconds for one gateway's answer
-AT_ONCE = 64  # questions on their way
+AT_ONCE = 256  # questions on their way
 LOOKED_OVER = 2.0  # seconds between two looks at all gateways, for the joins
 
 
