--- /dev/null
+++ b/benchmarks/fuzz.py
@@ -0,0 +1,120 @@
+"""Parsers fed with spoilt input for as long as is wished: no crash, no growth. `python -m benchmarks.fuzz
+[SECONDS]`.
+
+Datagrams between members, the frames around them, bodies of the admin call, journals, certificates, HTTP
+requests.
+"""
+
+import contextlib
+import json
+import random
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ledgehitch.config import BadInput
+from ledgehitch.daemon.facts import Drain, Reload, State
+from ledgehitch.fleet.journal import _read, _sum
+from ledgehitch.gateway.peers import Peers, Refusal
+from ledgehitch.http import Refused
+from ledgehitch.http.parse import RequestReader
+from ledgehitch.keys import judge
+from ledgehitch.members.decide import Members
+from ledgehitch.members.roster import News
+from ledgehitch.members.words import BadWords, Words, read, written
+
+KEY = bytes(range(32))
+
+
+def spoilt(data: bytes, chance: random.Random) -> bytes:
+    """Some bytes changed, cut out, doubled or put in."""
+    out = bytearray(data)
+    for _ in range(chance.randrange(1, 6)):
+        at = chance.randrange(len(out) + 1)
+        match chance.randrange(4):
+            case 0 if at < len(out):
+                out[at] = chance.randrange(256)
+            case 1:
+                del out[at : at + chance.randrange(8)]
+            case 2:
+                out[at:at] = out[at : at + chance.randrange(16)]
+            case _:
+                out[at:at] = chance.randbytes(chance.randrange(4))
+    return bytes(out)
+
+
+class Fed:
+    def __init__(self, chance: random.Random) -> None:
+        self.chance = chance
+        self.receiver = Peers([KEY], 1, 1)
+        self.sender = Peers([KEY], 0, 1)
+        self.members = Members(0.0, 1, 8, 1, random.Random(1))
+        self.now = 0.0
+        news = tuple(News(n, 1 << 16, "alive") for n in range(8))
+        self.words = written(Words("ask", 1, 0, b"\0" * 8, news))
+        line = json.dumps({"ev": "done", "gateway": "g0"})
+        self.journal = f"{_sum('', line)} {line}\n".encode() * 1
+        self.drain = msgspec.json.encode(Drain(3.0, "restart", "t", "b"))
+        self.request = b"POST /v1/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}"
+
+    def datagram(self) -> None:
+        """A stranger's frame, or a frame of a member that says nonsense."""
+        self.now += 0.001
+        if self.chance.random() < 0.5:
+            data = spoilt(self.sender.frame(self.now, 1, self.words), self.chance)
+        else:
+            data = self.sender.frame(self.now, 1, spoilt(self.words, self.chance)[:1000])
+        try:
+            sender, body = self.receiver.words(self.now, data)
+            self.members.heard(self.now, sender, read(body))
+        except (Refusal, BadWords):
+            pass
+        while self.members.decide(self.now) is not None:
+            pass
+
+    def admin(self) -> None:
+        for kind in (Drain, Reload, State):
+            with contextlib.suppress(msgspec.MsgspecError, UnicodeDecodeError):
+                msgspec.json.decode(spoilt(self.drain, self.chance), type=kind)
+
+    def plan(self) -> None:
+        with contextlib.suppress(BadInput):
+            _read(spoilt(self.journal, self.chance), Path("journal"))
+
+    def http(self) -> None:
+        reader = RequestReader(16384, 65536)
+        with contextlib.suppress(Refused):
+            reader.feed(spoilt(self.request, self.chance))
+
+    def certificate(self) -> None:
+        with contextlib.suppress(judge.Refused):
+            judge.shown(self.chance.randbytes(self.chance.randrange(200)))
+
+
+def memory() -> float:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * 4 / 1024
+
+
+def main(seconds: float) -> dict[str, Any]:
+    fed = Fed(random.Random(1))
+    kinds: dict[str, Callable[[], None]] = {
+        "datagram": fed.datagram, "admin": fed.admin, "journal": fed.plan, "http": fed.http,
+        "certificate": fed.certificate,
+    }  # fmt: skip
+    counts, began, first = dict.fromkeys(kinds, 0), time.monotonic(), 0.0
+    while time.monotonic() - began < seconds:
+        for name, call in kinds.items():
+            for _ in range(100):
+                call()
+            counts[name] += 100
+        if not first and time.monotonic() - began > 0.2 * seconds:
+            first = memory()
+    return {"inputs": counts, "grown_mb": round(memory() - first, 1), "refused": fed.receiver.refused}
+
+
+if __name__ == "__main__":
+    print(json.dumps(main(float(sys.argv[1]) if sys.argv[1:] else 60.0)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,8 +19,10 @@
 from hypothesis import strategies as st
 from textual.widgets import DataTable, Static
 
+from benchmarks.fuzz import Fed
 from ledgehitch.config import BadInput
-from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, State
+from ledgehitch.daemon.admin import Admin
+from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, Role, State
 from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Say, Then
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.place import Place, holder
@@ -32,7 +34,7 @@
 from ledgehitch.fleet.plan import Ask, Call, Joins, Over, Plan, Rolling, Terms, Write, foretold
 from ledgehitch.fleet.screen import FleetScreen
 from ledgehitch.fleet.show import halls_of, hosts_of, plan_words
-from ledgehitch.http import Request, Response, Server
+from ledgehitch.http import Refused, Request, Response, Server
 from ledgehitch.loop import Loop, endpoint
 from tests.rig import Rig
 
@@ -634,3 +636,69 @@
             assert "s old" in str(screen.query_one("#news", Static).render())
 
     asyncio.run(look())
+
+
+# ---- what comes spoilt -------------------------------------------------------------------------------------
+
+
+def test_spoilt_input_of_all_kinds_is_refused_and_leaves_nothing_behind() -> None:
+    fed = Fed(random.Random(7))
+    for _ in range(400):
+        fed.datagram()
+        fed.admin()
+        fed.plan()
+        fed.http()
+        fed.certificate()
+    assert fed.receiver.refused["mac"] > 100 and len(fed.members.told()) == 7
+    assert len(fed.members._out) < 100 and len(fed.members._for) < 400
+
+
+def test_a_call_that_does_not_read_is_answered_with_the_reason() -> None:
+    def day(rig: Rig) -> None:
+        life = Life(time.monotonic(), 3.0)
+        admin = Admin(rig.gateway, life, "", lambda: None)
+
+        def call(method: str, path: str, body: bytes = b"", role: Role = "operate") -> tuple[int, str]:
+            try:
+                answer = admin.handle(Request(method, path, {}, body), role)
+            except Refused as why:
+                return why.status, why.detail
+            return answer.status, answer.body.decode()
+
+        life.serves(time.monotonic())
+        assert call("GET", "/v1/state")[0] == 200 and call("GET", "/v1/hosts", role="look")[0] == 200
+        assert call("POST", "/v1/drain", b'{"withn": 3}') == (
+            400, "the call does not read: Object contains unknown field `withn`")  # fmt: skip
+        assert call("POST", "/v1/drain", b'{"within": "x"}')[0] == 400
+        assert call("POST", "/v1/drain", b"\xff{")[0] == 400
+        assert call("POST", "/v1/drain", b'{"ticket": "\xff"}')[0] == 400
+        assert call("POST", "/v1/drain", b'{"within": -1}')[0] == 400 and life.phase == "ready"
+        assert call("POST", "/v1/drain", b"{}", "look")[0] == 403
+        status, why = call("POST", "/v1/drain", b'{"if_boot": "another"}')
+        assert status == 412 and "another life runs here" in why and life.phase == "ready"
+        assert call("POST", "/v1/reload")[0] == 409 and call("PUT", "/v1/drain")[0] == 405
+        assert call("GET", "/v2/state")[0] == 404 and "version 1" in call("GET", "/v2/state")[1]
+        assert call("GET", "/v1/why/1") == (
+            409, "this gateway keeps no flight record: start it with --record")  # fmt: skip
+        boot = rig.gateway.boot
+        assert call("POST", "/v1/drain", f'{{"if_boot": "{boot}", "ticket": "p/g0"}}'.encode())[0] == 200
+        assert str(life.phase) == "draining" and life.why == "p/g0"
+
+    Rig().run(day)
+
+
+def test_why_is_answered_from_the_record_while_the_gateway_serves() -> None:
+    def day(rig: Rig) -> None:
+        rig.offer(1)
+        admin = Admin(rig.gateway, Life(time.monotonic(), 3.0), "", lambda: None)
+        vw = next(iter(rig.gateway.carrier.viewings))
+        entry = rig.gateway.carrier.desk.entries[vw]
+        for which in (str(vw), entry.resource):
+            lines = json.loads(admin.handle(Request("GET", f"/v1/why/{which}", {}), "look").body)["lines"]
+            assert "asked for clip-1 as recorded" in lines[0]
+            assert any("-> tune in at" in line for line in lines)
+            assert any("plays after" in line for line in lines)
+        with pytest.raises(Refused, match="holds nothing on viewing 999"):
+            admin.handle(Request("GET", "/v1/why/999", {}), "look")
+
+    Rig(record=True).run(day)
