A restart must bring the config that was meant; benchmarks share their peers, commands their start

A gateway that came back with an old config counted as done. The plan names the digest that all are to run, and says who came back with another, with an old version, as somebody else, or not letting the tool in. The media hosts of two benchmarks were written twice, and what serve and daemon begin with too.

--- a/benchmarks/doorway.py
+++ b/benchmarks/doorway.py
@@ -15,14 +15,14 @@
 
 import msgspec
 
+from benchmarks import peers
 from benchmarks.gateway import Process, loaded
 from ledgehitch.config import Day, read_site
 from ledgehitch.door.baselines import Buckets, Fifo, NoDoor
 from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.gateway.serve import Running, say_ready
-from ledgehitch.http import Client, ConnectFailed, Feed, Interrupted, NoAnswer, Request, Response, Server
-from ledgehitch.http.events import event
-from ledgehitch.loop import Event, Loop, TimedOut, endpoint
+from ledgehitch.http import Client, ConnectFailed, Interrupted, NoAnswer, Request
+from ledgehitch.loop import Event, Loop, TimedOut
 from ledgehitch.rehearsal.play import free_ports, write_key
 from ledgehitch.standins.plan import site_of
 from ledgehitch.standins.viewers import offer_of
@@ -34,55 +34,21 @@
 
 def hosts(site_file: str, capacity: str) -> None:
     """All media hosts and the list: set-ups take their turns, `capacity` of them a second in all."""
-    loop, a_second = Loop(), float(capacity)
-    site = read_site(Path(site_file))
-    free_at = 0.0
-    number = 0
-
-    def handle(request: Request) -> Response:
-        nonlocal free_at, number
-        if request.method == "POST" and request.path.startswith(("/whep/", "/whip/")):
-            free_at = max(time.monotonic(), free_at) + 1.0 / a_second
-            gone = Event(loop)
-            request.hung_up(lambda: gone.set())
-            try:
-                with loop.deadline(max(SETUP, free_at - time.monotonic())):
-                    gone.wait()
-                raise NoAnswer  # what was given up has taken its turn all the same
-            except TimedOut:
-                pass
-            number += 1
-            fields = [("Content-Type", "application/sdp"), ("Location", f"/sessions/{number}"),
-                      ("Endpoint-Load-Metrics", "TEXT named_metrics.x0=0.1")]  # fmt: skip
-            return Response(201, fields, offer_of(1).replace(b"recvonly", b"sendonly"))
-        if request.path.startswith("/events"):
-            feed = Feed(loop)
-            feed.tell(b": here\n\n")
-            feeds.append(feed)
-            return Response(200, [("Boot", "b")], stream=feed.send_all)
-        return Response(200)
-
-    feeds: list[Feed] = []
+    a_second, free_at = float(capacity), 0.0
 
-    def main() -> None:
-        lines = [{"host": h.name, "at": str(Server(loop, endpoint("127.0.0.1:0"), handle).at), "cell": h.cell,
-                  "weight": h.weight, "kind": h.kind, "zone": h.zone, "state": "in_service", "started": 0.0}
-                 for h in site.hosts]  # fmt: skip
-
-        def listing(request: Request) -> Response:
-            feed = Feed(loop)
-            told = {"epoch": "e", "version": 1, "rows": lines}
-            feed.tell(event(msgspec.json.encode(told).decode(), "total"))
-            return Response(200, [], stream=feed.send_all)
-
-        Server(loop, endpoint(site.list_at), listing)
-        print("{}", flush=True)
-        while True:
-            loop.sleep(1.0)
-            for feed in feeds:
-                feed.tell(b": here\n\n")
+    def take_turn(loop: Loop, request: Request) -> None:
+        nonlocal free_at
+        free_at = max(time.monotonic(), free_at) + 1.0 / a_second
+        gone = Event(loop)
+        request.hung_up(lambda: gone.set())
+        try:
+            with loop.deadline(max(SETUP, free_at - time.monotonic())):
+                gone.wait()
+        except TimedOut:
+            return
+        raise NoAnswer  # what was given up has taken its turn all the same
 
-    loop.run(main)
+    peers.hosts(site_file, take_turn)
 
 
 def gateway(site_file: str, kind: str) -> None:
@@ -163,7 +129,7 @@
 def with_door(kind: str, capacity: float, *words: str) -> Any:
     with tempfile.TemporaryDirectory() as place:
         path = site_at(Path(place))
-        peers = Process("-m", "benchmarks.doorway", "hosts", str(path), str(capacity))
+        there = Process("-m", "benchmarks.doorway", "hosts", str(path), str(capacity))
         front = Process("-m", "benchmarks.doorway", "gateway", str(path), kind)
         at = read_site(path).gateways[0].at
         time.sleep(10.0)  # until the media hosts count as warm
@@ -175,7 +141,7 @@
             return json.loads(told.stdout)
         finally:
             front.end()
-            peers.end()
+            there.end()
 
 
 def flood(kind: str) -> dict[str, Any]:
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -3,6 +3,7 @@
 import json
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -18,51 +19,42 @@
 ANSWER = offer_of(1).replace(b"a=recvonly", b"a=sendonly").replace(b"actpass", b"passive")
 
 
-def hosts(site_file: str, fail: float = 0.0) -> None:
-    """All media hosts of a site and its list, each answering at once with the same description."""
+def hosts(site_file: str, before: Callable[[Loop, Request], None] = lambda loop, request: None) -> None:
+    """All media hosts of a site and its list, each answering at once with the same description, or after what
+    `before` does with a set-up."""
     site = read_site(Path(site_file))
     loop = Loop()
+    made = 0
+    feeds: list[Feed] = []
+
+    def handle(request: Request) -> Response:
+        nonlocal made
+        if request.method == "POST" and request.path.startswith("/whep/"):
+            before(loop, request)
+            made += 1
+            return Response(
+                201,
+                [
+                    ("Content-Type", "application/sdp"),
+                    ("Location", f"/sessions/{made}"),
+                    ("Link", f'</sessions/{made}/layer>; rel="urn:ietf:params:whep:ext:core:layer"'),
+                    ("Endpoint-Load-Metrics", "TEXT named_metrics.x0=0.2, named_metrics.x1=0.2"),
+                ],
+                ANSWER,
+            )
+        if request.path.startswith("/events"):
+            feed = Feed(loop)
+            feed.tell(b": here\n\n")
+            feeds.append(feed)
+            return Response(200, [("Boot", "b")], stream=feed.send_all)
+        return Response(200)
 
     def main() -> None:
-        made = 0
         lines = []
-
-        def handle(request: Request) -> Response:
-            nonlocal made
-            if request.method == "POST" and request.path.startswith("/whep/"):
-                made += 1
-                return Response(
-                    201,
-                    [
-                        ("Content-Type", "application/sdp"),
-                        ("Location", f"/sessions/{made}"),
-                        ("Link", f'</sessions/{made}/layer>; rel="urn:ietf:params:whep:ext:core:layer"'),
-                        ("Endpoint-Load-Metrics", "TEXT named_metrics.x0=0.2, named_metrics.x1=0.2"),
-                    ],
-                    ANSWER,
-                )
-            if request.path.startswith("/events"):
-                feed = Feed(loop)
-                feed.tell(b": here\n\n")
-                feeds.append(feed)
-                return Response(200, [("Boot", "b")], stream=feed.send_all)
-            return Response(200)
-
-        feeds: list[Feed] = []
         for host in site.hosts:
-            server = Server(loop, endpoint("127.0.0.1:0"), handle)
-            lines.append(
-                {
-                    "host": host.name,
-                    "at": str(server.at),
-                    "cell": host.cell,
-                    "weight": host.weight,
-                    "kind": host.kind,
-                    "zone": host.zone,
-                    "state": "in_service",
-                    "started": 0.0,
-                }
-            )
+            at = str(Server(loop, endpoint("127.0.0.1:0"), handle).at)
+            told = {"host": host.name, "cell": host.cell, "weight": host.weight, "kind": host.kind}
+            lines.append({**told, "at": at, "zone": host.zone, "state": "in_service", "started": 0.0})
 
         def listing(request: Request) -> Response:
             feed = Feed(loop)
--- a/ledgehitch/cli/daemon.py
+++ b/ledgehitch/cli/daemon.py
@@ -5,11 +5,11 @@
 
 import click
 
-from ledgehitch.config import BadInput, facts_of
+from ledgehitch.config import BadInput
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.run import run_daemon
 from ledgehitch.daemon.why import words_on
-from ledgehitch.gateway.versions import checked, first_version
+from ledgehitch.gateway.versions import started_with
 from ledgehitch.keys.store import Keys
 
 
@@ -42,20 +42,9 @@
     reloads the site. Operators call it at STATE/NAME.admin (`ledgehitch fleet`). Exit codes: 0 stopped as
     told, 2 bad input, the place or the address is taken, 70 its loop stood still.
     """
-    kept = state / f"{name or 'gateway'}.site.json"
-    first = first_version(site_file, kept, checked)
-    site = first.site
-    assert site is not None
-    name = name if name is not None else site.gateways[0].name
-    try:
-        facts_of(site, name)
-    except BadInput as wrong:
-        raise BadInput(f"{site_file}: {wrong}") from None
-    sys.exit(
-        run_daemon(
-            site, name, seed, state, record, (site_file, first, kept), logfile, Keys(keys) if keys else None
-        )
-    )
+    site, name, source = started_with(site_file, name, state)
+    bearer = Keys(keys) if keys is not None else None
+    sys.exit(run_daemon(site, name, seed, state, record, source, logfile, bearer))
 
 
 @click.command("why")
--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -183,7 +183,7 @@
                 only_plan: bool) -> None:  # fmt: skip
         terms = Terms(at_once, share, drain_within, back_within, settle, failures, worse, not halls_together)
         digest = ""
-        if action == "reload":
+        if action in ("reload", "restart"):
             compiled = checked(work.site_file)
             if compiled.mistakes:
                 raise BadInput("\n".join(compiled.mistakes))
--- a/ledgehitch/cli/run.py
+++ b/ledgehitch/cli/run.py
@@ -5,10 +5,9 @@
 
 import click
 
-from ledgehitch.config import BadInput, facts_of
 from ledgehitch.gateway.beside import take_reports
 from ledgehitch.gateway.serve import say_ready, serve
-from ledgehitch.gateway.versions import checked, first_version
+from ledgehitch.gateway.versions import started_with
 from ledgehitch.rehearsal.up import run_up
 
 
@@ -34,16 +33,8 @@
     site_file: Path, name: str | None, seed: int, state: Path | None, record: Path | None
 ) -> None:
     """One gateway of a site, until SIGTERM or SIGINT. SIGHUP reloads the site, SIGUSR1 drains."""
-    kept = state / f"{name or 'gateway'}.site.json" if state is not None else None
-    first = first_version(site_file, kept, checked)
-    site = first.site
-    assert site is not None
-    name = name if name is not None else site.gateways[0].name
-    try:
-        facts_of(site, name)
-    except BadInput as wrong:
-        raise BadInput(f"{site_file}: {wrong}") from None
-    sys.exit(serve(site, name, seed, state, record, say_ready, (site_file, first, kept)))
+    site, name, source = started_with(site_file, name, state)
+    sys.exit(serve(site, name, seed, state, record, say_ready, source))
 
 
 @click.command("reports")
--- a/ledgehitch/fleet/plan.py
+++ b/ledgehitch/fleet/plan.py
@@ -40,7 +40,7 @@
     action: Action
     targets: list[Target]
     terms: Terms = Terms()
-    digest: str = ""  # of the version that a reload is to bring
+    digest: str = ""  # of the config that all are to run after a reload or a restart; empty: any
 
 
 @dataclass(frozen=True)
@@ -245,6 +245,10 @@
                 self._to(now, one, "failed", f"restarted in between, by {state.started_by or 'somebody'}")
                 return
             elif self._served(now, one, found):
+                if self.plan.digest and state.config.get("runs") != self.plan.digest:
+                    runs = str(state.config.get("runs", ""))[:16] or "no config that it names"
+                    self._to(now, one, "failed", f"it came back with another config: {runs}")
+                    return
                 mine = state.started_by == self.ticket(one.target.name)
                 word = "" if mine else f"restarted by {state.started_by or 'somebody else'}"
                 self._to(now, one, "done" if mine else "skipped", word)
--- a/ledgehitch/gateway/versions.py
+++ b/ledgehitch/gateway/versions.py
@@ -11,7 +11,7 @@
 import msgspec
 import structlog
 
-from ledgehitch.config import BadInput, Site
+from ledgehitch.config import BadInput, Site, facts_of
 from ledgehitch.config.change import Apply, Keep, Refuse, Reloads, Version
 from ledgehitch.config.load import digest_of
 from ledgehitch.loop import Child, Loop, TimedOut
@@ -140,6 +140,22 @@
     return old
 
 
+def started_with(source: Path, name: str | None, state_dir: Path | None
+                 ) -> tuple[Site, str, tuple[Path, Compiled, Path | None]]:  # fmt: skip
+    """The site, the name of its gateway that this is (the first where none is given), and what versions begin
+    with."""
+    kept = state_dir / f"{name or 'gateway'}.site.json" if state_dir is not None else None
+    first = first_version(source, kept, checked)
+    site = first.site
+    assert site is not None
+    name = name if name is not None else site.gateways[0].name
+    try:
+        facts_of(site, name)
+    except BadInput as wrong:
+        raise BadInput(f"{source}: {wrong}") from None
+    return site, name, (source, first, kept)
+
+
 def checked(source: Path) -> Compiled:
     """Reads and checks a version in this process."""
     from ledgehitch.config import read_site
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,7 +35,9 @@
 from ledgehitch.fleet.screen import FleetScreen
 from ledgehitch.fleet.show import halls_of, hosts_of, plan_words
 from ledgehitch.http import Refused, Request, Response, Server
+from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Loop, endpoint
+from ledgehitch.rehearsal.play import free_ports
 from tests.rig import Rig
 
 ROOT = Path(__file__).parent.parent
@@ -429,6 +431,36 @@
     assert all(len(r) == 1 for r in gateways.restarts.values())
 
 
+def test_who_comes_back_as_it_should_not_be_fails_with_the_reason() -> None:
+    """With an old config, an old version of the program, as another, or not letting the tool in any more."""
+    old = state("g0", "new", started_by="p/g0", config={"runs": "old"})
+    odd = {
+        "old config": Found("g0", "answered", state=old),
+        "old version": Found("g0", "wrong version", "its admin call has version 0, this tool 1"),
+        "impostor": Found("g0", "impostor", "g7 answers at its address"),
+        "expired": Found("g0", "refused", "the certificate of 'ops' expired 3 s ago"),
+    }
+    said = {}
+    for what, found in odd.items():
+        plan = Plan("p", "restart", TARGETS[:1], Terms(settle=0.0, back_within=1.0, within=0.0), digest="now")
+        rolling, now, called = Rolling(T, plan), T, 0
+        while not rolling.over:
+            while (decision := rolling.decide(now)) is not None:
+                if isinstance(decision, Ask):
+                    first = Found("g0", "answered", state=state("g0", config={"runs": "now"}))
+                    rolling.found(now, found if called else first)
+                elif isinstance(decision, Call):
+                    called += 1
+                    rolling.called(now, "g0", 200)
+            now += 0.1
+        assert called == 1 and rolling.told() == {"failed": 1}
+        said[what] = rolling.all["g0"].why
+    assert said["old config"] == "it came back with another config: old"
+    assert "wrong version: its admin call has version 0" in said["old version"]
+    assert "impostor: g7 answers at its address" in said["impostor"]
+    assert "refused: the certificate of 'ops' expired 3 s ago" in said["expired"]
+
+
 def test_joins_that_get_worse_stop_the_plan() -> None:
     plan = Plan("p", "restart", TARGETS, Terms(settle=2.0))
     gateways, lines = Gateways(random.Random(4)), list[dict[str, Any]]()
@@ -511,7 +543,6 @@
 
 def _site_of(gateways: int) -> Any:
     from ledgehitch.config import Day
-    from ledgehitch.rehearsal.play import free_ports
     from ledgehitch.standins.plan import site_of
 
     raw = {
@@ -555,6 +586,39 @@
     assert codes == {"g0": 0, "g1": 0}
 
 
+def test_a_daemon_is_called_over_tls_by_who_may(tmp_path: Path) -> None:
+    keys = Keys(tmp_path / "keys")
+    keys.new_authority("fleet", time.time())
+    for name, role in (("g0", "gateway"), ("ops", "operate"), ("eyes", "look"), ("gone", "operate")):
+        keys.issue(name, role, time.time())  # type: ignore[arg-type]
+    daemons = Daemons(tmp_path, 1)
+    at = f"127.0.0.1:{free_ports(1)[0]}"
+    gateways = [msgspec.structs.replace(daemons.site.gateways[0], admin_at=at)]
+    far = msgspec.json.encode(msgspec.structs.replace(daemons.site, gateways=gateways))
+    (tmp_path / "site.json").write_bytes(far)
+
+    def fleet(who: str, *words: str) -> subprocess.CompletedProcess[str]:
+        cert, plans = tmp_path / "keys" / f"{who}.pem", tmp_path / "plans"
+        command = [sys.executable, "-m", "ledgehitch", "fleet", "--site", str(tmp_path / "site.json"),
+                   "--cert", str(cert), "--plans", str(plans), *words]  # fmt: skip
+        return subprocess.run(command, capture_output=True, text=True, timeout=120, cwd=ROOT)
+
+    try:
+        daemons.start("g0", "--keys", str(tmp_path / "keys"))
+        daemons.ready("g0")
+        found = json.loads(fleet("eyes", "status", "--json").stdout)
+        assert [f["kind"] for f in found] == ["answered"]
+        refused = fleet("eyes", "drain")
+        assert refused.returncode == 1 and "may look, not operate" in refused.stderr
+        assert fleet("eyes", "give-up").returncode == 0
+        assert fleet("ops", "drain").returncode == 0 and fleet("ops", "undrain").returncode == 0
+        keys.revoke(tmp_path / "keys" / "gone.pem")
+        (told,) = json.loads(fleet("gone", "status", "--json").stdout)
+        assert told["kind"] == "refused"
+    finally:
+        assert daemons.end() == {"g0": 0}
+
+
 def test_a_gateway_that_drains_sends_viewers_elsewhere_and_ends_what_plays_at_its_limit() -> None:
     def day(rig: Rig) -> None:
         rig.gateway.front.elsewhere = lambda: "127.0.0.1:9"
