A restart into a program that does not start leaves the old life at work

The old program ended before it was known whether the new one starts: a broken release would have taken gateway after gateway down, each a failure only once it was gone. Before it gives its place, a drained gateway has the installed program start as far as it needs nothing of the old one; where that fails it takes viewings again and says why, and the plan stops.

Tested with a release that does not parse: same life, ready again; mended and resumed, restarted once.

--- a/ledgehitch/daemon/life.py
+++ b/ledgehitch/daemon/life.py
@@ -43,6 +43,11 @@
     again: bool = False
 
 
+@dataclass(frozen=True)
+class Prove:
+    """Find out whether the program that is to run in this one's place starts at all; tell `proven`."""
+
+
 @dataclass(frozen=True)
 class Say:
     """Tell the supervisor (`sd_notify`)."""
@@ -50,7 +55,7 @@
     text: str
 
 
-Decision = Admit | EndAll | Leave | Exit | Say
+Decision = Admit | EndAll | Leave | Exit | Prove | Say
 
 
 class Life:
@@ -116,6 +121,18 @@
         self._due += [Admit(True), Say("STATUS=serves")]
         return True
 
+    def proven(self, now: float, good: bool, why: str = "") -> None:
+        """Whether the new program starts. Guards against a restart into a broken release: the old one carries
+        on, and says why."""
+        if self.phase != "drained" or self.then != "restart":
+            return  # it was told to stop meanwhile
+        if good:
+            self._end(now, proven=True)
+            return
+        self.then, self.limit, self.why = "stay", math.inf, why
+        self._enter(now, "ready")
+        self._due += [Admit(True), Say(f"READY=1\nSTATUS=serves, {why}")]
+
     # ---- what is decided -----------------------------------------------------------------------------------
 
     def _enter(self, now: float, phase: Phase) -> None:
@@ -151,8 +168,13 @@
         if self.phase == "drained":
             self._look_at = math.inf
 
-    def _end(self, now: float) -> None:
+    def _end(self, now: float, proven: bool = False) -> None:
         again = self.then == "restart"
+        if again and not proven:
+            self._enter(now, "drained")
+            self._look_at = math.inf
+            self._due.append(Prove())
+            return
         self._enter(now, "over")
         self._look_at = math.inf
         self._due += [Leave(back_soon=self.then != "leave"), Exit(0, again)]
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import time
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 
 from ledgehitch.config import Site
 from ledgehitch.daemon.admin import Admin
-from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Say
+from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Prove, Say
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.membership import Membership
 from ledgehitch.daemon.place import Place
@@ -27,12 +28,14 @@
 from ledgehitch.keys.contexts import context
 from ledgehitch.keys.judge import Refused, shown, taken
 from ledgehitch.keys.store import Keys
-from ledgehitch.loop import Endpoint, Event, Loop, endpoint
+from ledgehitch.loop import Child, Endpoint, Event, Loop, TimedOut, endpoint
 from ledgehitch.loop.timers import Timer
 
 TICKET = "LEDGEHITCH_STARTED_BY"  # in the environment: the ticket of the restart that began this life
 LIST_WITHIN = 3.0  # seconds to wait for the list before serving with its last copy
 SIGN = 1.0
+PROOF = [sys.executable, "-m", "ledgehitch", "daemon", "--help"]
+PROVEN_WITHIN = 30.0
 STILL = 20.0  # seconds of CPU without a turn of the loop after which the process ends
 log = structlog.get_logger("daemon")
 
@@ -56,6 +59,7 @@
         self.running.front.elsewhere = self._elsewhere
         self.chance = random.Random(seed + 3)
         self.over = Event(loop)
+        self.home = loop.current
         self.membership = self._members(seed)
         self._timer: Timer | None = None
         self._pulling = False
@@ -135,7 +139,8 @@
 
     def _wait_for_list(self) -> None:
         until = time.monotonic() + LIST_WITHIN
-        while not self.running.carrier.at and time.monotonic() < until:
+        heard = self.running.listing.roll
+        while not self.running.carrier.at and heard.version < 0 and time.monotonic() < until:
             self.loop.sleep(0.02)
 
     def _signs(self, watchdog: Watchdog) -> None:
@@ -163,6 +168,20 @@
             self.supervisor.say("READY=1")
         self.stir()
 
+    def _prove(self) -> None:
+        """Runs the program that is installed now, as far as it needs none of what this process holds."""
+        child = Child(self.loop, PROOF, "proof", subprocess.DEVNULL, subprocess.DEVNULL)
+        try:
+            with self.loop.deadline(PROVEN_WITHIN):
+                code = child.wait()
+        except TimedOut:
+            code = child.end(0.5) or -1
+        why = "" if code == 0 else f"the program that is installed does not start (exit code {code})"
+        if why:
+            log.error("not restarted, this life goes on", why=why)
+        self.life.proven(time.monotonic(), code == 0, why)
+        self.stir()
+
     # ---- the life ------------------------------------------------------------------------------------------
 
     def stir(self) -> None:
@@ -183,6 +202,8 @@
                     self.running.carrier.end_all()
                 case Leave(back_soon):
                     self.on_leave(back_soon)
+                case Prove():
+                    self.loop.spawn(self._prove, name="prove", owner=self.home)
                 case Say(text):
                     self.supervisor.say(text)
                 case Exit() as exit_as:
--- a/ledgehitch/fleet/plan.py
+++ b/ledgehitch/fleet/plan.py
@@ -230,6 +230,9 @@
             one.unsure = False
             if state.boot == one.boot:
                 if self.plan.action == "restart":
+                    if not unsure and state.phase == "ready" and state.why and one.step == "sent":
+                        self._to(now, one, "failed", f"it goes on in its old life: {state.why}")
+                        return
                     if unsure and state.phase == "ready" and one.step in ("intended", "sent"):
                         # The call did not get through, or was not carried out: this life still serves.
                         one.step, one.since = "intended", now
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -23,7 +24,7 @@
 from ledgehitch.config import BadInput
 from ledgehitch.daemon.admin import Admin
 from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, Role, State
-from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Say, Then
+from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Prove, Say, Then
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.place import Place, holder
 from ledgehitch.daemon.supervisor import Supervisor
@@ -70,7 +71,9 @@
     life.held(T + 10.05, 1)  # it was owed its answer when the limit passed
     assert pulled(life, T + 10.2) == [EndAll()]
     life.held(T + 10.3, 0)
-    assert pulled(life, T + 10.4) == [Leave(True), Exit(0, True)] and str(life.phase) == "over"
+    assert pulled(life, T + 10.4) == [Prove()] and str(life.phase) == "drained"
+    life.proven(T + 11, True)
+    assert pulled(life, T + 11) == [Leave(True), Exit(0, True)] and str(life.phase) == "over"
     assert not life.drain(T + 11, 0.0, "stop", "late") and pulled(life, T + 20) == []
 
 
@@ -89,6 +92,19 @@
     assert Exit(0, False) in pulled(life, T + 4 + 3.0 + 1.1), "one that never ends does not hold it for good"
 
 
+def test_a_life_whose_successor_does_not_start_goes_on() -> None:
+    life = Life(T, 3.0)
+    life.serves(T)
+    life.drain(T, 0.0, "restart", "p/g0")
+    assert Prove() in pulled(life, T)
+    life.proven(T + 1, False, "it does not start")
+    assert Admit(True) in pulled(life, T + 1) and life.phase == "ready" and life.why == "it does not start"
+    assert life.drain(T + 2, 0.0, "restart", "again") and Prove() in pulled(life, T + 2)
+    assert life.drain(T + 3, 0.0, "stop", "SIGTERM") and Exit(0, False) in pulled(life, T + 3)
+    life.proven(T + 4, True)
+    assert pulled(life, T + 4) == [], "it was told to stop meanwhile"
+
+
 def test_a_drained_gateway_stays_and_takes_viewings_again() -> None:
     life = Life(T, 3.0)
     life.serves(T)
@@ -116,7 +132,7 @@
             case _:
                 held = max(0, held + chance.choice([-2, -1, 1]) if admits else held - chance.randrange(2))
                 life.held(now, held)
-        for decision in pulled(life, now):
+        while (decision := life.decide(now)) is not None:
             assert over == 0, "nothing after the end"
             match decision:
                 case Admit(open):
@@ -126,6 +142,8 @@
                     assert not admits
                 case EndAll():
                     assert life.phase == "ending" and held
+                case Prove() if chance.random() < 0.8:
+                    life.proven(now, chance.random() < 0.5, "x")
         assert admits == (life.phase == "ready")
 
 
@@ -500,6 +518,20 @@
 # ---- real daemons ------------------------------------------------------------------------------------------
 
 
+LISTS = """
+import sys
+from ledgehitch.loop import Loop, endpoint
+from ledgehitch.proof.tape import Tape
+from ledgehitch.standins.lists import ListService
+loop = Loop()
+def main():
+    ListService(loop, endpoint(sys.argv[1]), Tape(None), 0.0, 1)
+    print("{}", flush=True)
+    loop.sleep(1e6)
+loop.run(main)
+"""
+
+
 class Daemons:
     """Gateways of a small site as daemons on loopback, ended by their numbers."""
 
@@ -508,13 +540,17 @@
         self.site = _site_of(gateways)
         (directory / "site.json").write_bytes(msgspec.json.encode(self.site))
         self.children: dict[str, subprocess.Popen[str]] = {}
+        self.root = ROOT  # whose program the daemons run
+        words = [sys.executable, "-c", LISTS, self.site.list_at]
+        self.lists = subprocess.Popen(words, stdout=subprocess.PIPE, text=True, cwd=ROOT)
+        assert self.lists.stdout is not None and self.lists.stdout.readline()
 
     def start(self, name: str, *more: str) -> None:
         d = self.directory
         words = ["--log-level", "warning", "daemon", "--site", str(d / "site.json"), "--gateway", name,
                  "--state", str(d / "state"), *more]  # fmt: skip
         self.children[name] = subprocess.Popen(
-            [sys.executable, "-m", "ledgehitch", *words], stdout=subprocess.PIPE, text=True, cwd=ROOT
+            [sys.executable, "-m", "ledgehitch", *words], stdout=subprocess.PIPE, text=True, cwd=self.root
         )
 
     def ready(self, name: str) -> None:
@@ -538,6 +574,8 @@
             except subprocess.TimeoutExpired:
                 child.kill()
                 codes[name] = child.wait()
+        self.lists.kill()
+        self.lists.wait()
         return codes
 
 
@@ -586,6 +624,29 @@
     assert codes == {"g0": 0, "g1": 0}
 
 
+def test_a_restart_into_a_broken_release_leaves_the_old_life_at_work(tmp_path: Path) -> None:
+    without = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / "ledgehitch", tmp_path / "ledgehitch", ignore=without)
+    daemons = Daemons(tmp_path, 1)
+    daemons.root = tmp_path
+    try:
+        daemons.start("g0")
+        daemons.ready("g0")
+        (before,) = json.loads(daemons.fleet("status", "--json").stdout)
+        released = tmp_path / "ledgehitch" / "signalling" / "decide.py"
+        good = released.read_text()
+        released.write_text(good + "\nthis is no program\n")
+        broken = daemons.fleet("restart", "--drain-within", "0", "--back-within", "30")
+        assert broken.returncode == 1 and "does not start (exit code 1)" in broken.stderr, broken.stderr
+        (after,) = json.loads(daemons.fleet("status", "--json").stdout)
+        assert after["kind"] == "answered" and after["state"]["boot"] == before["state"]["boot"]
+        released.write_text(good)
+        mended = daemons.fleet("resume", "--again")
+        assert mended.returncode == 0 and "1 done" in mended.stdout, mended.stdout + mended.stderr
+    finally:
+        assert daemons.end() == {"g0": 0}
+
+
 def test_a_daemon_is_called_over_tls_by_who_may(tmp_path: Path) -> None:
     keys = Keys(tmp_path / "keys")
     keys.new_authority("fleet", time.time())
