--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -112,14 +112,14 @@
             until = min(until, now + WAITS * self.targets.get(package, 1.0))
         one = Waiting(conn, name, package, self.levels[0] / value, now, until)
         self.counts["returned"] += returns
-        wait = self.by_client.wait(now, name)
-        if wait > 0:
+        if self.by_client.a_second and (wait := self.by_client.wait(now, name)) > 0:
             self._over(one, "over its rate", wait)
             return
-        wait = 0.0 if returns else self.by_package.wait(now, package, self.part.share(now))
-        if wait > 0:
-            self._over(one, "the package is over its rate", wait)
-            return
+        if self.by_package.a_second and not returns:
+            wait = self.by_package.wait(now, package, self.part.share(now))
+            if wait > 0:
+                self._over(one, "the package is over its rate", wait)
+                return
         if value < self.levels[self.level] and not returns:
             self._turn(now, one, "brown-out")
             return
@@ -147,9 +147,12 @@
     # ---- what is decided -----------------------------------------------------------------------------------
 
     def decide(self, now: float) -> Decision | None:
-        for one in self.queue.overdue(now):
-            self._turn(now, one, "no turn in time")
-        self._brown_out(now)
+        ends = self.queue.wake_at()
+        if ends is not None and ends <= now:
+            for one in self.queue.overdue(now):
+                self._turn(now, one, "no turn in time")
+        if not 0 <= now - self._looked_at < STEP:
+            self._brown_out(now)
         if self._due:
             return self._due.popleft()
         if self._room(now) <= 0:
@@ -200,8 +203,6 @@
     def _brown_out(self, now: float) -> None:
         """Where more valuable ones found no turn, those worth less are turned away at once, a step at a time,
         until nobody above them is pressed any more."""
-        if 0 <= now - self._looked_at < STEP:
-            return
         pressed = [value for value, n in self._pressed.items() if n >= PRESSED]
         self._looked_at, self._pressed = now, {}
         lowest = self.levels[self.level]
--- a/ledgehitch/door/queue.py
+++ b/ledgehitch/door/queue.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ledgehitch.keyed import cell_of
+from ledgehitch.keyed import Cells
 
 CELLS = 1024
 IN_CELL = 64  # that wait in one cell
@@ -41,7 +41,7 @@
 
 class FairQueue:
     def __init__(self, secret: bytes) -> None:
-        self._secret, self._era = secret, -1
+        self._of, self._era = Cells(secret, CELLS), -1
         self._cells: dict[int, _Cell] = {}  # those in which somebody waits, or did at their last turn
         self._new: OrderedDict[int, None] = OrderedDict()  # were idle until now: served first
         self._old: OrderedDict[int, None] = OrderedDict()
@@ -54,13 +54,14 @@
         return len(self._waiting)
 
     def _cell_of(self, name: bytes) -> int:
-        return cell_of(self._secret, self._era, name, CELLS)
+        return self._of.of(name)
 
     def _era_at(self, now: float) -> None:
         era = int(now // REKEY)
         if era <= self._era:  # a clock that steps back changes nothing
             return
         self._era = era
+        self._of.era(era)
         waiting = sorted(self._waiting.values(), key=lambda w: (w.since, w.conn))
         self._cells, self._new, self._old = {}, OrderedDict(), OrderedDict()
         self._by_length = [{} for _ in range(IN_CELL + 1)]
--- a/ledgehitch/keyed.py
+++ b/ledgehitch/keyed.py
@@ -12,6 +12,23 @@
     return int.from_bytes(digest, "big") % cells
 
 
+class Cells:
+    """As `cell_of`, for names that are keyed hashes already: by multiplication with a number that each era has
+    of its own, so that a name costs no hash. Which two share a cell is drawn anew with each era."""
+
+    def __init__(self, secret: bytes, cells: int) -> None:
+        self._secret, self._cells = secret, cells
+        self._factor = 1
+
+    def era(self, era: int) -> None:
+        digest = blake3(era.to_bytes(8, "big", signed=True), key=self._secret).digest(8)
+        self._factor = int.from_bytes(digest, "big") | 1
+
+    def of(self, name: bytes) -> int:
+        mixed = int.from_bytes(name, "big") * self._factor & 0xFFFFFFFFFFFFFFFF
+        return (mixed >> 32) * self._cells >> 32
+
+
 class Remembered:
     """Keys that were seen: the last `most` to twice as many, of `error` of the others wrongly said so."""
 
