--- a/ledgehitch/keyed.py
+++ b/ledgehitch/keyed.py
@@ -13,8 +13,8 @@
 
 
 class Cells:
-    """As `cell_of`, for names that are keyed hashes already: by multiplication with a number that each era has
-    of its own, so that a name costs no hash. Which two share a cell is drawn anew with each era."""
+    """As `cell_of`, for names that are keyed hashes already: by multiplication with a number that each era
+    has of its own, so that a name costs no hash. Which two share a cell is drawn anew with each era."""
 
     def __init__(self, secret: bytes, cells: int) -> None:
         self._secret, self._cells = secret, cells
