--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -175,13 +175,16 @@
     @click.option("--failures", type=click.IntRange(1), default=1, show_default=True, help="That stop it.")
     @click.option("--worse", type=click.FloatRange(0, 1), default=0.05, show_default=True,
                   help="By which blocked and aborted may rise.")  # fmt: skip
+    @click.option("--slow-ms", type=click.FloatRange(0), default=0.0, help="What joins may take at the 99th "
+                  "percentile, in the gateways' median; 0: anything.")  # fmt: skip
     @click.option("--halls-together", is_flag=True, help="Do not finish a hall before the next begins.")
     @click.option("--plan", "only_plan", is_flag=True, help="Say what would be done, and do nothing.")
     @click.pass_obj
     def command(work: Fleet, gateways: tuple[str, ...], at_once: int, share: float, drain_within: float,
-                back_within: float, settle: float, failures: int, worse: float, halls_together: bool,
-                only_plan: bool) -> None:  # fmt: skip
-        terms = Terms(at_once, share, drain_within, back_within, settle, failures, worse, not halls_together)
+                back_within: float, settle: float, failures: int, worse: float, slow_ms: float,
+                halls_together: bool, only_plan: bool) -> None:  # fmt: skip
+        terms = Terms(at_once, share, drain_within, back_within, settle, failures, worse, not halls_together,
+                      slow_ms)  # fmt: skip
         digest = ""
         if action in ("reload", "restart"):
             compiled = checked(work.site_file)
--- a/ledgehitch/fleet/plan.py
+++ b/ledgehitch/fleet/plan.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from statistics import median
 from typing import Any, Literal
 
 import msgspec
@@ -31,6 +32,7 @@
     failures: int = 1  # that stop the plan
     worse: float = 0.05  # by which blocked, aborted and turned away may rise, as a part of those asked for
     one_hall: bool = True  # a hall is finished before the next begins
+    slow_ms: float = 0.0  # that the gateways' 99th percentiles of joins may come to, in the median; 0: any
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -106,11 +108,14 @@
     asked: int = 0
     bad: int = 0
     seen: dict[str, tuple[str, int, int]] = field(default_factory=dict)
+    p99: dict[str, float] = field(default_factory=dict)  # by gateway, of its last minute
 
     def heard(self, found: Found) -> None:
         if found.state is None:
             return
         c, boot = found.state.counts, found.state.boot
+        if "99" in found.state.joins_ms:
+            self.p99[found.name] = found.state.joins_ms["99"]
         bad = c.blocked + c.aborted + c.turned_away
         before = self.seen.get(found.name)
         if before is not None:
@@ -350,6 +355,10 @@
         if share is not None and self.baseline is not None and share > self.baseline + self.plan.terms.worse:
             before = f"{100 * self.baseline:.1f}% before"
             return f"{100 * share:.1f}% of viewings are turned away or fail, {before}"
+        joins = list(self.since.p99.values())
+        most = self.plan.terms.slow_ms
+        if most and joins and (middle := median(joins)) > most:
+            return f"joins take {middle:.0f} ms at the 99th percentile, {most:g} are allowed"
         return ""
 
     def measured(self, joins: Joins) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -498,6 +498,17 @@
     assert rolling.told().get("planned", 0) > 0
 
 
+def test_joins_that_get_slow_in_the_median_stop_the_plan() -> None:
+    plan = Plan("p", "restart", TARGETS, Terms(settle=0.0, slow_ms=800.0))
+    for p99s, stops in (((300.0, 400.0, 5000.0), False), ((300.0, 900.0, 950.0), True)):
+        rolling = Rolling(T, plan)
+        for t, p99 in zip(TARGETS, p99s, strict=False):
+            told = msgspec.structs.replace(state(t.name), joins_ms={"99": p99})
+            rolling.since.heard(Found(t.name, "answered", state=told))
+        rolling.decide(T)
+        assert (rolling.stopped == "joins take 900 ms at the 99th percentile, 800 are allowed") == stops
+
+
 def test_a_reload_is_done_where_the_new_version_runs() -> None:
     plan = Plan("p", "reload", TARGETS[:2], Terms(settle=0.0, back_within=2.0), digest="new")
     rolling, runs, calls = Rolling(T, plan), {"g0": "new", "g1": "old"}, list[str]()
