--- a/ledgehitch/members/words.py
+++ b/ledgehitch/members/words.py
@@ -16,7 +16,7 @@
 KINDS: tuple[Kind, ...] = ("ask", "answer", "ask for", "join", "promise")
 HEAD = struct.Struct(">BIH8sB")
 ITEM = struct.Struct(">HHIB")
-MOST_NEWS = 60  # of one message: about 560 bytes
+MOST_NEWS = 110  # of one message: about a kilobyte, so that refutations keep up with doubts under loss
 
 
 class Words(NamedTuple):
