Where viewers go from a gateway that drains is decided in a module of its own; dead code is gone

The choice of another gateway stood in the file that carries a daemon's life out. It is members/elsewhere.py now, free of I/O and tested. A count of the gone, a chance and a problem of the plan's work, joins before a plan and a counter of admin calls were read by nothing; an answer on limits worked out the whole state for its door.

--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import click
+import msgspec
 from rich.console import Console
 from rich.table import Table
 
@@ -132,8 +133,6 @@
     """What each gateway is now. Exit code 1 where one does not answer as it should."""
     found = work.found(gateways)
     if as_json:
-        import msgspec
-
         click.echo(msgspec.json.encode(found).decode())
     else:
         console = Console(highlight=False, width=None if sys.stdout.isatty() else 140)
@@ -292,8 +291,6 @@
     """Halls, gateways, media hosts and a running plan, live in the terminal."""
     import asyncio
 
-    import msgspec
-
     from ledgehitch.fleet.screen import FleetScreen
 
     words = ["--site", str(work.site_file), "--plans", str(work.plans), "--within", str(work.within)]
--- a/ledgehitch/daemon/admin.py
+++ b/ledgehitch/daemon/admin.py
@@ -30,17 +30,15 @@
         self.running, self.life, self.started_by, self.changed = running, life, started_by, changed
         self.born = time.monotonic()
         self.members: Callable[[], dict[str, str]] = dict
-        self.calls = 0
 
     def handle(self, request: Request, role: Role) -> Response:
-        self.calls += 1
         match request.method, request.path.strip("/").split("/"):
             case "GET", ["v1", "state"]:
                 return self._told(self.state())
             case "GET", ["v1", "hosts"]:
                 return self._told(self.hosts())
             case "GET", ["v1", "limits"]:
-                return self._told({"door": self.state().door, "terms": msgspec.to_builtins(self._terms())})
+                return self._told({"door": self._door(), "terms": self.running.site.terms})
             case "GET", ["v1", "viewings"]:
                 return self._told(self.viewings(request.query("most") or "100"))
             case "GET", ["v1", "why", which]:
@@ -93,8 +91,9 @@
 
     # ---- what is told --------------------------------------------------------------------------------------
 
-    def _terms(self) -> Any:
-        return self.running.site.terms
+    def _door(self) -> dict[str, Any] | None:
+        doorman = self.running.carrier.doorman
+        return doorman.state() if doorman is not None else None
 
     def state(self) -> State:
         r, now = self.running, time.monotonic()
@@ -107,7 +106,7 @@
             up_s=round(now - self.born, 3), started_by=self.started_by, viewings=len(c.viewings),
             counts=Counts(**counts), joins_ms=c.joins.ms(now),
             config=versions.reloads.state() if versions is not None else {}, hosts=self.hosts(),
-            members=self.members(), door=c.doorman.state() if c.doorman is not None else None,
+            members=self.members(), door=self._door(),
             zone=next(g.zone for g in r.site.gateways if g.name == r.name),
         )  # fmt: skip
 
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -30,6 +30,7 @@
 from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Child, Endpoint, Event, Loop, TimedOut, endpoint
 from ledgehitch.loop.timers import Timer
+from ledgehitch.members.elsewhere import elsewhere
 
 TICKET = "LEDGEHITCH_STARTED_BY"  # in the environment: the ticket of the restart that began this life
 LIST_WITHIN = 3.0  # seconds to wait for the list before serving with its last copy
@@ -105,12 +106,8 @@
         return some
 
     def _elsewhere(self) -> str:
-        """Another gateway, of this hall where there is one, for those who ask while this one drains."""
-        mine = next(g for g in self.site.gateways if g.name == self.name)
         there = self.membership.there if self.membership is not None else lambda name: True
-        others = [g for g in self.site.gateways if g.name != self.name and there(g.name)]
-        near = [g for g in others if g.zone == mine.zone] or others
-        return self.chance.choice(near).at if near else ""
+        return elsewhere(self.name, self.site.gateways, there, self.chance)
 
     def _serve_admin(self) -> list[Server]:
         at = Endpoint(endpoint(f"unix:{self.place.admin}").family, str(self.place.admin))
--- a/ledgehitch/fleet/carry.py
+++ b/ledgehitch/fleet/carry.py
@@ -1,13 +1,11 @@
 """Carries out what a plan decides: questions and calls go out, each with its deadline; the journal first."""
 
-import random
 import time
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
 
-from ledgehitch.config import BadInput
 from ledgehitch.daemon.facts import Drain, Reload
 from ledgehitch.fleet.found import Found, Target, judged, unheard
 from ledgehitch.fleet.journal import Journal
@@ -84,8 +82,6 @@
         self.loop, self.caller, self.journal, self.rolling, self.tell = loop, caller, journal, rolling, tell
         self.targets = {t.name: t for t in rolling.plan.targets}
         self.news = Event(loop)
-        self.chance = random.Random(rolling.plan.id)
-        self.problem: BadInput | None = None
 
     def run(self) -> Over:
         self._measure()
--- a/ledgehitch/fleet/found.py
+++ b/ledgehitch/fleet/found.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Sequence
-from typing import Literal
+from typing import Literal, get_args
 
 import msgspec
 
@@ -65,7 +65,7 @@
 def counted(found: Sequence[Found]) -> dict[str, int]:
     """How many of each kind, the usual first."""
     out: dict[str, int] = {}
-    for kind in Kind.__args__:  # type: ignore[attr-defined]
+    for kind in get_args(Kind):
         n = sum(f.kind == kind for f in found)
         if n:
             out[kind] = n
--- a/ledgehitch/fleet/plan.py
+++ b/ledgehitch/fleet/plan.py
@@ -135,7 +135,7 @@
         """`lines`: of the journal, where the plan is taken up again."""
         self.plan = plan
         self.all = {t.name: One(t) for t in ordered(plan.targets)}
-        self.before, self.since = Joins(), Joins()
+        self.since = Joins()
         self.baseline: float | None = None
         self.stopped = ""
         self.over = False
--- a/ledgehitch/members/decide.py
+++ b/ledgehitch/members/decide.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from ledgehitch.members.parts import Parts
-from ledgehitch.members.roster import GRAVITY, News, Roster, Status
+from ledgehitch.members.roster import News, Roster, Status
 from ledgehitch.members.words import MOST_NEWS, Words, digest_of
 
 PERIOD = 1.0  # seconds between two questions
@@ -262,10 +262,6 @@
     def told(self) -> dict[int, Status]:
         return {n: e.status for n, e in sorted(self.roster.entries.items()) if n != self.me}
 
-    def gravest(self) -> int:
-        """How many are not there, for whoever watches."""
-        return sum(GRAVITY[e.status] >= GRAVITY["dead"] for e in self.roster.entries.values())
-
     def wake_at(self) -> float:
         if self._due:
             return 0.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -805,6 +805,8 @@
 
         life.serves(time.monotonic())
         assert call("GET", "/v1/state")[0] == 200 and call("GET", "/v1/hosts", role="look")[0] == 200
+        limits = json.loads(call("GET", "/v1/limits")[1])
+        assert limits["door"] is None and limits["terms"]["tune_ins"] == 3
         assert call("POST", "/v1/drain", b'{"withn": 3}') == (
             400, "the call does not read: Object contains unknown field `withn`")  # fmt: skip
         assert call("POST", "/v1/drain", b'{"within": "x"}')[0] == 400
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -17,6 +17,7 @@
 from ledgehitch.loop import Loop
 from ledgehitch.members import explore
 from ledgehitch.members.decide import Became, KeepFloors, Members, Send
+from ledgehitch.members.elsewhere import elsewhere
 from ledgehitch.members.explore import ALL, COMMON_MEMBER, explored, walked
 from ledgehitch.members.parts import Parts
 from ledgehitch.members.roster import LIFE, STATUSES, News, Roster
@@ -230,6 +231,15 @@
     assert isinstance(due[1], Send) and due[1].to == 2 and due[1].words.kind == "promise"
 
 
+def test_viewers_are_sent_to_a_gateway_that_is_there_of_their_hall_where_one_is() -> None:
+    one = site().gateways[0]
+    some = [msgspec.structs.replace(one, name=f"g{n}", at=f"a{n}", zone="xxy"[n]) for n in range(3)]
+    chance = random.Random(1)
+    assert {elsewhere("g0", some, lambda name: True, chance) for _ in range(20)} == {"a1"}
+    assert elsewhere("g0", some, lambda name: name != "g1", chance) == "a2"
+    assert elsewhere("g0", some, lambda name: False, chance) == ""
+
+
 # ---- datagrams ---------------------------------------------------------------------------------------------
 
 
