--- /dev/null
+++ b/ledgehitch/facts.py
@@ -0,0 +1,209 @@
+"""Settings into the facts that decisions use: `Ladder`, `Package`, `Fleet`, `Terms`. Free of I/O.
+
+Both doors derive them here: the bench adapter from pairs of path and value (`nested` folds them), the
+platform's gateway from nested JSON. Names and units are those of the first message of the simulator's wire:
+times in milliseconds, rates in kB a second; what comes out is in seconds. A value that is missing, empty or
+`-` is its default; one that is not what it should be raises `BadFact`, which names its key.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from ledgehitch.interface import Fleet, Ladder, Package, Terms
+
+
+class BadFact(ValueError):
+    """A setting that cannot be read; the text names its key."""
+
+
+Conf = Mapping[str, Any]
+
+
+def nested(pairs: Iterable[tuple[str, str]]) -> dict[str, Any]:
+    """Pairs such as `categories.0.name`, `clip` as nested objects; in a list the numbers stay as keys."""
+    out: dict[str, Any] = {}
+    for path, value in pairs:
+        *way, last = path.split(".")
+        at = out
+        for part in way:
+            deeper = at.get(part)
+            if not isinstance(deeper, dict):
+                # Guards against a key that is both a value and an object ("a=" before "a.count=0").
+                deeper = at[part] = {}
+            at = deeper
+        if not isinstance(at.get(last), dict):
+            at[last] = value
+    return out
+
+
+def _at(conf: Conf, path: str) -> Any:
+    """What stands under a path, None where nothing does."""
+    here: Any = conf
+    for part in path.split("."):
+        if not isinstance(here, Mapping):
+            return None
+        here = here.get(part)
+    return None if here in ("-", "") else here
+
+
+def _as_number(path: str, value: Any) -> float:
+    try:
+        if isinstance(value, bool) or not isinstance(value, (int, float, str)):
+            raise ValueError
+        return float(value)
+    except ValueError:
+        raise BadFact(f"{path}: {value!r:.60} is no number") from None
+
+
+def _number(conf: Conf, path: str, default: float = 0.0) -> float:
+    value = _at(conf, path)
+    return default if value is None else _as_number(path, value)
+
+
+def _whole(conf: Conf, path: str, default: int = 0) -> int:
+    try:
+        return int(_number(conf, path, default))
+    except (ValueError, OverflowError):
+        raise BadFact(f"{path}: no whole number") from None
+
+
+def _seconds(conf: Conf, path: str) -> float:
+    return _number(conf, path) / 1000
+
+
+def _flag(conf: Conf, path: str) -> bool:
+    return _at(conf, path) in (True, "true", "1")
+
+
+def _text(conf: Conf, path: str, default: str) -> str:
+    value = _at(conf, path)
+    if value is not None and not isinstance(value, str):
+        raise BadFact(f"{path}: {value!r:.60} is no text")
+    return default if value is None else value
+
+
+def _parts(conf: Conf, path: str) -> list[Any]:
+    """A list of plain values, or such a list joined with commas, or a lone value."""
+    value = _at(conf, path)
+    if value is None:
+        return []
+    if isinstance(value, str):
+        return [part for part in value.split(",") if part not in ("", "-")]
+    if isinstance(value, Mapping):
+        raise BadFact(f"{path}: a list is meant")
+    return list(value) if isinstance(value, Sequence) else [value]
+
+
+def _numbers(conf: Conf, path: str) -> list[float]:
+    return [_as_number(path, part) for part in _parts(conf, path)]
+
+
+def _nth(parts: list[Any], i: int, default: Any) -> Any:
+    return parts[i] if i < len(parts) else default
+
+
+def _objects(conf: Conf, path: str) -> list[Conf]:
+    """A list of objects, as JSON has it or folded from pairs (`count`, then `0`, `1`, ...)."""
+    value = _at(conf, path)
+    if isinstance(value, Mapping):
+        value = [value.get(str(i), {}) for i in range(_whole(conf, path + ".count"))]
+    if value is None:
+        return []
+    if not isinstance(value, list) or not all(isinstance(item, Mapping) for item in value):
+        raise BadFact(f"{path}: a list of objects is meant")
+    return value
+
+
+def packages_of(conf: Conf) -> tuple[Package, ...]:
+    by_class = ("classScale", "floorByClass", "classTop", "seats")
+    fam = {k: _numbers(conf, "familyInfo." + k) for k in by_class}
+    live = _parts(conf, "familyInfo.live")
+    return tuple(
+        Package(
+            name=_text(sold, "name", ""),
+            join_target=_seconds(sold, "onTime"),
+            patience=_seconds(sold, "deadline"),
+            value=_number(sold, "worth", 1.0),
+            effect=_text(sold, "effect", "repeatable"),
+            key_scope=_text(sold, "keyScope", "all"),
+            key_window=_seconds(sold, "dedupWindow"),
+            scale=float(_nth(fam["classScale"], i, 1)),
+            floor=int(_nth(fam["floorByClass"], i, 0)),
+            top=int(_nth(fam["classTop"], i, 99)),
+            seats=int(_nth(fam["seats"], i, 0)),
+            live=_nth(live, i, False) in (True, "true", "1"),
+        )
+        for i, sold in enumerate(_objects(conf, "categories"))
+    )
+
+
+def fleet_of(conf: Conf) -> Fleet:
+    slots = [int(places) for places in _numbers(conf, "familyInfo.kindSlots")]
+    return Fleet(
+        cells=_whole(conf, "familyInfo.places"),
+        racks=_whole(conf, "familyInfo.racks"),
+        link_unit_kb=_number(conf, "familyInfo.linkUnitKb"),
+        links_kb=_number(conf, "familyInfo.linksKb"),
+        uplink_kb=_number(conf, "familyInfo.uplinkKb"),
+        slots=dict(zip(_parts(conf, "kinds"), slots, strict=False)),
+        full_from=_number(conf, "familyInfo.fullFrom"),
+        join_part=_number(conf, "familyInfo.join", 1.0),
+        told_late=_seconds(conf, "familyInfo.toldLate"),
+        told_every=_seconds(conf, "familyInfo.toldEvery"),
+        load_fields=tuple(_parts(conf, "telemetry.fields")),
+        reports=_text(conf, "telemetry.how", "silent"),
+    )
+
+
+def terms_of(conf: Conf) -> Terms:
+    rationed = _at(conf, "rules.extraWindow") is not None
+    return Terms(
+        zone=_text(conf, "locality", ""),
+        ordinal=_whole(conf, "ordinal"),
+        gateways=_whole(conf, "peersTotal", 1),
+        tune_ins=_whole(conf, "ceilings.tryLimit", 1),
+        answer_slack=_seconds(conf, "rules.answerSlack"),
+        drain_grace=_seconds(conf, "rules.stopSendingWithin"),
+        ask_within=_seconds(conf, "rules.askWithin"),
+        on_request=_text(conf, "discovery", "pushed") == "on_request",
+        cold_share=_number(conf, "rules.coldShare", 1.0),
+        warm_up=_seconds(conf, "rules.warmUp"),
+        fall_multiple=_number(conf, "rules.fallMultiple", 1.0),
+        fall_after=_seconds(conf, "rules.tipAfter"),
+        extra_free=_number(conf, "rules.extraFree") if rationed else None,
+        extra_ratio=_number(conf, "rules.resendRatio"),
+        extra_window=_seconds(conf, "rules.extraWindow"),
+        may_probe=_flag(conf, "ceilings.probes"),
+        may_tell=_flag(conf, "ceilings.peerMessages"),
+        may_advise=_flag(conf, "ceilings.retryAfter"),
+        longest_advice=_seconds(conf, "ceilings.maxRetryAfter"),
+        cross_price=_number(conf, "prices.crossZone"),
+    )
+
+
+def ladder_of(conf: Conf) -> Ladder:
+    kb = tuple(_numbers(conf, "familyInfo.levelKb"))
+    return Ladder(kb, tuple(_numbers(conf, "familyInfo.rungWorth")))
+
+
+def facts_from(conf: Conf) -> tuple[Ladder, tuple[Package, ...], Fleet, Terms]:
+    """All of them, in the order in which `Gateway` takes them."""
+    return ladder_of(conf), packages_of(conf), fleet_of(conf), terms_of(conf)
+
+
+@dataclass(frozen=True)
+class Reach:
+    """How media hosts are reached over connections; times in seconds."""
+
+    connect_within: float
+    idle: float  # unused connections are closed after this
+    streams: int  # set-ups that one connection carries at a time
+
+
+def reach_of(conf: Conf) -> Reach:
+    return Reach(
+        connect_within=_seconds(conf, "ceilings.connectTimeout") or 1.0,
+        idle=_seconds(conf, "ceilings.connIdle") or 30.0,
+        streams=max(1, _whole(conf, "ceilings.streamsPerConn", 1)),
+    )
--- a/ledgehitch/gateway/carry.py
+++ b/ledgehitch/gateway/carry.py
@@ -16,8 +16,8 @@
 from ledgehitch import interface as say
 from ledgehitch.door.decide import Let
 from ledgehitch.door.names import name_of
+from ledgehitch.gate import Gate, Shut
 from ledgehitch.gateway.doorman import Doorman
-from ledgehitch.gateway.gate import Gate, Shut
 from ledgehitch.gateway.joins import Joins
 from ledgehitch.gateway.mind import Mind
 from ledgehitch.gateway.peers import Peers, Refusal
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -21,10 +21,10 @@
 from ledgehitch.config.site import rack_name
 from ledgehitch.door.decide import Door
 from ledgehitch.door.names import ORDER
+from ledgehitch.gate import Gate
 from ledgehitch.gateway.carry import Carrier
 from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.gateway.front import Front
-from ledgehitch.gateway.gate import Gate
 from ledgehitch.gateway.listing import Listing
 from ledgehitch.gateway.mind import Mind
 from ledgehitch.gateway.peers import Peers
--- a/ledgehitch/http/__init__.py
+++ b/ledgehitch/http/__init__.py
@@ -4,10 +4,14 @@
 Start reading at `message.py`; `parse.py` and `events.py` are free of I/O.
 """
 
-from ledgehitch.http.client import Client, ConnectFailed, Interrupted
+from typing import TYPE_CHECKING, Any
+
 from ledgehitch.http.events import Feed, event, events_from
 from ledgehitch.http.message import NoAnswer, Refused, Request, Response, problem
-from ledgehitch.http.server import Limits, Server
+
+if TYPE_CHECKING:
+    from ledgehitch.http.client import Client, ConnectFailed, Interrupted
+    from ledgehitch.http.server import Limits, Server
 
 __all__ = [
     "Client",
@@ -24,3 +28,16 @@
     "events_from",
     "problem",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Client and server are loaded where they are used, TLS with them: the platform's gateway has no room."""
+    if name in ("Client", "ConnectFailed", "Interrupted"):
+        from ledgehitch.http import client
+
+        return getattr(client, name)
+    if name in ("Limits", "Server"):
+        from ledgehitch.http import server
+
+        return getattr(server, name)
+    raise AttributeError(name)
--- a/ledgehitch/model/front.py
+++ b/ledgehitch/model/front.py
@@ -12,8 +12,8 @@
 from ledgehitch import interface as say
 from ledgehitch.door.decide import Door, Let
 from ledgehitch.door.names import name_of
+from ledgehitch.gate import Gate, Shut
 from ledgehitch.gateway.carry import PATIENCE_FOR_ORDERS, PROBE_WITHIN
-from ledgehitch.gateway.gate import Gate, Shut
 from ledgehitch.interface import Outcome, Package, Row
 from ledgehitch.model.media import Loads, MediaHost, Session
 from ledgehitch.model.spoilt import OpenGate
--- /dev/null
+++ b/ledgehitch/platform/carry.py
@@ -0,0 +1,366 @@
+"""Carries out what the module decides, over the platform's two protocols, and hands in what comes back.
+
+Every input goes to the module (`brain.Gateway`), the desk (who is owed which answer) and the watch (which
+viewings a media host took along) at once; one pump a turn of the loop then pulls all three dry. A decision
+that cannot be carried out becomes an outcome.
+"""
+
+import math
+import time
+from collections.abc import Callable
+
+from ledgehitch import interface as say
+from ledgehitch.brain import Gateway
+from ledgehitch.gate import Gate, Shut
+from ledgehitch.interface import Outcome, Package, Row
+from ledgehitch.loop.kernel import Loop
+from ledgehitch.loop.timers import Timer
+from ledgehitch.platform.desk import Answer, Desk, Leave, Release
+from ledgehitch.platform.front import Front
+from ledgehitch.platform.hosts import Hosts, Line
+from ledgehitch.platform.log import log
+from ledgehitch.platform.lost import Open, Watch
+
+CAUSES = {16: Outcome.OK, 31: Outcome.CANCELLED, 34: Outcome.FULL, 41: Outcome.RESET, 47: Outcome.ERROR,
+          102: Outcome.MOOT}  # fmt: skip
+NOTES = {"kept_up": 1, "tier": 2, "wire": 3, "trunk": 4}
+CUT, ENDED = 41, 16  # causes in releases to viewers
+
+
+class Viewing:
+    """What carrying out needs to know of a viewing; let go with its end."""
+
+    __slots__ = ("sid", "package", "title", "blob", "patience", "rung", "tune_ins", "host", "line", "sent_at",
+                 "timer", "out", "plays", "began")  # fmt: skip
+
+    def __init__(self, sid: str, package: Package, title: str, blob: str, patience: float) -> None:
+        self.sid, self.package, self.title, self.blob, self.patience = sid, package, title, blob, patience
+        self.rung = package.floor
+        self.tune_ins = 0
+        self.host = ""
+        self.line: Line | None = None
+        self.sent_at = self.began = 0.0
+        self.timer: Timer | None = None
+        self.out = self.plays = False
+
+
+class Carrier:
+    def __init__(self, loop: Loop, brain: Gateway, desk: Desk, gate: Gate, watch: Watch, hosts: Hosts,
+                 tell: Callable[[bytes, int], None], now: Callable[[], float] = time.monotonic,
+                 ) -> None:  # fmt: skip
+        self.loop, self.brain, self.desk, self.gate, self.watch = loop, brain, desk, gate, watch
+        self.hosts, self.tell, self.clock = hosts, tell, now
+        self.front: Front
+        self.viewings: dict[int, Viewing] = {}
+        self.playing: dict[str, dict[int, None]] = {}  # by media host
+        self.counts: dict[str, int] = {}
+        self._undone: list[Callable[[], None]] = []  # outcomes of decisions that could not be carried out
+        self._pump_due = False
+        self._timer: Timer | None = None
+        self._timer_at = math.inf
+
+    def count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # ---- the pump ------------------------------------------------------------------------------------------
+
+    def stir(self) -> None:
+        """Something was told: the pump runs when all that is ready now has run."""
+        if not self._pump_due:
+            self._pump_due = True
+            self.loop.call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self._pump_due = False
+        while True:
+            now = self.clock()
+            while (decision := self.brain.decide(now)) is not None:
+                self._carry_out(now, decision)
+            done = not self._undone
+            undone, self._undone = self._undone, []
+            for outcome in undone:
+                outcome()
+            while (owed := self.watch.decide(now)) is not None:
+                if isinstance(owed, Open):
+                    self.hosts.keep(owed.host)
+                else:
+                    self._lost(now, owed.host, owed.before)
+                    done = False
+            while (due := self.desk.decide()) is not None:
+                match due:
+                    case Answer():
+                        self.count(due.kind)
+                        self.front.answer(due)
+                    case Release():
+                        self.front.release(due)
+                    case Leave(vw):
+                        self._left(now, vw)
+                        done = False
+            if done:
+                break
+        at = min(self.brain.wake_at() or math.inf, self.watch.wake_at())
+        if at < self._timer_at or self._timer is None:
+            if self._timer is not None:
+                self.loop.timers.cancel(self._timer)
+            self._timer, self._timer_at = self.loop.call_at(at, self._wake), at
+
+    def _wake(self) -> None:
+        self._timer, self._timer_at = None, math.inf
+        self.stir()
+
+    def _carry_out(self, now: float, decision: say.Decision) -> None:
+        match decision:
+            case say.TuneIn(vw, host, within):
+                self._tune_in(now, vw, host, within)
+            case say.SetRung(vw, rung):
+                v = self.viewings[vw]
+                v.rung = rung
+                if v.plays:
+                    self.hosts.set_rung(v.host, v.sid, v.line, rung)
+            case say.Block(vw, stay_away):
+                self._done(vw)
+                self.desk.blocked(vw, stay_away)
+            case say.Abort(vw):
+                self._done(vw)
+                self.desk.aborted(vw)
+            case say.Probe(host):
+                self.count("probes")
+                if not self.hosts.probe(host):
+                    failed = Outcome.CONNECT_FAILED
+                    self._undone.append(lambda: self.brain.probed(now, host, failed, 0.0))
+            case say.Tell(words, to):
+                self.tell(words, to)
+            case say.Subscribe():
+                pass  # the journal service is listened to all the time
+
+    def _tune_in(self, now: float, vw: int, host: str, within: float) -> None:
+        v = self.viewings[vw]
+        number = v.tune_ins
+        v.tune_ins += 1
+        try:
+            self.gate.sending(now, vw, host, within)
+        except Shut as why:
+            log("stopped", vw=vw, host=host, why=why)
+            self._undone.append(lambda: self._ended(now, vw, False, Outcome.MOOT, host, 0.0, number))
+            return
+        left = f"{max(1, int(within * 1000))}"
+        fields: dict[str, str | int | float] = {"class": v.package.name, "key": v.title, "left": left}
+        fields["rung"] = v.rung
+        v.out, v.host, v.sent_at = True, host, now
+        v.line = self.hosts.set_up(v.sid, host, fields, v.blob)
+        if v.line is None:
+            self._undone.append(lambda: self.broke(now, v.sid, host, False))
+            return
+        v.timer = self.loop.call_at(now + within, lambda: self._timed_out(vw))
+
+    def _timed_out(self, vw: int) -> None:
+        v = self.viewings.get(vw)
+        if v is None or not v.out:
+            return
+        v.timer = None
+        if v.line is not None:
+            up = v.line.pipe is not None
+            self.hosts.give_up(v.line, v.sid, True)
+            code = Outcome.TIMEOUT if up else Outcome.CONNECT_FAILED
+            self._ended(self.clock(), vw, False, code, v.host, self.clock() - v.sent_at, v.tune_ins - 1)
+
+    # ---- what viewers want ---------------------------------------------------------------------------------
+
+    def asked(self, now: float, conn: int, sid: str, cseq: str, package: Package, title: str, first: int,
+              spread: int, top: int, patience: float, blob: str) -> bool:  # fmt: skip
+        vw = self.desk.asked(conn, sid, cseq)
+        if vw is None:
+            return False
+        self.count("asked")
+        self.viewings[vw] = Viewing(sid, package, title, blob, patience)
+        self.gate.asked(vw, package, patience)
+        self.brain.asked(now, vw, package.name, title, first, spread, top, patience)
+        self.stir()
+        return True
+
+    def held(self, now: float, conn: int, sid: str, package: Package, title: str, first: int, spread: int,
+             top: int, host: str) -> bool:  # fmt: skip
+        """One that plays already; whether its media host is one that is there."""
+        if host not in self.hosts.at:
+            return False
+        vw = self.desk.held(conn, sid)
+        if vw is None:
+            return True
+        self.count("handed_over")
+        v = self.viewings[vw] = Viewing(sid, package, title, "", now + package.patience)
+        v.host, v.plays, v.began, v.tune_ins = host, True, now, 1
+        self.gate.asked(vw, package, v.patience)
+        self._stands(now, vw, v)
+        self.brain.handed_over(now, vw, package.name, title, first, spread, top, host)
+        self.stir()
+        return True
+
+    def torn(self, now: float, sid: str) -> bool:
+        """The viewer gives up or ends a viewing; whether it was known."""
+        found = self.desk.torn(sid)
+        if found is None:
+            return False
+        vw, played = found
+        if played:
+            self.count("ended_by_viewer")
+            v = self.viewings[vw]
+            self.hosts.release(v.host, sid, v.line)
+            self._over(now, vw, Outcome.CANCELLED)
+        else:
+            self._left(now, vw)
+        self.stir()
+        return True
+
+    def hung_up(self, conn: int) -> None:
+        self.desk.hung_up(conn)
+        self.stir()
+
+    def _left(self, now: float, vw: int) -> None:
+        self.count("left")
+        v = self.viewings.get(vw)
+        if v is None:
+            return
+        self.brain.left(now, vw)
+        if v.out and v.line is not None:
+            self.hosts.give_up(v.line, v.sid, False)
+            self._ended(now, vw, True, Outcome.CANCELLED, v.host, now - v.sent_at, v.tune_ins - 1)
+        self._done(vw)
+
+    # ---- what media hosts say ------------------------------------------------------------------------------
+
+    def _of(self, sid: str) -> tuple[int, Viewing] | None:
+        entry = self.desk.by_sid.get(sid)
+        v = self.viewings.get(entry.vw) if entry is not None else None
+        return (entry.vw, v) if entry is not None and v is not None else None
+
+    def started(self, now: float, sid: str, host: str, line: Line, blob: str) -> None:
+        found = self._of(sid)
+        if found is None or found[1].host != host or not (found[1].out or found[1].plays):
+            # Guards against an answer after its time, or one that nobody asked for: what may stand is ended.
+            self.count("late_answers")
+            self.hosts.release(host, sid, line)
+            return
+        vw, v = found
+        if not v.out:
+            self.count("second_answers")
+            return
+        self._in(v)
+        v.plays, v.began, v.blob = True, v.sent_at, ""
+        self.gate.came_back(vw, Outcome.OK)
+        self._stands(now, vw, v)
+        self.brain.opened(now, vw, host, v.tune_ins - 1, now - v.sent_at)
+        self.desk.plays(vw, blob)
+        self.stir()
+
+    def finished(self, now: float, sid: str, host: str, cause: int, loads: list[float]) -> None:
+        found = self._of(sid)
+        if found is None or found[1].host != host or not (found[1].out or found[1].plays):
+            return
+        vw, v = found
+        code = CAUSES.get(cause, Outcome.RESET)
+        if v.plays:
+            self.count(f"over_{cause}")
+            self._over(now, vw, code, loads)
+            self.desk.over(vw, cause, owed=code != Outcome.CANCELLED)
+        else:
+            if code in (Outcome.OK, Outcome.CANCELLED):
+                code = Outcome.RESET  # no answer came before
+            self._ended(now, vw, False, code, host, now - v.sent_at, v.tune_ins - 1, loads)
+        self.stir()
+
+    def broke(self, now: float, sid: str, host: str, sent: bool) -> None:
+        """The connection of a set-up ended before its outcome."""
+        found = self._of(sid)
+        if found is not None and found[1].out and found[1].host == host:
+            vw, v = found
+            code = Outcome.RESET if sent else Outcome.CONNECT_FAILED
+            self._ended(now, vw, False, code, host, now - v.sent_at, v.tune_ins - 1)
+
+    def noticed(self, now: float, sid: str, host: str, note: str, value: float) -> None:
+        found = self._of(sid)
+        kind = NOTES.get(note)
+        if kind is not None:
+            self.brain.told(now, found[0] if found is not None else 0, host, kind, value)
+            self.stir()
+
+    def probed(self, now: float, host: str, passed: bool, took: float, loads: list[float]) -> None:
+        code = Outcome.OK if passed else Outcome.RESET
+        self.brain.probed(now, host, code, took, loads)
+        self.stir()
+
+    # ---- what the list and others say ----------------------------------------------------------------------
+
+    def listed(self, now: float, how: str, rows: list[tuple[Row, str]]) -> None:
+        if how != "incr":
+            named = {row.host for row, _ in rows}
+            for host in [host for host in self.hosts.at if host not in named]:
+                self.hosts.listed(host, "", True)
+                self.watch.listed(now, host, True, 0.0)
+            self.gate.unlisted(now, named)
+        for row, address in rows:
+            gone = row.state == "terminated"
+            self.gate.listed(now, row.host, row.state == "in_service")
+            self.hosts.listed(row.host, address, gone)
+            self.watch.listed(now, row.host, gone, row.started)
+        self.brain.listed(now, how, [row for row, _ in rows])
+        self.stir()
+
+    def peer_said(self, now: float, words: bytes) -> None:
+        self.brain.peer_said(now, words)
+        self.stir()
+
+    # ---- ends ----------------------------------------------------------------------------------------------
+
+    def _stands(self, now: float, vw: int, v: Viewing) -> None:
+        self.playing.setdefault(v.host, {})[vw] = None
+        self.watch.stands(now, v.host)
+
+    def _in(self, v: Viewing) -> None:
+        v.out = False
+        if v.timer is not None:
+            self.loop.timers.cancel(v.timer)
+            v.timer = None
+
+    def _ended(self, now: float, vw: int, closed: bool, code: Outcome, host: str, latency: float,
+               tune_in: int, loads: list[float] | None = None) -> None:  # fmt: skip
+        """A tune-in that did not come to play has its outcome."""
+        v = self.viewings.get(vw)
+        if v is not None:
+            self._in(v)
+            v.line = None
+        self.count(code.name.lower())
+        self.gate.came_back(vw, code)
+        self.brain.ended(now, vw, closed, code, host, latency, tune_in, loads or ())
+        self.stir()
+
+    def _over(self, now: float, vw: int, code: Outcome, loads: list[float] | None = None) -> None:
+        """A viewing that played has ended."""
+        v = self.viewings[vw]
+        there = self.playing.get(v.host, {})
+        there.pop(vw, None)
+        if not there:
+            self.playing.pop(v.host, None)
+        self.watch.over(v.host)
+        self.brain.ended(now, vw, True, code, v.host, now - v.sent_at, v.tune_ins - 1, loads or ())
+        self._done(vw)
+
+    def _lost(self, now: float, host: str, before: float) -> None:
+        gone = [vw for vw in self.playing.get(host, ()) if self.viewings[vw].began < before]
+        log("lost", host=host, viewings=len(gone))
+        for vw in gone:
+            self.count("lost")
+            v = self.viewings[vw]
+            # Guards against one that plays on behind a cut: it is ended should the host ever hear it.
+            if host in self.hosts.lines:
+                self.hosts.release(host, v.sid, v.line)
+            self._over(now, vw, Outcome.RESET)
+            self.desk.over(vw, CUT)
+        self.stir()
+
+    def _done(self, vw: int) -> None:
+        self.viewings.pop(vw, None)
+        self.gate.done(vw)
+
+    def sweep(self, now: float) -> None:
+        self.hosts.sweep(now)
+        self.front.sweep(now)
--- /dev/null
+++ b/ledgehitch/platform/desk.py
@@ -0,0 +1,166 @@
+"""Who is owed which answer or release, and which id is which viewing. Free of I/O.
+
+Inputs (`asked`, `held`, `plays`, `blocked`, `aborted`, `over`, `torn`, `hung_up`, `came`) only update what is
+known; `decide()` then gives what is to be sent, one by one, until None. `conn` numbers a viewers' connection,
+`sid` is a viewing's id on the wire, `vw` its number here. An answer leaves once for each set-up, never twice
+(rule 1); an id that is open is never taken for another viewing.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+MOST_UNSENT = 4096  # releases that wait for a connection to go out on
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one answer to a set-up: `plays` with its description, `blocked` (with advice in seconds, 0 for
+    none) or `aborted`."""
+
+    conn: int
+    sid: str
+    cseq: str
+    kind: str
+    description: str = ""
+    advice: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Tell the viewer that a viewing that played is over."""
+
+    conn: int
+    sid: str
+    cause: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Nobody waits any more for this viewing, which has no answer yet."""
+
+    vw: int
+
+
+Decision = Answer | Release | Leave
+
+
+class Entry:
+    __slots__ = ("vw", "sid", "conn", "cseq", "plays")
+
+    def __init__(self, vw: int, sid: str, conn: int, cseq: str, plays: bool) -> None:
+        self.vw, self.sid, self.conn, self.cseq, self.plays = vw, sid, conn, cseq, plays
+
+
+class Desk:
+    """The register of one gateway's viewings, by number, by id and by connection."""
+
+    def __init__(self) -> None:
+        self.by_vw: dict[int, Entry] = {}
+        self.by_sid: dict[str, Entry] = {}
+        self.by_conn: dict[int, dict[int, None]] = {}
+        self.homes: dict[int, None] = {}  # open connections on which a set-up came, the latest last
+        self.waiting = 0  # set-ups without an answer
+        self._next = 0
+        self._due: deque[Decision] = deque()
+        self._unsent: deque[tuple[str, int]] = deque(maxlen=MOST_UNSENT)
+
+    def came(self, conn: int) -> None:
+        """A set-up came on a connection: releases without one of their own may go out there."""
+        self.homes.pop(conn, None)
+        self.homes[conn] = None
+        while self._unsent:
+            self._due.append(Release(conn, *self._unsent.popleft()))
+
+    def asked(self, conn: int, sid: str, cseq: str) -> int | None:
+        """The viewing's number; None if the id is open already."""
+        return self._entry(conn, sid, cseq, False)
+
+    def held(self, conn: int, sid: str) -> int | None:
+        """One that plays already and wants no answer."""
+        return self._entry(conn, sid, "", True)
+
+    def _entry(self, conn: int, sid: str, cseq: str, plays: bool) -> int | None:
+        if sid in self.by_sid:
+            return None
+        self._next += 1
+        entry = Entry(self._next, sid, conn, cseq, plays)
+        self.by_vw[entry.vw] = self.by_sid[sid] = entry
+        self.by_conn.setdefault(conn, {})[entry.vw] = None
+        self.waiting += not plays
+        self.came(conn)
+        return entry.vw
+
+    def plays(self, vw: int, description: str) -> bool:
+        """Whether somebody waited for it."""
+        entry = self.by_vw.get(vw)
+        if entry is None or entry.plays:
+            return False
+        entry.plays = True
+        self.waiting -= 1
+        self._due.append(Answer(entry.conn, entry.sid, entry.cseq, "plays", description))
+        return True
+
+    def blocked(self, vw: int, advice: float = 0.0) -> None:
+        self._end(vw, "blocked", advice)
+
+    def aborted(self, vw: int) -> None:
+        self._end(vw, "aborted", 0.0)
+
+    def _end(self, vw: int, kind: str, advice: float) -> None:
+        entry = self.by_vw.get(vw)
+        if entry is None or entry.plays:
+            return
+        self._drop(entry)
+        self._due.append(Answer(entry.conn, entry.sid, entry.cseq, kind, "", advice))
+
+    def over(self, vw: int, cause: int, owed: bool = True) -> None:
+        """A viewing that played has ended; its viewer is owed a release unless it ended it itself."""
+        entry = self.by_vw.get(vw)
+        if entry is None:
+            return
+        self._drop(entry)
+        if not owed:
+            return
+        conn = entry.conn if entry.conn in self.homes else next(reversed(self.homes), None)
+        if conn is None:
+            self._unsent.append((entry.sid, cause))
+        else:
+            self._due.append(Release(conn, entry.sid, cause))
+
+    def torn(self, sid: str) -> tuple[int, bool] | None:
+        """The viewer gives up or ends a viewing: its number, and whether it played; None if unknown."""
+        entry = self.by_sid.get(sid)
+        if entry is None:
+            return None
+        self._drop(entry)
+        return entry.vw, entry.plays
+
+    def hung_up(self, conn: int) -> None:
+        """A connection is gone: what waited there is left; what plays stands, tied to no connection."""
+        self.homes.pop(conn, None)
+        for vw in self.by_conn.pop(conn, {}):
+            entry = self.by_vw[vw]
+            entry.conn = 0
+            if not entry.plays:
+                self._drop(entry)
+                self._due.append(Leave(vw))
+
+    def on(self, conn: int) -> int:
+        """How many viewings belong to a connection."""
+        return len(self.by_conn.get(conn, ()))
+
+    def waits_on(self, conn: int) -> bool:
+        return any(not self.by_vw[vw].plays for vw in self.by_conn.get(conn, ()))
+
+    def _drop(self, entry: Entry) -> None:
+        del self.by_vw[entry.vw]
+        del self.by_sid[entry.sid]
+        self.waiting -= not entry.plays
+        there = self.by_conn.get(entry.conn)
+        if there is not None:
+            there.pop(entry.vw, None)
+            if not there:
+                del self.by_conn[entry.conn]
+
+    def decide(self) -> Decision | None:
+        return self._due.popleft() if self._due else None
--- /dev/null
+++ b/ledgehitch/platform/front.py
@@ -0,0 +1,231 @@
+"""Viewers' connections: reads their messages, checks each field, writes answers and releases.
+
+It decides nothing. Field by field a set-up is checked here and handed on; what is wrong gets a refusal and
+leaves the viewings that stand unharmed.
+"""
+
+import re
+from collections.abc import Mapping
+from typing import Protocol
+
+from ledgehitch import rtsp
+from ledgehitch.interface import Fleet, Ladder, Package
+from ledgehitch.loop.kernel import Loop, Task
+from ledgehitch.loop.sockets import Listener, Stream
+from ledgehitch.platform.desk import Answer, Desk, Release
+from ledgehitch.platform.life import Life
+from ledgehitch.platform.log import log
+from ledgehitch.platform.pace import Pace
+from ledgehitch.platform.pipe import Pipe
+from ledgehitch.platform.told import Bounds
+
+MOST_READ = 16384
+STATUS = {"plays": 200, "blocked": 453, "aborted": 500}
+SID = re.compile(r"[0-9a-f]{16}\Z")
+NUMBER = re.compile(r"[0-9]{1,9}\Z")
+TITLE = re.compile(r"rtsp://media/([A-Za-z0-9._~-]{1,64})\Z")
+CAUSE = re.compile(r"cause=([0-9]{1,9})\Z")
+
+
+class Wrong(ValueError):
+    """A field that cannot be taken; `status` is what is answered."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Carrier(Protocol):
+    """Who is told what viewers want."""
+
+    desk: Desk
+
+    def asked(self, now: float, conn: int, sid: str, cseq: str, package: Package, title: str, first: int,
+              spread: int, top: int, patience: float, blob: str) -> bool: ...  # fmt: skip
+    def held(self, now: float, conn: int, sid: str, package: Package, title: str, first: int, spread: int,
+             top: int, host: str) -> bool: ...  # fmt: skip
+    def torn(self, now: float, sid: str) -> bool: ...
+    def hung_up(self, conn: int) -> None: ...
+
+
+class Conn:
+    __slots__ = ("number", "stream", "pipe", "pace", "reader", "task", "heard")
+
+    def __init__(self, number: int, stream: Stream, now: float) -> None:
+        self.number, self.stream = number, stream
+        self.pipe: Pipe
+        self.pace = Pace(now)
+        self.reader = rtsp.Reader()
+        self.task: Task | None = None
+        self.heard = now
+
+
+class Front:
+    def __init__(self, loop: Loop, carrier: Carrier, life: Life, packages: Mapping[str, Package],
+                 fleet: Fleet, ladder: Ladder, bounds: Bounds) -> None:  # fmt: skip
+        self.loop, self.carrier, self.life, self.packages = loop, carrier, life, packages
+        self.cells, self.rungs = fleet.cells, len(ladder.kb)
+        self.bounds = bounds
+        self.conns: dict[int, Conn] = {}
+        self.home: Task | None = None
+        self.refused = self.accepted = self.turned_off = 0
+        self._next = 0
+
+    def serve(self, listener: Listener) -> None:
+        """Accepts for good; runs as a task."""
+        while True:
+            stream = listener.accept()
+            self.accepted += 1
+            if len(self.conns) >= self.bounds.viewer_conns and not self._make_room():
+                # Guards against descriptors running out for media hosts: the newest is turned off.
+                self.turned_off += 1
+                stream.close()
+                continue
+            self._next += 1
+            conn = self.conns[self._next] = Conn(self._next, stream, self.loop.now)
+            conn.pipe = Pipe(self.loop, stream, self.bounds.out_bytes, lambda c=conn: self.close(c))  # type: ignore[misc]
+            conn.task = self.loop.spawn(self._run, conn, name="viewers", owner=self.home)
+
+    def _make_room(self) -> bool:
+        """Closes the connection that was silent longest, if there is one that never brought a message."""
+        mute = [c for c in self.conns.values() if not c.pace.spoke]
+        if mute:
+            self.close(min(mute, key=lambda c: c.pace.since))
+        return bool(mute)
+
+    def close(self, conn: Conn) -> None:
+        if conn.task is not None:
+            conn.task.cancel()
+
+    def _run(self, conn: Conn) -> None:
+        stream = conn.stream
+        try:
+            while True:
+                data = stream.receive(MOST_READ, likely_empty=True)
+                if not data:
+                    return
+                now = min(self.loop.now, stream.since)
+                conn.heard = self.loop.now
+                whole = False
+                try:
+                    for method, target, fields, body in conn.reader.feed(data):
+                        whole = True
+                        self._message(now, conn, method, target, fields, body)
+                except rtsp.Malformed as why:
+                    self.refused += 1
+                    log("unreadable", peer=stream.peer, why=str(why)[:80])
+                    conn.pipe.write(rtsp.answer(why.status, "", ""))
+                    return
+                conn.pace.read(self.loop.now, whole, conn.reader.within)
+                pause = conn.pace.pause()
+                if pause:
+                    self.loop.sleep(pause)
+        except OSError:
+            return
+        finally:
+            self.conns.pop(conn.number, None)
+            stream.close()
+            self.carrier.hung_up(conn.number)
+
+    # ---- messages ------------------------------------------------------------------------------------------
+
+    def _message(self, now: float, conn: Conn, method: str, target: str, fields: dict[str, str],
+                 body: bytes) -> None:  # fmt: skip
+        if not method:
+            return  # an answer to a release: it wants nothing
+        cseq, sid = fields.get("cseq", ""), fields.get("session", "")
+        try:
+            if NUMBER.match(cseq) is None:
+                cseq = ""
+                raise Wrong(400, "CSeq is no number")
+            if method == "OPTIONS":
+                conn.pipe.write(rtsp.answer(200 if self.life.passes else 503, cseq, sid))
+                return
+            if SID.match(sid) is None:
+                sid = ""
+                raise Wrong(400, "Session is no id of 16 hex digits")
+            if method == "SETUP":
+                self._set_up(now, conn, cseq, sid, target, fields, body)
+            elif method == "TEARDOWN":
+                if not self.carrier.torn(now, sid):
+                    conn.pace.fault()
+                    conn.pipe.write(rtsp.answer(454, cseq, sid))
+                    return
+                conn.pipe.write(rtsp.answer(200, cseq, sid))
+            else:
+                raise Wrong(405, f"{method} is not done here")
+        except Wrong as why:
+            self.refused += 1
+            conn.pace.fault()
+            log("refused", peer=conn.stream.peer, why=why)
+            conn.pipe.write(rtsp.answer(why.status, cseq, sid))
+
+    def _set_up(self, now: float, conn: Conn, cseq: str, sid: str, target: str, fields: dict[str, str],
+                body: bytes) -> None:  # fmt: skip
+        title = TITLE.match(target)
+        if title is None:
+            raise Wrong(400, "the address names no title")
+        package = self.packages.get(fields.get("x-tier", ""))
+        if package is None:
+            raise Wrong(451, "X-Tier is no package")
+        first, spread, top, host = self._figures(fields.get("x-attrs", ""))
+        sold = package, title[1], first, spread, top
+        if host:
+            if not self.carrier.held(now, conn.number, sid, *sold, host):
+                raise Wrong(454, "at names no media host that is there")
+            return
+        left = fields.get("x-deadline", "")
+        if NUMBER.match(left) is None or not 0 < int(left) <= package.patience * 2000:
+            raise Wrong(451, "X-Deadline is out of range")
+        try:
+            blob = body.decode("utf-8")
+        except UnicodeDecodeError:
+            raise Wrong(400, "the description is not UTF-8") from None
+        desk = self.carrier.desk
+        full = desk.waiting >= self.bounds.waiting or len(desk.by_vw) >= self.bounds.viewings
+        if full or not self.life.takes:
+            conn.pipe.write(rtsp.answer(503, cseq, sid))
+            return
+        if not self.carrier.asked(now, conn.number, sid, cseq, *sold, now + int(left) / 1000, blob):
+            raise Wrong(400, "the id is open already")
+
+    def _figures(self, text: str) -> tuple[int, int, int, str]:
+        """First cell, number of cells and highest rung; the media host where it plays already, or nothing."""
+        held: dict[str, str] = {}
+        for part in text.split(";"):
+            name, colon, value = part.partition(":")
+            if not colon or name in held:
+                raise Wrong(451, "X-Attrs is no list of figures")
+            held[name] = value
+        numbers = [held.get(name, "") for name in ("home", "copies", "top")]
+        if any(NUMBER.match(number) is None for number in numbers):
+            raise Wrong(451, "X-Attrs lacks a figure")
+        first, spread, top = map(int, numbers)
+        if first >= max(1, self.cells) or not 1 <= spread <= max(1, self.cells) or top >= max(1, self.rungs):
+            raise Wrong(451, "a figure of X-Attrs is out of range")
+        return first, spread, top, held.get("at", "")
+
+    # ---- what is owed --------------------------------------------------------------------------------------
+
+    def answer(self, decision: Answer) -> None:
+        conn = self.conns.get(decision.conn)
+        if conn is not None:
+            advice = [("Retry-After", f"{decision.advice:.3f}")] if decision.advice > 0 else []
+            body = decision.description.encode()
+            status = STATUS[decision.kind]
+            conn.pipe.write(rtsp.answer(status, decision.cseq, decision.sid, advice, body))
+
+    def release(self, decision: Release) -> None:
+        conn = self.conns.get(decision.conn)
+        if conn is not None:
+            fields = [("Reason", f"cause={decision.cause}")]
+            conn.pipe.write(rtsp.request("TEARDOWN", "rtsp://media/over", "2", decision.sid, fields))
+
+    def sweep(self, now: float) -> None:
+        """Closes what is silent, never became whole or sent nothing but faults; not one that is owed an
+        answer."""
+        for conn in list(self.conns.values()):
+            if conn.pace.overdue(now) and not self.carrier.desk.waits_on(conn.number):
+                if conn.pace.begun_at is not None:
+                    conn.pipe.write(rtsp.answer(408, "", ""))
+                self.close(conn)
--- /dev/null
+++ b/ledgehitch/platform/hosts.py
@@ -0,0 +1,257 @@
+"""Connections to media hosts: opened as needed, shared by set-ups, let go when idle. Decides nothing.
+
+What comes in is handed to the carrier at once. A line on which a set-up ran out of time takes no new ones
+until it gives a sign: peers that spoil an answer may leave a connection open that is of no further use.
+"""
+
+import errno
+import time
+from typing import Protocol
+
+from ledgehitch import hostline
+from ledgehitch.facts import Reach
+from ledgehitch.loop.kernel import Cancelled, Loop, Task, TimedOut
+from ledgehitch.loop.sockets import Stream, connect, endpoint
+from ledgehitch.platform.log import log
+from ledgehitch.platform.lost import Watch
+from ledgehitch.platform.pipe import Pipe
+
+MOST_READ = 16384
+REFUSED = (errno.ECONNREFUSED, errno.ECONNRESET)
+
+
+class Carrier(Protocol):
+    """Who is told what media hosts say; `now` is when it came."""
+
+    def started(self, now: float, tag: str, host: str, line: "Line", blob: str) -> None: ...
+    def finished(self, now: float, tag: str, host: str, cause: int, loads: list[float]) -> None: ...
+    def noticed(self, now: float, tag: str, host: str, note: str, value: float) -> None: ...
+    def probed(self, now: float, host: str, passed: bool, took: float, loads: list[float]) -> None: ...
+    def broke(self, now: float, tag: str, host: str, sent: bool) -> None: ...
+    def stir(self) -> None: ...
+
+
+class Line:
+    """One connection: `open` holds the set-ups on it without an outcome, `probes` when each test went out."""
+
+    __slots__ = ("host", "pipe", "queued", "open", "probes", "doubted", "closed", "used_at", "task")
+
+    def __init__(self, host: str, now: float) -> None:
+        self.host = host
+        self.pipe: Pipe | None = None  # None until it is up
+        self.queued: list[bytes] = []
+        self.open: dict[str, None] = {}
+        self.probes: dict[str, float] = {}
+        self.doubted = self.closed = False
+        self.used_at = now
+        self.task: Task | None = None
+
+    def write(self, data: bytes) -> None:
+        if self.pipe is None:
+            self.queued.append(data)
+        else:
+            self.pipe.write(data)
+
+
+class Hosts:
+    def __init__(self, loop: Loop, reach: Reach, watch: Watch, most_lines: int, out_bytes: int,
+                 load_fields: tuple[str, ...]) -> None:  # fmt: skip
+        self.loop, self.reach, self.watch = loop, reach, watch
+        self.most_lines, self.out_bytes, self.load_fields = most_lines, out_bytes, load_fields
+        self.at: dict[str, str] = {}
+        self.lines: dict[str, list[Line]] = {}
+        self.count = self.opened = self.spoilt = 0
+        self.carrier: Carrier
+        self.home: Task | None = None  # owns the tasks of all lines
+        self._probes = 0
+
+    # ---- what the carrier asks for -------------------------------------------------------------------------
+
+    def set_up(self, tag: str, host: str, fields: dict[str, str | int | float], blob: str) -> Line | None:
+        """Sends a set-up; None where no connection may be had, nothing is sent then."""
+        line = self._fit(host)
+        if line is None:
+            return None
+        line.open[tag] = None
+        line.used_at = self.loop.now
+        line.write(hostline.written("START", tag, fields, None, blob))
+        return line
+
+    def give_up(self, line: Line, tag: str, late: bool) -> None:
+        """Gives up a set-up that has no outcome; `late` when it ran out of time."""
+        if line.open.pop(tag, "none") is None and not line.closed:
+            line.doubted |= late and line.pipe is not None
+            if line.pipe is None:
+                line.queued = [d for d in line.queued if tag.encode() not in d[:80]]
+            else:
+                line.write(hostline.written("FINISH", tag, {}, 16))
+
+    def release(self, host: str, tag: str, line: Line | None) -> None:
+        """Ends a viewing that stands."""
+        self._say(host, line, hostline.written("FINISH", tag, {}, 31))
+
+    def set_rung(self, host: str, tag: str, line: Line | None, rung: int) -> None:
+        self._say(host, line, hostline.written("RATE", tag, {"rung": rung}))
+
+    def probe(self, host: str) -> bool:
+        line = self._fit(host)
+        if line is None or len(line.probes) >= self.reach.streams:
+            return False
+        self._probes += 1
+        tag = f"{self._probes:016x}"
+        line.probes[tag] = time.monotonic()
+        line.used_at = self.loop.now
+        line.write(hostline.written("ECHO", tag, {}, 1))
+        return True
+
+    def keep(self, host: str) -> None:
+        """Opens a connection to a host whose releases are awaited."""
+        if host in self.at:
+            self._open(host)
+
+    def listed(self, host: str, address: str, gone: bool) -> None:
+        if not gone:
+            self.at[host] = address
+            return
+        self.at.pop(host, None)
+        for line in list(self.lines.get(host, ())):
+            if not line.open:
+                self.close(line)
+
+    def _say(self, host: str, line: Line | None, data: bytes) -> None:
+        """On the connection of the set-up; where that is gone, on any; else on the next one opened."""
+        if line is None or line.closed:
+            lines = self.lines.get(host) or ()
+            line = next((x for x in lines if x.pipe is not None), None) or next(iter(lines), None)
+            line = line or self._open(host)
+        if line is not None:
+            line.write(data)
+
+    def _fit(self, host: str) -> Line | None:
+        fit = [x for x in self.lines.get(host, ()) if not x.doubted and len(x.open) < self.reach.streams]
+        if fit:
+            return min(fit, key=lambda x: (x.pipe is None, len(x.open)))
+        return self._open(host)
+
+    # ---- one connection ------------------------------------------------------------------------------------
+
+    def _open(self, host: str) -> Line | None:
+        address = self.at.get(host)
+        if address is None:
+            return None
+        if self.count >= self.most_lines:
+            self._make_room()
+            if self.count >= self.most_lines:
+                log("no-room-for-line", host=host, lines=self.count)
+                return None
+        line = Line(host, self.loop.now)
+        self.lines.setdefault(host, []).append(line)
+        self.count += 1
+        self.opened += 1
+        self.watch.opening(host)
+        line.task = self.loop.spawn(self._run, line, address, name="line", owner=self.home)
+        return line
+
+    def _make_room(self) -> None:
+        idle = [x for lines in self.lines.values() for x in lines if not x.open and x.pipe is not None]
+        if idle:
+            self.close(min(idle, key=lambda x: x.used_at))
+
+    def _run(self, line: Line, address: str) -> None:
+        try:
+            with self.loop.deadline(self.reach.connect_within):
+                stream = connect(self.loop, endpoint(address))
+        except (OSError, TimedOut) as why:
+            self.watch.failed(self.loop.now, line.host, isinstance(why, OSError) and why.errno in REFUSED)
+            self._gone(line, False)
+            return
+        except Cancelled:
+            self.watch.failed(self.loop.now, line.host, False)
+            self._gone(line, False)
+            raise
+        line.pipe = Pipe(self.loop, stream, self.out_bytes, lambda: self.close(line))
+        self.watch.opened(self.loop.now, line.host)
+        queued, line.queued = line.queued, []
+        if queued:
+            line.pipe.write(b"".join(queued))
+        try:
+            self._read(line, stream)
+        except hostline.Malformed as why:
+            self.spoilt += 1
+            log("spoilt-line", host=line.host, why=str(why)[:80], open=len(line.open))
+        except OSError as why:
+            log("line-reset", host=line.host, why=why.strerror, open=len(line.open))
+        finally:
+            stream.close()
+            self.watch.broke(line.host)
+            self._gone(line, True)
+
+    def _read(self, line: Line, stream: Stream) -> None:
+        reader = hostline.Reader()
+        while True:
+            data = stream.receive(MOST_READ, likely_empty=True)
+            if not data:
+                return
+            now = self.loop.now
+            self.watch.heard(now, line.host)
+            for verb, tag, fields, cause, blob in reader.feed(data):
+                line.doubted = False
+                self._heard(now, line, verb, tag, fields, cause, blob)
+
+    def _heard(self, now: float, line: Line, verb: str, tag: str, fields: hostline.codec.Fields,
+               cause: int | None, blob: str | None) -> None:  # fmt: skip
+        carrier = self.carrier
+        if verb == "STARTED":
+            line.open.pop(tag, None)
+            carrier.started(now, tag, line.host, line, blob or "")
+        elif verb == "FINISH":
+            line.open.pop(tag, None)
+            loads = hostline.loads_of(fields, self.load_fields)
+            carrier.finished(now, tag, line.host, 0 if cause is None else cause, loads)
+        elif verb == "NOTICE":
+            value = fields.get("value", "")
+            try:
+                carrier.noticed(now, tag, line.host, str(fields.get("note", "")), float(value))
+            except ValueError:
+                raise hostline.Malformed(f"a note of {value!r:.40}") from None
+        elif verb == "ECHOED":
+            sent = line.probes.pop(tag, None)
+            if sent is not None:
+                loads = hostline.loads_of(fields, self.load_fields)
+                carrier.probed(now, line.host, cause == 1, now - sent, loads)
+
+    def close(self, line: Line) -> None:
+        if line.task is not None:
+            line.task.cancel()
+
+    def _gone(self, line: Line, up: bool) -> None:
+        """What was open on a connection that ended is told; set-ups that were never sent as such."""
+        line.closed = True
+        self.count -= 1
+        lines = self.lines[line.host]
+        lines.remove(line)
+        if not lines:
+            del self.lines[line.host]
+        now = self.loop.now
+        for tag in list(line.open):
+            self.carrier.broke(now, tag, line.host, up)
+        line.open.clear()
+        for sent in line.probes.values():
+            self.carrier.probed(now, line.host, False, now - sent, [])
+        line.probes.clear()
+        self.carrier.stir()
+
+    def sweep(self, now: float) -> None:
+        """Lets go of connections that were unused too long, and of doubted ones without a set-up."""
+        for host in list(self.lines):
+            lines = self.lines[host]
+            spare = len(lines)
+            h = self.watch.hosts.get(host)
+            needed = 1 if h is not None and h.standing else 0
+            for line in list(lines):
+                if line.open or line.pipe is None or now - line.used_at < 1.0:
+                    continue
+                idle = now - line.used_at > self.reach.idle * 0.9
+                if line.doubted or (idle and spare > needed):
+                    spare -= 1
+                    self.close(line)
--- /dev/null
+++ b/ledgehitch/platform/pace.py
@@ -0,0 +1,48 @@
+"""How a viewers' connection that sends what cannot be taken is slowed down, and when silent ones go. Free of
+I/O.
+
+Guards against clients that send the same again the moment it is turned away, that send half a message or
+nothing: refusing must cost less than serving, and nobody may hold a descriptor for nothing. Every bound lies
+under the three seconds within which such a client is owed an answer or a close.
+"""
+
+SILENT = 2.0  # seconds in which a new connection must bring a message, and a message begun must become whole
+FREE = 3  # faults of a connection that cost it nothing
+PAUSE, LONGEST = 0.05, 1.0  # seconds without reading after a further fault: doubled each time
+MOST_FAULTS = 40  # then it is closed
+
+
+class Pace:
+    """One connection's."""
+
+    __slots__ = ("since", "faults", "begun_at", "spoke")
+
+    def __init__(self, now: float) -> None:
+        self.since = now
+        self.faults = 0
+        self.begun_at: float | None = None  # when the message that is not whole began
+        self.spoke = False  # whether a whole message came
+
+    def read(self, now: float, whole: bool, within: bool) -> None:
+        """Bytes came: some message became whole, and another is `within`."""
+        self.spoke |= whole
+        if not within:
+            self.begun_at = None
+        elif whole or self.begun_at is None:
+            self.begun_at = now
+
+    def fault(self) -> None:
+        self.faults += 1
+
+    def pause(self) -> float:
+        """Seconds until it is read again."""
+        over = self.faults - FREE
+        return min(LONGEST, PAUSE * 2 ** min(over, 8)) if over > 0 else 0.0
+
+    def overdue(self, now: float) -> bool:
+        """Whether it is to be closed."""
+        if self.faults > MOST_FAULTS:
+            return True
+        if self.begun_at is not None and now - self.begun_at > SILENT:
+            return True
+        return not self.spoke and now - self.since > SILENT
--- /dev/null
+++ b/ledgehitch/platform/peers.py
@@ -0,0 +1,35 @@
+"""Words between gateways as datagrams: from known addresses only, at most 256 bytes, late or never."""
+
+from collections.abc import Callable
+
+from ledgehitch.loop.kernel import Loop
+from ledgehitch.loop.sockets import Datagrams, endpoint
+
+MOST = 256  # bytes of a datagram, by the platform's page
+
+
+class Peers:
+    def __init__(self, loop: Loop, listen: str, peers: tuple[str, ...],
+                 heard: Callable[[float, bytes], None]) -> None:  # fmt: skip
+        self.loop, self.heard = loop, heard
+        self.socket = Datagrams(loop, endpoint(listen))
+        self.refused = self.sent = 0
+        self.told(peers)
+
+    def told(self, peers: tuple[str, ...]) -> None:
+        """The addresses of all gateways, by their numbers."""
+        self.at = [endpoint(address) for address in peers]
+        self._known = {to.address for to in self.at}
+
+    def tell(self, words: bytes, to: int) -> None:
+        if 0 <= to < len(self.at) and len(words) <= MOST:
+            self.sent += self.socket.send(words, self.at[to])
+
+    def run(self) -> None:
+        """Hears for good; runs as a task."""
+        while True:
+            words, sender = self.socket.receive()
+            if sender not in self._known or not 0 < len(words) <= MOST:
+                self.refused += 1
+                continue
+            self.heard(self.loop.now, words)
--- /dev/null
+++ b/ledgehitch/platform/told.py
@@ -0,0 +1,127 @@
+"""What a gateway is told at start and on SIGHUP: the platform's configuration, checked. Free of sockets.
+
+What is missing or wrong raises `BadFact`, which names its key.
+"""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from ledgehitch.facts import BadFact
+from ledgehitch.interface import Row
+
+STATES = {"ready": "in_service", "draining": "terminating", "gone": "terminated"}
+
+
+@dataclass(frozen=True)
+class Told:
+    name: str
+    listen: str
+    seed: int
+    memory_mb: float
+    sockets: int
+    peer_listen: str
+    peers: tuple[str, ...]
+    journal: str
+    known: tuple[tuple[int, Mapping[str, Any]], ...]  # position and content of each event
+    settings: Mapping[str, Any]
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How much of everything is held at most, from the limits of the machine."""
+
+    viewer_conns: int
+    host_lines: int
+    out_bytes: int  # unsent bytes of one connection
+    waiting: int  # set-ups without an answer
+    viewings: int
+
+
+def bounds_of(told: Told) -> Bounds:
+    """Viewers hold up to a third of the descriptors, bad clients the like; the rest is for media hosts, the
+    journal, peers and the program. A set-up that waits holds up to 16 KiB, one that plays far less; each may
+    fill an eighth of the memory, as may what is unsent."""
+    eighth = told.memory_mb * (1 << 20) / 8
+    conns = max(8, told.sockets * 5 // 8)
+    return Bounds(
+        viewer_conns=conns,
+        host_lines=max(8, told.sockets // 4),
+        out_bytes=max(65536, int(eighth / conns)),
+        waiting=max(64, int(eighth / 16384)),
+        viewings=max(256, int(eighth / 2048)),
+    )
+
+
+def _of(thing: Mapping[str, Any], key: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
+    value = thing.get(key.rpartition(".")[2], default)
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise BadFact(f"{key}: {value!r:.60} is not what is meant")
+    return value
+
+
+def read(text: bytes) -> Told:
+    try:
+        thing = json.loads(text)
+    except (ValueError, RecursionError) as why:
+        raise BadFact(f"no JSON: {why}") from None
+    if not isinstance(thing, dict):
+        raise BadFact("no object")
+    limits = _of(thing, "limits", dict, {})
+    seed = _of(thing, "seed", (str, int), 0)
+    try:
+        number = int(seed, 16) if isinstance(seed, str) else seed
+    except ValueError:
+        raise BadFact(f"seed: {seed!r:.40} is no hexadecimal number") from None
+    known = _of(thing, "known", dict, {})
+    events = []
+    for entry in _of(known, "known.entries", list, []):
+        try:
+            events.append((int(entry["pos"]), entry))
+            rows_of(entry, 0.0)
+        except (KeyError, TypeError, ValueError) as why:
+            raise BadFact(f"known.entries: {why}") from None
+    peers = _of(thing, "peers", list, [])
+    for address in (_of(thing, "listen", str), _of(thing, "journal", str), *peers):
+        _address(address)
+    return Told(
+        name=_of(thing, "name", str, ""),
+        listen=thing["listen"],
+        seed=number,
+        memory_mb=float(_of(limits, "limits.memory_mb", (int, float), 64)),
+        sockets=int(_of(limits, "limits.sockets", int, 256)),
+        peer_listen=_of(thing, "peer_listen", str, ""),
+        peers=tuple(peers),
+        journal=thing["journal"],
+        known=tuple(events),
+        settings=_of(thing, "settings", dict),
+    )
+
+
+def _address(text: Any) -> None:
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not (host and colon and port.isascii() and port.isdigit() and int(port) < 65536):
+        raise BadFact(f"{text!r:.60} is no address such as 127.0.0.1:80")
+
+
+def rows_of(entry: Mapping[str, Any], ahead: float) -> tuple[str, list[tuple[Row, str]]] | None:
+    """An event of the journal as the module is told it, each row with its address; None for one that is not
+    of the media hosts. `ahead` is what the system's clock is ahead of the gateway's, in seconds. Raises
+    `ValueError` for what is not as it should be."""
+    hosts = entry.get("hosts")
+    if hosts is None:
+        return None
+    rows = []
+    try:
+        for m in hosts["members"]:
+            began = float(m.get("up_since_ms") or 0) / 1000
+            _address(m["host_port"])
+            row = Row(
+                str(m["id"]), int(m.get("cell", 0)), float(m.get("size", 1)), str(m.get("flavor", "")),
+                str(m.get("locality", "")), STATES[m["phase"]], began - ahead if began else 0.0,
+            )  # fmt: skip
+            rows.append((row, m["host_port"]))
+        return ("total" if hosts.get("complete") is True else "incr"), rows
+    except (KeyError, TypeError, AttributeError, OverflowError) as why:
+        raise ValueError(f"no list of media hosts: {type(why).__name__}: {why}") from None
--- a/ledgehitch/simhost/wire.py
+++ b/ledgehitch/simhost/wire.py
@@ -5,23 +5,20 @@
 line on standard error.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from typing import BinaryIO, TextIO
 
 from ledgehitch.brain import Gateway
+from ledgehitch.facts import facts_from, nested
 from ledgehitch.interface import (
     Abort,
     Block,
     Decision,
-    Fleet,
-    Ladder,
-    Package,
     Probe,
     Row,
     SetRung,
     Subscribe,
     Tell,
-    Terms,
     TuneIn,
 )
 
@@ -30,106 +27,6 @@
     """A line that is not what the wire's description says."""
 
 
-Conf = Mapping[str, str]
-
-
-def _number(conf: Conf, path: str, default: float = 0.0) -> float:
-    return float(conf[path]) if conf.get(path, "-") not in ("-", "") else default
-
-
-def _whole(conf: Conf, path: str, default: int = 0) -> int:
-    return int(_number(conf, path, default))
-
-
-def _seconds(conf: Conf, path: str) -> float:
-    return _number(conf, path) / 1000
-
-
-def _flag(conf: Conf, path: str) -> bool:
-    return conf.get(path, "false") in ("true", "1")
-
-
-def _parts(conf: Conf, path: str) -> list[str]:
-    return [part for part in conf.get(path, "").split(",") if part not in ("", "-")]
-
-
-def _nth(parts: list[str], i: int, default: str) -> str:
-    return parts[i] if i < len(parts) else default
-
-
-def packages_of(conf: Conf) -> tuple[Package, ...]:
-    by_class = ("classScale", "floorByClass", "classTop", "seats", "live")
-    fam = {k: _parts(conf, "familyInfo." + k) for k in by_class}
-    found = []
-    for i in range(_whole(conf, "categories.count")):
-        at = f"categories.{i}."
-        found.append(
-            Package(
-                name=conf.get(at + "name", ""),
-                join_target=_seconds(conf, at + "onTime"),
-                patience=_seconds(conf, at + "deadline"),
-                value=_number(conf, at + "worth", 1.0),
-                effect=conf.get(at + "effect", "repeatable"),
-                key_scope=conf.get(at + "keyScope", "all"),
-                key_window=_seconds(conf, at + "dedupWindow"),
-                scale=float(_nth(fam["classScale"], i, "1")),
-                floor=int(_nth(fam["floorByClass"], i, "0")),
-                top=int(_nth(fam["classTop"], i, "99")),
-                seats=int(_nth(fam["seats"], i, "0")),
-                live=_nth(fam["live"], i, "false") in ("true", "1"),
-            )
-        )
-    return tuple(found)
-
-
-def fleet_of(conf: Conf) -> Fleet:
-    slots = [int(float(part)) for part in _parts(conf, "familyInfo.kindSlots")]
-    return Fleet(
-        cells=_whole(conf, "familyInfo.places"),
-        racks=_whole(conf, "familyInfo.racks"),
-        link_unit_kb=_number(conf, "familyInfo.linkUnitKb"),
-        links_kb=_number(conf, "familyInfo.linksKb"),
-        uplink_kb=_number(conf, "familyInfo.uplinkKb"),
-        slots=dict(zip(_parts(conf, "kinds"), slots, strict=False)),
-        full_from=_number(conf, "familyInfo.fullFrom"),
-        join_part=_number(conf, "familyInfo.join", 1.0),
-        told_late=_seconds(conf, "familyInfo.toldLate"),
-        told_every=_seconds(conf, "familyInfo.toldEvery"),
-        load_fields=tuple(_parts(conf, "telemetry.fields")),
-        reports=conf.get("telemetry.how", "silent"),
-    )
-
-
-def terms_of(conf: Conf) -> Terms:
-    return Terms(
-        zone=conf.get("locality", ""),
-        ordinal=_whole(conf, "ordinal"),
-        gateways=_whole(conf, "peersTotal", 1),
-        tune_ins=_whole(conf, "ceilings.tryLimit", 1),
-        answer_slack=_seconds(conf, "rules.answerSlack"),
-        drain_grace=_seconds(conf, "rules.stopSendingWithin"),
-        ask_within=_seconds(conf, "rules.askWithin"),
-        on_request=conf.get("discovery", "pushed") == "on_request",
-        cold_share=_number(conf, "rules.coldShare", 1.0),
-        warm_up=_seconds(conf, "rules.warmUp"),
-        fall_multiple=_number(conf, "rules.fallMultiple", 1.0),
-        fall_after=_seconds(conf, "rules.tipAfter"),
-        extra_free=_number(conf, "rules.extraFree") if "rules.extraWindow" in conf else None,
-        extra_ratio=_number(conf, "rules.resendRatio"),
-        extra_window=_seconds(conf, "rules.extraWindow"),
-        may_probe=_flag(conf, "ceilings.probes"),
-        may_tell=_flag(conf, "ceilings.peerMessages"),
-        may_advise=_flag(conf, "ceilings.retryAfter"),
-        longest_advice=_seconds(conf, "ceilings.maxRetryAfter"),
-        cross_price=_number(conf, "prices.crossZone"),
-    )
-
-
-def ladder_of(conf: Conf) -> Ladder:
-    kb = tuple(float(part) for part in _parts(conf, "familyInfo.levelKb"))
-    return Ladder(kb, tuple(float(part) for part in _parts(conf, "familyInfo.rungWorth")))
-
-
 def written(decision: Decision) -> str:
     """The line that carries a decision out."""
     match decision:
@@ -223,8 +120,7 @@
                     cell, weight, kind, host, zone, state, started = parts
                     rows.append(Row(host, int(cell), _num(weight), kind, zone, state, _ms(started)))
                 elif name == "create":
-                    conf = dict(part.partition("=")[::2] for part in parts[1:])
-                    facts = (ladder_of(conf), packages_of(conf), fleet_of(conf), terms_of(conf))
+                    facts = facts_from(nested(part.partition("=")[::2] for part in parts[1:]))
                     self.instances[at] = Instance(Gateway(int(parts[0]), now, *facts))
                     broken.pop(at, None)
                     touched[at] = None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ledgehitch.gateway.gate import Shut
+from ledgehitch.gate import Shut
 from ledgehitch.gateway.replay import replayed
 from ledgehitch.http import Limits, NoAnswer, Request, Response
 from ledgehitch.http.parse import ResponseReader
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ledgehitch.brain import Gateway
-from ledgehitch.gateway.gate import Gate
+from ledgehitch.gate import Gate
 from ledgehitch.http import NoAnswer, Request, Response
 from ledgehitch.proof.check import Breach, Figures, Sold, figures_of, judged, judged_tape
 from ledgehitch.proof.tape import Line, Tape, lines_of
