--- a/ledgehitch/platform/__main__.py
+++ b/ledgehitch/platform/__main__.py
@@ -93,9 +93,9 @@
         self.carrier.sweep(now)
         if now - self.said_at >= SAY:
             self.said_at = now
-            self._say()
+            self.say()
 
-    def _say(self) -> None:
+    def say(self) -> None:
         c, f, h = self.carrier, self.carrier.front, self.carrier.hosts
         with open("/proc/self/statm") as pages:
             held = int(pages.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") >> 10
@@ -150,7 +150,7 @@
             else:
                 over.set(number)
 
-        loop.on_signals([signal.SIGTERM, signal.SIGINT, signal.SIGHUP], on)
+        restore = loop.on_signals([signal.SIGTERM, signal.SIGINT, signal.SIGHUP], on)
         try:
             running.append(Running(loop, told, path))
         except (OSError, BadFact) as why:
@@ -163,7 +163,8 @@
         log("serves", gateway=told.name, at=told.listen, pid=os.getpid())
         over.wait()
         running[0].ends()
-        running[0]._say()
+        running[0].say()
+        restore()
         return 0
 
     return int(loop.run(run))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -324,3 +324,29 @@
         task.cancel()
 
     loop.run(main)
+
+
+def test_signals_arrive_where_the_caller_keeps_nothing_of_what_is_given_back() -> None:
+    """Once the writing end was collected: the loop spun on the other one's end and heard no signal."""
+    loop = Loop()
+    heard: list[int] = []
+
+    def main() -> None:
+        loop.on_signals([signal.SIGUSR2], heard.append)
+        gc.collect()
+        loop.sleep(0.01)
+        before, turns = loop.seen_from, 0
+        while turns < 3:
+            os.kill(os.getpid(), signal.SIGUSR2)
+            loop.sleep(0.02)
+            turns += 1
+        assert loop.seen_from > before
+
+    was = {n: signal.getsignal(n) for n in (signal.SIGUSR2,)}
+    try:
+        loop.run(main)
+    finally:
+        signal.set_wakeup_fd(-1)
+        for n, handler in was.items():
+            signal.signal(n, handler)
+    assert heard == [signal.SIGUSR2] * 3
