Errors of set-ups that no media host can use no longer set healthy hosts aside

Cause: brain.py ended() handed every ERROR to _judge at once; each set-up of a bad client errs at up to three hosts in turn, and two in a row set a host aside (IN_A_ROW). Second, smaller: hosts.py told RESET for an unreadable line, which the module takes for a process that died and paces as cold for 12 s; the host had answered, so it is ERROR.

Changed: an ERROR counts when the viewing then plays elsewhere, or was its only one; _gone() tells how the connection ended.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -154,6 +154,7 @@
         self.first_at, self.news_at = 0.0, -1.0  # its first tune-in, the first report after set-up
         self.anchor: Row | None = None  # where a tune-in may have run
         self.tried: list[str] = []
+        self.erred: list[MediaHost] = []  # hosts that answered it with an error, not judged by that yet
         self.asks: MediaHost | None = None  # the one probed for it
         self.asks_until = -1e9
         self.kb = 0.0  # what it counts for on link and uplink
@@ -253,6 +254,7 @@
         if v is None or v.playing or v.host is None:
             return
         self._tally(v.host, True)
+        self._blame(now, v.erred)
         self.took[sum(latency > edge for edge in BINS)] += 1
         if sum(self.took) > 10 * HALVE_AT:
             self.took = [n / 2 for n in self.took]
@@ -296,7 +298,9 @@
             return
         was_playing, v.out, v.playing = v.playing, False, False
         self._load(now, v, None)
-        if h is not None:
+        if h is not None and code == Outcome.ERROR and not was_playing:
+            v.erred.append(h)
+        elif h is not None:
             self._judge(now, h, code, was_playing)
         if v.host is not None:
             v.host.viewings.pop(vw, None)
@@ -409,6 +413,13 @@
         if h.good + h.bad > HALVE_AT:
             h.good, h.bad = h.good / 2, h.bad / 2
 
+    def _blame(self, now: float, erred: list[MediaHost]) -> None:
+        """Guards against set-ups that no media host can use: each would make all that it tries look ill. An
+        error counts when the viewing then plays elsewhere, or met a single one; two in a row are its own."""
+        for h in erred:
+            self._judge(now, h, Outcome.ERROR, False)
+        erred.clear()
+
     def _judge(self, now: float, h: MediaHost, code: int, was_playing: bool) -> None:
         if code in (Outcome.RESET, Outcome.CONNECT_FAILED):
             # Guards against pushing over a media host that was lost and comes back before the list says so.
@@ -535,6 +546,8 @@
             return
         del self.waiting[v.vw]
         del self.viewings[v.vw]
+        if len(v.erred) == 1:
+            self._blame(now, v.erred)
         effect, scope = v.package.effect, v.package.key_scope
         if v.may_have_run and effect != "repeatable" and (effect, scope) != ("by_key", "all"):
             yield say.Abort(v.vw)
--- a/ledgehitch/loop/kernel.py
+++ b/ledgehitch/loop/kernel.py
@@ -333,7 +333,7 @@
         before = {n: signal.signal(n, lambda *_: None) for n in numbers}
 
         def read() -> None:
-            # Naming both ends here guards against the writing one being collected where the caller keeps nothing
+            # Naming both ends guards against the writing one being collected where the caller keeps nothing
             # of what is given back: this end would then read its end for good, and signals be lost.
             if ours.fileno() < 0 or theirs.fileno() < 0:
                 return
--- a/ledgehitch/platform/__main__.py
+++ b/ledgehitch/platform/__main__.py
@@ -97,10 +97,11 @@
 
     def say(self) -> None:
         c, f, h = self.carrier, self.carrier.front, self.carrier.hosts
+        aside = sum(x.aside_until > self.loop.now for x in c.brain.hosts.values())
         with open("/proc/self/statm") as pages:
             held = int(pages.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") >> 10
         log("counts", waiting=c.desk.waiting, playing=len(c.desk.by_vw) - c.desk.waiting, conns=len(f.conns),
-            lines=h.count, opened=h.opened, spoilt=h.spoilt, refused=f.refused, off=f.turned_off,
+            aside=aside, lines=h.count, opened=h.opened, spoilt=h.spoilt, refused=f.refused, off=f.turned_off,
             calls=self.journal.calls, pos=self.journal.pos, kb=held, cpu=f"{time.process_time():.2f}",
             lag=f"{self.loop.lag.quantile(0.99)}/{self.loop.lag.worst:.3f}", **c.counts)  # fmt: skip
         self.loop.lag.worst = 0.0
--- a/ledgehitch/platform/carry.py
+++ b/ledgehitch/platform/carry.py
@@ -149,7 +149,7 @@
         v.out, v.host, v.sent_at = True, host, now
         v.line = self.hosts.set_up(v.sid, host, fields, v.blob)
         if v.line is None:
-            self._undone.append(lambda: self.broke(now, v.sid, host, False))
+            self._undone.append(lambda: self.broke(now, v.sid, host, Outcome.CONNECT_FAILED))
             return
         v.timer = self.loop.call_at(now + within, lambda: self._timed_out(vw))
 
@@ -268,13 +268,12 @@
             self._ended(now, vw, False, code, host, now - v.sent_at, v.tune_ins - 1, loads)
         self.stir()
 
-    def broke(self, now: float, sid: str, host: str, sent: bool) -> None:
+    def broke(self, now: float, sid: str, host: str, how: Outcome) -> None:
         """The connection of a set-up ended before its outcome."""
         found = self._of(sid)
         if found is not None and found[1].out and found[1].host == host:
             vw, v = found
-            code = Outcome.RESET if sent else Outcome.CONNECT_FAILED
-            self._ended(now, vw, False, code, host, now - v.sent_at, v.tune_ins - 1)
+            self._ended(now, vw, False, how, host, now - v.sent_at, v.tune_ins - 1)
 
     def noticed(self, now: float, sid: str, host: str, note: str, value: float) -> None:
         found = self._of(sid)
--- a/ledgehitch/platform/hosts.py
+++ b/ledgehitch/platform/hosts.py
@@ -10,6 +10,7 @@
 
 from ledgehitch import hostline
 from ledgehitch.facts import Reach
+from ledgehitch.interface import Outcome
 from ledgehitch.loop.kernel import Cancelled, Loop, Task, TimedOut
 from ledgehitch.loop.sockets import Stream, connect, endpoint
 from ledgehitch.platform.log import log
@@ -27,7 +28,7 @@
     def finished(self, now: float, tag: str, host: str, cause: int, loads: list[float]) -> None: ...
     def noticed(self, now: float, tag: str, host: str, note: str, value: float) -> None: ...
     def probed(self, now: float, host: str, passed: bool, took: float, loads: list[float]) -> None: ...
-    def broke(self, now: float, tag: str, host: str, sent: bool) -> None: ...
+    def broke(self, now: float, tag: str, host: str, how: Outcome) -> None: ...
     def stir(self) -> None: ...
 
 
@@ -163,20 +164,23 @@
                 stream = connect(self.loop, endpoint(address))
         except (OSError, TimedOut) as why:
             self.watch.failed(self.loop.now, line.host, isinstance(why, OSError) and why.errno in REFUSED)
-            self._gone(line, False)
+            self._gone(line, Outcome.CONNECT_FAILED)
             return
         except Cancelled:
             self.watch.failed(self.loop.now, line.host, False)
-            self._gone(line, False)
+            self._gone(line, Outcome.CONNECT_FAILED)
             raise
         line.pipe = Pipe(self.loop, stream, self.out_bytes, lambda: self.close(line))
         self.watch.opened(self.loop.now, line.host)
         queued, line.queued = line.queued, []
         if queued:
             line.pipe.write(b"".join(queued))
+        how = Outcome.RESET
         try:
             self._read(line, stream)
         except hostline.Malformed as why:
+            # Guards against a spoilt answer being taken for a process that died: the host did answer.
+            how = Outcome.ERROR
             self.spoilt += 1
             log("spoilt-line", host=line.host, why=str(why)[:80], open=len(line.open))
         except OSError as why:
@@ -184,7 +188,7 @@
         finally:
             stream.close()
             self.watch.broke(line.host)
-            self._gone(line, True)
+            self._gone(line, how)
 
     def _read(self, line: Line, stream: Stream) -> None:
         reader = hostline.Reader()
@@ -224,8 +228,8 @@
         if line.task is not None:
             line.task.cancel()
 
-    def _gone(self, line: Line, up: bool) -> None:
-        """What was open on a connection that ended is told; set-ups that were never sent as such."""
+    def _gone(self, line: Line, how: Outcome) -> None:
+        """What was open on a connection that ended is told."""
         line.closed = True
         self.count -= 1
         lines = self.lines[line.host]
@@ -234,7 +238,7 @@
             del self.lines[line.host]
         now = self.loop.now
         for tag in list(line.open):
-            self.carrier.broke(now, tag, line.host, up)
+            self.carrier.broke(now, tag, line.host, how)
         line.open.clear()
         for sent in line.probes.values():
             self.carrier.probed(now, line.host, False, now - sent, [])
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -323,3 +323,34 @@
     ask(gw, NOW, 1)
     marks = gw.viewings[1].marks[1:4]
     assert marks[0] == brain.MARK > marks[1] > marks[2] >= brain.MARK - brain.GRADE
+
+
+def test_a_set_up_that_no_media_host_can_use_makes_none_look_ill() -> None:
+    gw = gateway()
+    for vw in range(1, 9):
+        ask(gw, NOW, vw)
+        for number in range(3):
+            host = next(d.host for d in pulled(gw, NOW) if isinstance(d, say.TuneIn))
+            gw.ended(NOW, vw, False, Outcome.ERROR, host, 0.01, number)
+        assert say.Block(vw, 0.0) in pulled(gw, NOW)
+    assert all(h.aside_until < NOW and not h.bad for h in gw.hosts.values())
+
+
+def test_an_error_counts_when_the_viewing_plays_elsewhere_or_met_one_only() -> None:
+    gw = gateway()
+    for vw in (1, 2):
+        for h in gw.hosts.values():
+            h.link.read(NOW, NOW, 0.0 if h.row.host == "h3" else 0.5)
+        ask(gw, NOW, vw)
+        host = next(d.host for d in pulled(gw, NOW) if isinstance(d, say.TuneIn))
+        assert host == "h3"
+        gw.ended(NOW, vw, False, Outcome.ERROR, host, 0.01, 0)
+        other = next(d.host for d in pulled(gw, NOW) if isinstance(d, say.TuneIn))
+        gw.opened(NOW, vw, other, 1, 0.01)
+    assert gw.hosts["h3"].aside_until > NOW
+    lone = gateway(hosts=1)
+    ask(lone, NOW, 1)
+    assert any(isinstance(d, say.TuneIn) for d in pulled(lone, NOW))
+    lone.ended(NOW, 1, False, Outcome.ERROR, "h0", 0.01, 0)
+    pulled(lone, NOW + 2.98)
+    assert not lone.viewings and lone.hosts["h0"].bad == 1
