Idle viewers' connections make room for new ones instead of turning these off

Changed: pace.first_to_go names the one that makes room (mute, then without a viewing, then with viewings that all play; longest silent first), and a connection without a viewing goes after 6 s.

Suspected and excluded: that viewings at a host called gone, or refusing a second connection, still play while an old connection is open.

--- a/ledgehitch/platform/__main__.py
+++ b/ledgehitch/platform/__main__.py
@@ -102,6 +102,7 @@
             held = int(pages.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") >> 10
         log("counts", waiting=c.desk.waiting, playing=len(c.desk.by_vw) - c.desk.waiting, conns=len(f.conns),
             aside=aside, lines=h.count, opened=h.opened, spoilt=h.spoilt, refused=f.refused, off=f.turned_off,
+            room=f.made_room,
             calls=self.journal.calls, pos=self.journal.pos, kb=held, cpu=f"{time.process_time():.2f}",
             lag=f"{self.loop.lag.quantile(0.99)}/{self.loop.lag.worst:.3f}", **c.counts)  # fmt: skip
         self.loop.lag.worst = 0.0
--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -15,7 +15,7 @@
 from ledgehitch.platform.desk import Answer, Desk, Release
 from ledgehitch.platform.life import Life
 from ledgehitch.platform.log import log
-from ledgehitch.platform.pace import Pace
+from ledgehitch.platform.pace import IDLE, Pace, first_to_go
 from ledgehitch.platform.pipe import Pipe
 from ledgehitch.platform.told import Bounds
 
@@ -49,7 +49,7 @@
 
 
 class Conn:
-    __slots__ = ("number", "stream", "pipe", "pace", "reader", "task", "heard")
+    __slots__ = ("number", "stream", "pipe", "pace", "reader", "task", "heard", "closing")
 
     def __init__(self, number: int, stream: Stream, now: float) -> None:
         self.number, self.stream = number, stream
@@ -58,6 +58,7 @@
         self.reader = rtsp.Reader()
         self.task: Task | None = None
         self.heard = now
+        self.closing = False
 
 
 class Front:
@@ -68,7 +69,7 @@
         self.bounds = bounds
         self.conns: dict[int, Conn] = {}
         self.home: Task | None = None
-        self.refused = self.accepted = self.turned_off = 0
+        self.refused = self.accepted = self.turned_off = self.made_room = 0
         self._next = 0
 
     def serve(self, listener: Listener) -> None:
@@ -87,13 +88,20 @@
             conn.task = self.loop.spawn(self._run, conn, name="viewers", owner=self.home)
 
     def _make_room(self) -> bool:
-        """Closes the connection that was silent longest, if there is one that never brought a message."""
-        mute = [c for c in self.conns.values() if not c.pace.spoke]
-        if mute:
-            self.close(min(mute, key=lambda c: c.pace.since))
-        return bool(mute)
+        desk = self.carrier.desk
+        number = first_to_go(
+            (c.number, c.pace.spoke, desk.on(c.number), desk.waits_on(c.number), c.heard)
+            for c in self.conns.values()
+            if not c.closing
+        )
+        if number is None:
+            return False
+        self.made_room += 1
+        self.close(self.conns[number])
+        return True
 
     def close(self, conn: Conn) -> None:
+        conn.closing = True
         if conn.task is not None:
             conn.task.cancel()
 
@@ -222,10 +230,12 @@
             conn.pipe.write(rtsp.request("TEARDOWN", "rtsp://media/over", "2", decision.sid, fields))
 
     def sweep(self, now: float) -> None:
-        """Closes what is silent, never became whole or sent nothing but faults; not one that is owed an
-        answer."""
+        """Closes what is silent, never became whole, sent nothing but faults or is long without a viewing;
+        not one that is owed an answer."""
         for conn in list(self.conns.values()):
-            if conn.pace.overdue(now) and not self.carrier.desk.waits_on(conn.number):
+            if now - conn.heard > IDLE and not self.carrier.desk.on(conn.number):
+                self.close(conn)
+            elif conn.pace.overdue(now) and not self.carrier.desk.waits_on(conn.number):
                 if conn.pace.begun_at is not None:
                     conn.pipe.write(rtsp.answer(408, "", ""))
                 self.close(conn)
--- a/ledgehitch/platform/hosts.py
+++ b/ledgehitch/platform/hosts.py
@@ -163,6 +163,7 @@
             with self.loop.deadline(self.reach.connect_within):
                 stream = connect(self.loop, endpoint(address))
         except (OSError, TimedOut) as why:
+            log("line-failed", host=line.host, why=str(why) or "time", open=len(line.open))
             self.watch.failed(self.loop.now, line.host, isinstance(why, OSError) and why.errno in REFUSED)
             self._gone(line, Outcome.CONNECT_FAILED)
             return
@@ -178,6 +179,7 @@
         how = Outcome.RESET
         try:
             self._read(line, stream)
+            log("line-ended", host=line.host, open=len(line.open))
         except hostline.Malformed as why:
             # Guards against a spoilt answer being taken for a process that died: the host did answer.
             how = Outcome.ERROR
--- a/ledgehitch/platform/lost.py
+++ b/ledgehitch/platform/lost.py
@@ -1,5 +1,7 @@
 """Which viewings a dead or silent media host took along, and where a connection is owed. Free of I/O.
 
+A host whose process ended may leave old connections open and silent for seconds: measured, nothing that stood
+there came to its end after a new connection was refused, or after the list said gone. So both count at once.
 A reset or a closed connection proves nothing: the host may have closed one connection only. Lost is what
 stands at a host that refuses connections, that the list calls gone or says started anew since, or that gave
 no sign for long while new connections never came up. Releases come on the next connection that is opened, so
--- a/ledgehitch/platform/pace.py
+++ b/ledgehitch/platform/pace.py
@@ -6,12 +6,28 @@
 under the three seconds within which such a client is owed an answer or a close.
 """
 
+from collections.abc import Iterable
+
 SILENT = 2.0  # seconds in which a new connection must bring a message, and a message begun must become whole
 FREE = 3  # faults of a connection that cost it nothing
 PAUSE, LONGEST = 0.05, 1.0  # seconds without reading after a further fault: doubled each time
 MOST_FAULTS = 40  # then it is closed
 
 
+IDLE = 6.0  # seconds after which a connection without a viewing goes: viewers close theirs after 4
+
+
+def first_to_go(conns: Iterable[tuple[int, bool, int, bool, float]]) -> int | None:
+    """Which connection makes room for a new one, of (number, whether it ever brought a message, viewings on
+    it, whether one of them waits, when it was last heard): one that never spoke, else one without a viewing,
+    else one whose viewings all play (they are tied to no connection); of these the one silent longest.
+
+    Guards against connections that asked once and stay for good keeping new viewers out.
+    """
+    may = [(spoke, held > 0, heard, number) for number, spoke, held, waits, heard in conns if not waits]
+    return min(may)[3] if may else None
+
+
 class Pace:
     """One connection's."""
 
