--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,387 @@
+"""The platform's codecs, desk, watch, pace, life and facts: free of sockets, each check seen to fail once."""
+
+import io
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from ledgehitch import hostline, rtsp
+from ledgehitch import interface as say
+from ledgehitch.brain import Gateway
+from ledgehitch.facts import BadFact, facts_from, nested, reach_of
+from ledgehitch.interface import Row
+from ledgehitch.platform.desk import Answer, Desk, Leave, Release
+from ledgehitch.platform.life import Life
+from ledgehitch.platform.lost import Lost, Open, Watch
+from ledgehitch.platform.pace import FREE, IDLE, MOST_FAULTS, SILENT, Pace, first_to_go
+from ledgehitch.platform.told import bounds_of, read, rows_of
+from ledgehitch.simhost.wire import main as simhost
+
+SID = "9b1f03aa5c7e2d41"
+
+# ---- codecs ------------------------------------------------------------------------------------------------
+
+GOOD = [
+    rtsp.request("SETUP", "rtsp://media/7f3a", "1", SID, [("X-Tier", "paid")], b"9d41\r\n\r\nc=IN\r\n"),
+    rtsp.request("OPTIONS", "rtsp://media/ping", "3", SID),
+    rtsp.answer(200, "2", SID),
+    rtsp.request("TEARDOWN", "rtsp://media/x", "2", SID, [("Reason", "cause=16")]),
+]
+
+
+def fed(reader: Any, parts: list[bytes]) -> tuple[list[Any], str]:
+    """The messages, and why it broke."""
+    out: list[Any] = []
+    try:
+        for part in parts:
+            for message in reader.feed(part):
+                out.append(message)  # one by one: those before a fault count
+    except (rtsp.Malformed, hostline.Malformed) as why:
+        return out, str(why)
+    return out, ""
+
+
+def cut(data: bytes, at: list[int]) -> list[bytes]:
+    edges = sorted({0, len(data), *(i % (len(data) + 1) for i in at)})
+    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+
+
+@seed(3)
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.sampled_from(GOOD), max_size=5), st.lists(st.integers(0, 9999), max_size=12))
+def test_rtsp_reads_the_same_messages_from_any_cut(messages: list[bytes], at: list[int]) -> None:
+    whole = fed(rtsp.Reader(), [b"".join(messages)])
+    assert whole == fed(rtsp.Reader(), cut(b"".join(messages), at)) and len(whole[0]) == len(messages)
+
+
+LINES = [
+    hostline.written("STARTED", SID, {"load": "x0:0.4;active:12"}, None, "a\r\nb\u00e9"),
+    hostline.written("FINISH", SID, {}, 34),
+    hostline.written("NOTICE", SID, {"note": "wire", "value": 0.5}),
+]
+
+
+@seed(4)
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.sampled_from(LINES), max_size=5), st.lists(st.integers(0, 9999), max_size=12))
+def test_lines_read_the_same_from_any_cut(lines: list[bytes], at: list[int]) -> None:
+    whole = fed(hostline.Reader(), [b"".join(lines)])
+    assert whole == fed(hostline.Reader(), cut(b"".join(lines), at)) and len(whole[0]) == len(lines)
+
+
+@seed(5)
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.one_of(st.binary(max_size=300), st.sampled_from([*GOOD, *LINES])), max_size=30))
+def test_no_input_raises_more_than_the_codecs_error_or_is_kept_beyond_the_limit(parts: list[bytes]) -> None:
+    for reader in (rtsp.Reader(), hostline.Reader()):
+        fed(reader, parts)
+        assert len(reader._rest) <= rtsp.MOST
+
+
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"BLAH\r\n\r\n", 400),
+        (b"SETUP rtsp://media/a RTSP/2.0\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"SETUP rtsp://media/a RTSP/1.0\r\nCSeq: 1\r\n\r\n", 400),
+        (b"SETUP rtsp://media/a RTSP/1.0\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"SETUP rtsp://media/a RTSP/1.0\r\nContent-Length: 60000000\r\n\r\n", 413),
+        (b"SETUP rtsp://media/a RTSP/1.0\r\nContent-Length: 99999999999999\r\n\r\n", 400),
+        (b"SETUP rtsp://media/a RTSP/1.0\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n", 400),
+        (b"SETUP rtsp://media/a RTSP/1.0\r\nno colon\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"A" * rtsp.MOST, 413),
+    ],
+)
+def test_what_is_no_message_is_refused_at_once(data: bytes, status: int) -> None:
+    reader = rtsp.Reader()
+    before = list(reader.feed(GOOD[1]))
+    with pytest.raises(rtsp.Malformed) as why:
+        list(reader.feed(data))
+    assert why.value.status == status and len(before) == 1
+    assert list(reader.feed(GOOD[0])) == [] and not reader._rest
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"noise\n", b"[]\n", b'{"verb":"START"}\n', b'{"verb":"WHAT","tag":"%s"}\n' % SID.encode(),
+        b'{"verb":"FINISH","tag":"%s","rc":"34"}\n' % SID.encode(), b'{"verb":"FINISH","tag":"1"}\n',
+        b'{"verb":"NOTICE","tag":"%s","opts":{"a":[]}}\n' % SID.encode(), b"\xff\xfe\n", b"[" * 9000 + b"\n",
+        b"x" * hostline.MOST,
+    ],
+)  # fmt: skip
+def test_what_is_no_line_is_told_at_once(line: bytes) -> None:
+    with pytest.raises(hostline.Malformed):
+        list(hostline.Reader().feed(line))
+
+
+def test_a_report_is_read_in_the_order_of_the_settings() -> None:
+    fields: hostline.codec.Fields = {"load": "x0:0.4;active:12;odd:nan"}
+    assert hostline.loads_of(fields, ("active", "x0")) == [12.0, 0.4]
+    assert hostline.loads_of(fields, ("odd", "x1")) == [-1.0, -1.0]
+    assert hostline.loads_of({}, ("active",)) == []
+
+
+# ---- who is owed what --------------------------------------------------------------------------------------
+
+
+def owed(desk: Desk) -> list[Any]:
+    out = []
+    while (decision := desk.decide()) is not None:
+        out.append(decision)
+    return out
+
+
+def test_each_set_up_gets_one_answer_and_an_open_id_is_not_taken_twice() -> None:
+    desk = Desk()
+    vw = desk.asked(1, SID, "1")
+    assert vw is not None and desk.asked(2, SID, "1") is None
+    assert desk.plays(vw, "d") and not desk.plays(vw, "d")
+    desk.blocked(vw)
+    desk.aborted(vw)
+    assert owed(desk) == [Answer(1, SID, "1", "plays", "d")]
+    desk.over(vw, 16)
+    desk.over(vw, 16)
+    assert owed(desk) == [Release(1, SID, 16)]
+    assert not (desk.by_vw or desk.by_sid or desk.by_conn or desk.waiting)
+
+
+def test_a_connection_that_is_gone_gives_up_what_waits_and_leaves_what_plays() -> None:
+    desk = Desk()
+    plays, waits = desk.asked(1, SID, "1"), desk.asked(1, "0" * 16, "1")
+    assert plays is not None and waits is not None
+    desk.plays(plays, "d")
+    owed(desk)
+    desk.hung_up(1)
+    assert owed(desk) == [Leave(waits)]
+    desk.over(plays, 41)
+    assert owed(desk) == []  # no connection is there to tell it on
+    desk.asked(2, "1" * 16, "1")
+    assert owed(desk) == [Release(2, SID, 41)]
+
+
+def test_a_release_goes_where_set_ups_come_from_when_its_own_connection_is_gone() -> None:
+    desk = Desk()
+    vw = desk.asked(1, SID, "1")
+    assert vw is not None
+    desk.plays(vw, "d")
+    desk.asked(2, "2" * 16, "1")
+    desk.hung_up(1)
+    owed(desk)
+    desk.over(vw, 16)
+    assert owed(desk) == [Release(2, SID, 16)]
+
+
+def test_what_its_viewer_ended_is_owed_no_release() -> None:
+    desk = Desk()
+    vw = desk.asked(1, SID, "1")
+    assert vw is not None
+    desk.plays(vw, "d")
+    owed(desk)
+    assert desk.torn(SID) == (vw, True) and desk.torn(SID) is None
+    desk.over(vw, 16)
+    assert owed(desk) == []
+
+
+# ---- what is lost ------------------------------------------------------------------------------------------
+
+
+def watching(told_every: float = 3.0) -> Watch:
+    watch = Watch(told_every)
+    watch.listed(0.0, "h", False, 0.0)
+    watch.opening("h")
+    watch.opened(0.0, "h")
+    watch.stands(0.0, "h")
+    return watch
+
+
+def test_a_reset_proves_nothing_and_a_refused_connection_does() -> None:
+    watch = watching()
+    watch.broke("h")
+    assert watch.decide(1.0) == Open("h")
+    watch.opening("h")
+    assert watch.decide(1.0) is None
+    watch.failed(1.1, "h", False)
+    assert watch.decide(1.12) is None  # time ran out, and it was heard a moment ago
+    assert watch.decide(1.3) == Open("h")
+    watch.opening("h")
+    watch.failed(1.3, "h", True)
+    assert watch.decide(1.3) == Lost("h", 1.3)
+
+
+def test_a_host_that_vanished_is_lost_well_within_eight_seconds() -> None:
+    watch, now = watching(), 0.0
+    while (decision := watch.decide(now)) != Lost("h", now):
+        if decision == Open("h"):
+            watch.opening("h")
+            now += 0.25
+            watch.failed(now, "h", False)
+        now = round(max(now + 0.001, min(watch.wake_at(), now + 1)), 3) if decision is None else now
+        assert now < 6.5
+    assert now > 3.0
+
+
+def test_a_host_that_is_silent_but_takes_connections_is_kept() -> None:
+    watch = watching()
+    for now in (4.0, 8.0, 12.0):
+        assert watch.decide(now) == Open("h")
+        watch.opening("h")
+        watch.opened(now, "h")
+        assert watch.decide(now) is None
+
+
+def test_the_list_tells_of_ends_and_new_starts_and_nothing_stays_of_a_host_that_is_over() -> None:
+    watch = watching()
+    watch.listed(2.0, "h", False, 1.5)
+    assert watch.decide(2.0) == Lost("h", 1.5)  # what was set up after its new start stands
+    watch.listed(3.0, "h", True, 1.5)
+    assert watch.decide(3.0) == Lost("h", 3.0)
+    watch.over("h")
+    watch.broke("h")
+    assert not watch.hosts
+    watch.stands(3.1, "h")
+    watch.over("h")
+    assert not watch.hosts
+
+
+# ---- pace and life -----------------------------------------------------------------------------------------
+
+
+def test_faults_slow_a_connection_down_and_silence_ends_it_within_three_seconds() -> None:
+    pace = Pace(10.0)
+    assert not pace.overdue(10.0 + SILENT) and pace.overdue(10.1 + SILENT) and SILENT < 2.5
+    pace.read(10.5, True, False)
+    assert not pace.overdue(99.0)
+    pace.read(20.0, False, True)
+    pace.read(21.0, False, True)  # half a message does not become younger by another byte
+    assert pace.overdue(20.1 + SILENT)
+    pace.read(22.0, True, False)
+    pauses = []
+    for _ in range(MOST_FAULTS):
+        pace.fault()
+        pauses.append(pace.pause())
+    assert pauses[FREE - 1] == 0.0 < pauses[FREE] <= pauses[-1] <= 1.0 and not pace.overdue(23.0)
+    pace.fault()
+    assert pace.overdue(23.0)
+
+
+def test_room_is_made_by_who_needs_a_connection_least() -> None:
+    mute, idle = (1, False, 0, False, 9.0), (2, True, 0, False, 8.0)
+    plays, waits = (3, True, 2, False, 1.0), (4, True, 1, True, 0.0)
+    assert first_to_go([waits, plays, idle, mute]) == 1
+    assert first_to_go([waits, plays, idle]) == 2
+    assert first_to_go([waits, plays]) == 3
+    assert first_to_go([waits]) is None and IDLE > 4.0
+
+
+def test_a_gateway_that_ends_answers_what_may_still_come_and_goes_before_it_is_killed() -> None:
+    life = Life(3.0)
+    assert not life.passes and life.takes
+    life.serves()
+    assert life.passes and not life.exits(5.0, 0, 0)
+    life.term(10.0)
+    assert not life.passes and not life.takes
+    assert not life.exits(10.6, 0, 0) and life.exits(10.8, 0, 0)
+    assert not life.exits(11.0, 1, 0) and not life.exits(11.0, 0, 1) and life.exits(13.5, 1, 9)
+
+
+# ---- facts -------------------------------------------------------------------------------------------------
+
+SETTINGS: dict[str, Any] = {
+    "categories": [{"name": "clip", "onTime": 800.0, "deadline": 3000, "worth": 1.5, "effect": "repeatable"}],
+    "familyInfo": {"places": 6, "racks": 2, "linkUnitKb": 1000.0, "uplinkKb": 4500, "kindSlots": [30],
+                   "levelKb": [100, 200.0, 400], "rungWorth": [0.2, 0.5, 1], "fullFrom": 1, "toldLate": 900.5,
+                   "toldEvery": 3000, "floorByClass": [0], "classTop": [2], "classScale": [1.0], "seats": [0],
+                   "live": [False]},
+    "kinds": ["k"], "locality": "a", "ordinal": 1, "peersTotal": 3, "discovery": "pushed",
+    "ceilings": {"tryLimit": 3, "probes": True, "peerMessages": False, "retryAfter": False,
+                 "connectTimeout": 250.0, "connIdle": 30000, "streamsPerConn": 32},
+    "rules": {"answerSlack": 40, "stopSendingWithin": 1000, "coldShare": 0.4, "warmUp": 12000,
+              "tipAfter": 2000, "fallMultiple": 3},
+    "telemetry": {"how": "piggyback", "fields": ["active", "x0"]}, "prices": {"crossZone": 0.012},
+}  # fmt: skip
+
+
+def pairs(thing: Any, path: str = "") -> list[str]:
+    """The same settings as the simulator's wire writes them."""
+    if isinstance(thing, dict):
+        return [p for k, v in thing.items() for p in pairs(v, f"{path}.{k}" if path else k)]
+    if isinstance(thing, list) and thing and isinstance(thing[0], dict):
+        inner = [p for i, item in enumerate(thing) for p in pairs(item, f"{path}.{i}")]
+        return [f"{path}.count={len(thing)}", *inner]
+    if isinstance(thing, list):
+        return [f"{path}={','.join(plain(part) for part in thing)}"]
+    return [f"{path}={plain(thing)}"]
+
+
+def plain(value: Any) -> str:
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def test_both_doors_derive_the_same_facts_and_decisions() -> None:
+    flat = pairs(SETTINGS)
+    folded = nested([p.partition("=")[::2] for p in flat])
+    assert facts_from(folded) == facts_from(SETTINGS)
+    rows = [Row(f"h{i}", i, 2.0, "k", "a", "in_service", 0.0) for i in range(6)]
+    told = [f"row\t{r.cell}\t2\tk\t{r.host}\ta\tin_service\t-" for r in rows]
+    wire = ["batch\t100000\t1", "at\t0", "create\t7\t" + "\t".join(flat), "snapshot_rows\t0\t6", *told,
+            "view\twarm_copy\t1\t0", "query\t1\t103000\tk\t0\t6\t-\tt1\t0\t2\t-\tclip",
+            "end", ""]  # fmt: skip
+    out = io.BytesIO()
+    assert simhost(io.BytesIO("\n".join(wire).encode()), out, io.StringIO()) == 0
+    gw = Gateway(7, 100.0, *facts_from(json.loads(json.dumps(SETTINGS))))
+    gw.listed(100.0, "warm_copy", rows)
+    gw.asked(100.0, 1, "clip", "t1", 0, 6, 2, 103.0)
+    lines = [line for line in out.getvalue().decode().splitlines() if not line.startswith(("notify", "ack"))]
+    decisions = []
+    while (decision := gw.decide(100.0)) is not None:
+        decisions.append(decision)
+    assert [f"{d.vw}\t{d.host}" for d in decisions if isinstance(d, say.TuneIn)] == [
+        line.removeprefix("forward\t").rpartition("\t")[0] for line in lines if line.startswith("forward")]
+    assert len(decisions) == len(lines) - 1 > 0
+    assert reach_of(SETTINGS).streams == 32 and reach_of(SETTINGS).connect_within == 0.25
+
+
+CONFIG: dict[str, Any] = {
+    "name": "n0", "listen": "127.0.0.1:5060", "seed": "8c1f30d27a5be964",
+    "limits": {"memory_mb": 32, "sockets": 256},
+    "peers": [], "journal": "127.0.0.1:8500", "settings": SETTINGS,
+    "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": [
+        {"id": "s-1", "host_port": "127.0.0.1:9", "cell": 2, "phase": "ready", "size": 4,
+         "up_since_ms": 5000}]}}]},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    "key, value",
+    [("listen", 5), ("listen", "nowhere"), ("journal", None), ("seed", "xyz"), ("limits", []),
+     ("settings", 1), ("known", {"entries": [{"pos": "a"}]}), ("peers", [7])],
+)  # fmt: skip
+def test_a_configuration_that_is_wrong_names_its_key(key: str, value: Any) -> None:
+    assert read(json.dumps(CONFIG).encode()).sockets == 256
+    with pytest.raises(BadFact) as why:
+        read(json.dumps({**CONFIG, key: value}).encode())
+    assert key.partition(".")[0] in str(why.value) or "address" in str(why.value)
+
+
+def test_a_setting_that_is_wrong_names_its_key() -> None:
+    with pytest.raises(BadFact, match="rules.warmUp"):
+        facts_from({**SETTINGS, "rules": {"warmUp": "soon"}})
+    with pytest.raises(BadFact, match="categories"):
+        facts_from({**SETTINGS, "categories": "x"})
+
+
+def test_rows_carry_the_gateways_clock_and_bounds_fit_the_limits() -> None:
+    told = read(json.dumps(CONFIG).encode())
+    news = rows_of(told.known[0][1], 2.0)
+    assert news is not None and news[0] == "total"
+    assert news[1] == [(Row("s-1", 2, 4.0, "", "", "in_service", 3.0), "127.0.0.1:9")]
+    bounds = bounds_of(told)
+    assert bounds.viewer_conns > 256 // 3 and bounds.viewer_conns + bounds.host_lines <= 256 - 24
+    assert bounds.waiting * 16384 <= 32 << 17
+    with pytest.raises(ValueError):
+        rows_of({"hosts": {"members": [{"id": "x"}]}}, 0.0)
+    assert rows_of({"pos": 2}, 0.0) is None
