Media hosts that are gone are forgotten once nothing plays there

Changed: the module lets a terminated host go with its last viewing (numbers are counted, not taken from the size of the table), the gate one minute past the grace; one that comes back counts as just started, as before.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -175,6 +175,7 @@
         self.fleet, self.terms = fleet, terms
         self.gateways = max(1, terms.gateways)
         self.hosts: dict[str, MediaHost] = {}
+        self.named = 0  # media hosts ever named
         self.busy: dict[int, MediaHost] = {}  # those with viewings of this gateway, by number
         self.racks: list[tuple[Use, list[MediaHost]]] = [
             (Use(fleet.uplink_kb or 1e12), []) for _ in range(max(1, fleet.racks))
@@ -219,7 +220,8 @@
             host = self.hosts.get(row.host)
             if host is None:
                 link_kb = row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / len(rows)
-                host = MediaHost(len(self.hosts), row, link_kb, *self.racks[row.cell % len(self.racks)])
+                self.named += 1
+                host = MediaHost(self.named, row, link_kb, *self.racks[row.cell % len(self.racks)])
                 host.rack.append(host)
                 self.hosts[row.host] = host
                 host.tick_at = now + self.chance.random() * TICK
@@ -230,6 +232,10 @@
                 host.cold_until = max(host.cold_until, began + self.terms.warm_up)
                 host.in_a_row, host.aside_until = 0, -1e9
             host.row, host.listed = row, row.state == "in_service"
+        # Guards against memory that grows with each media host that was ever there.
+        for host in [h for h in self.hosts.values() if h.row.state == "terminated" and not h.viewings]:
+            host.rack.remove(host)
+            del self.hosts[host.row.host]
 
     def asked(self, now: float, vw: int, package: str, title: str, first: int, spread: int, top: int,
               patience: float) -> None:  # fmt: skip
--- a/ledgehitch/gate.py
+++ b/ledgehitch/gate.py
@@ -9,6 +9,7 @@
 from ledgehitch.interface import Outcome, Package
 
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+KEPT = 60.0  # seconds past the grace after which a host that is gone is forgotten, and stopped as unknown
 HURRY = 0.002  # seconds of rounding allowed between two readings of the clock
 
 
@@ -34,13 +35,17 @@
         self.grace = grace  # seconds in which a send may still follow the news that a host drains
         self.viewings: dict[int, _Held] = {}
         self.hosts: dict[str, float | None] = {}  # when it was heard that it drains or is gone
-        self.stopped = 0
+        self.stopped = 0  # sends
 
     def listed(self, now: float, host: str, in_service: bool) -> None:
         if in_service:
             self.hosts[host] = None
         elif self.hosts.get(host) is None:
             self.hosts[host] = now
+            # Guards against memory that grows with each media host that was ever there.
+            over = now - self.grace - KEPT
+            for name in [n for n, at in self.hosts.items() if at is not None and at < over]:
+                del self.hosts[name]
 
     def unlisted(self, now: float, names: set[str]) -> None:
         """A complete list names these only."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -354,3 +354,20 @@
     lone.ended(NOW, 1, False, Outcome.ERROR, "h0", 0.01, 0)
     pulled(lone, NOW + 2.98)
     assert not lone.viewings and lone.hosts["h0"].bad == 1
+
+
+def test_media_hosts_that_are_gone_leave_no_trace_once_nothing_plays_there() -> None:
+    gw = gateway()
+    v = playing(gw, host="h1")
+    for h in ("h0", "h1"):
+        gw.listed(NOW, "incr", [replace(r, state="terminated") for r in rows() if r.host == h])
+    assert "h0" not in gw.hosts and "h1" in gw.hosts and v.host is gw.hosts["h1"]
+    gw.ended(NOW, 1, True, Outcome.RESET, "h1", 1.0, 0)
+    for i in range(10, 60):
+        gw.listed(NOW, "incr", [replace(rows(i + 1)[i], cell=0)])
+        gw.listed(NOW, "incr", [replace(rows(i + 1)[i], cell=0, state="terminated")])
+    assert sorted(gw.hosts) == ["h2", "h3", "h4", "h5"]
+    assert sum(len(rack) for _, rack in gw.racks) == 4
+    gw.listed(NOW, "incr", [rows()[0]])
+    assert gw.hosts["h0"].cold_until > NOW, "one that comes back has just started"
+    assert len({h.number for h in gw.hosts.values()}) == 5
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -214,7 +214,8 @@
         settings = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], "peerMessages": True}}
         settings["rules"] = {**SETTINGS["rules"], "warmUp": 0}  # no media host counts as just started
         config = {"name": "n0", "listen": self.listen, "seed": "7",
-                  "limits": {"memory_mb": 32, "sockets": 256}, "peer_listen": self.peer_listen, "peers": self.peers, "journal": str(self.journal.at),
+                  "limits": {"memory_mb": 32, "sockets": 256}, "peer_listen": self.peer_listen,
+                  "peers": self.peers, "journal": str(self.journal.at),
                   "known": {"pos": 1, "entries": [entry]}, "settings": settings}  # fmt: skip
         self.path.write_text(json.dumps(config))
 
