One pump for all that pull decisions after what was told: gateway, platform, daemon

Found on reading the change once more: platform/carry.py held a copy of gateway/carry.py's stir, its flag and its timer, and daemon/run.py the same shape. Changed: loop/pump.py runs a pull once for all that was told in a turn, and when it wants to run again; the three hand it their pull. The daemon's timer that is early enough stays, as the gateway's did: one pull for nothing at most.

--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -29,7 +29,7 @@
 from ledgehitch.keys.judge import Refused, shown, taken
 from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Child, Endpoint, Event, Loop, TimedOut, endpoint
-from ledgehitch.loop.timers import Timer
+from ledgehitch.loop.pump import Pump
 from ledgehitch.members.elsewhere import elsewhere
 
 TICKET = "LEDGEHITCH_STARTED_BY"  # in the environment: the ticket of the restart that began this life
@@ -55,6 +55,7 @@
         held = lambda: len(self.running.carrier.viewings)  # noqa: E731
         self.running.versions = Versions(loop, *source, self.running.place, name, held)
         self.life = Life(time.monotonic(), max(p.patience for p in site.packages))
+        self.stir = Pump(loop, self._pull).stir  # something was told
         self.admin = Admin(self.running, self.life, environment.get(TICKET, ""), self.stir)
         self.on_leave: Callable[[bool], None] = lambda back_soon: None
         self.running.front.elsewhere = self._elsewhere
@@ -62,8 +63,6 @@
         self.over = Event(loop)
         self.home = loop.current
         self.membership = self._members(seed)
-        self._timer: Timer | None = None
-        self._pulling = False
 
     def run(self) -> Exit:
         restore = self.loop.on_signals(
@@ -181,13 +180,7 @@
 
     # ---- the life ------------------------------------------------------------------------------------------
 
-    def stir(self) -> None:
-        if not self._pulling:
-            self._pulling = True
-            self.loop.call_soon(self._pull)
-
-    def _pull(self) -> None:
-        self._pulling = False
+    def _pull(self) -> float | None:
         now = time.monotonic()
         self.life.held(now, len(self.running.carrier.viewings))
         while (decision := self.life.decide(now)) is not None:
@@ -205,12 +198,8 @@
                     self.supervisor.say(text)
                 case Exit() as exit_as:
                     self.over.set(exit_as)
-        if self._timer is not None:
-            self.loop.timers.cancel(self._timer)
-            self._timer = None
         wake = self.life.wake_at()
-        if wake is not None:
-            self._timer = self.loop.call_at(max(wake, now + 0.005), self.stir)
+        return None if wake is None else max(wake, now + 0.005)
 
 
 def void_write(file: LogFile, text: str) -> None:
--- a/ledgehitch/gateway/carry.py
+++ b/ledgehitch/gateway/carry.py
@@ -27,7 +27,7 @@
 from ledgehitch.http.events import events_from
 from ledgehitch.interface import Outcome, Package
 from ledgehitch.loop import Datagrams, Endpoint, Event, Loop, Task, TimedOut
-from ledgehitch.loop.timers import Timer
+from ledgehitch.loop.pump import Pump
 from ledgehitch.signalling import Answer, Desk, End, Kind, Leave, Offer
 from ledgehitch.signalling.sdp import wrong_answer
 
@@ -99,20 +99,11 @@
         self.doorman: Doorman | None = None  # without one everybody is let in as they come
         self._at_door: dict[int, tuple[tuple[int, int], int, float]] = {}  # cells, highest rung, patience
         self.home: Task | None = None  # owns what is carried out, so that it outlives the request
-        self._pump_due = False
-        self._timer: Timer | None = None
-        self._timer_at = 0.0
+        self.stir = Pump(loop, self._pull).stir  # something was told
 
     # ---- the pump ------------------------------------------------------------------------------------------
 
-    def stir(self) -> None:
-        """Something was told: the pump runs when all that is ready now has run."""
-        if not self._pump_due:
-            self._pump_due = True
-            self.loop.call_soon(self._pump)
-
-    def _pump(self) -> None:
-        self._pump_due = False
+    def _pull(self) -> float:
         now = time.monotonic()
         if self.doorman is not None:
             self._let_in(now, self.doorman)
@@ -160,12 +151,7 @@
                     self._end(now, vw)
         at_door = self.doorman.door.wake_at() if self.doorman is not None else None
         asks = (self.mind.brain.wake_at(), self.watch.wake_at(), self.desk.wake_at(), at_door)
-        wake = min(at for at in asks if at is not None)
-        # The timer that is set does where it is early enough: it stirs once for nothing at most.
-        if self._timer is None or self._timer.call is None or wake < self._timer_at:
-            if self._timer is not None:
-                self.loop.timers.cancel(self._timer)
-            self._timer, self._timer_at = self.loop.call_at(wake, self.stir), wake
+        return min(at for at in asks if at is not None)
 
     def _spawn(self, call: Callable[..., None], *args: Any, name: str) -> Task:
         return self.loop.spawn(call, *args, name=name, owner=self.home)
--- a/ledgehitch/platform/carry.py
+++ b/ledgehitch/platform/carry.py
@@ -14,6 +14,7 @@
 from ledgehitch.gate import Gate, Shut
 from ledgehitch.interface import Outcome, Package, Row
 from ledgehitch.loop.kernel import Loop
+from ledgehitch.loop.pump import Pump
 from ledgehitch.loop.timers import Timer
 from ledgehitch.platform.desk import Answer, Desk, Leave, Release
 from ledgehitch.platform.front import Front
@@ -55,23 +56,14 @@
         self.playing: dict[str, dict[int, None]] = {}  # by media host
         self.counts: dict[str, int] = {}
         self._undone: list[Callable[[], None]] = []  # outcomes of decisions that could not be carried out
-        self._pump_due = False
-        self._timer: Timer | None = None
-        self._timer_at = math.inf
+        self.stir = Pump(loop, self._pull).stir  # something was told
 
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
     # ---- the pump ------------------------------------------------------------------------------------------
 
-    def stir(self) -> None:
-        """Something was told: the pump runs when all that is ready now has run."""
-        if not self._pump_due:
-            self._pump_due = True
-            self.loop.call_soon(self._pump)
-
-    def _pump(self) -> None:
-        self._pump_due = False
+    def _pull(self) -> float:
         while True:
             now = self.clock()
             while (decision := self.brain.decide(now)) is not None:
@@ -98,15 +90,7 @@
                         done = False
             if done:
                 break
-        at = min(self.brain.wake_at() or math.inf, self.watch.wake_at())
-        if at < self._timer_at or self._timer is None:
-            if self._timer is not None:
-                self.loop.timers.cancel(self._timer)
-            self._timer, self._timer_at = self.loop.call_at(at, self._wake), at
-
-    def _wake(self) -> None:
-        self._timer, self._timer_at = None, math.inf
-        self.stir()
+        return min(self.brain.wake_at() or math.inf, self.watch.wake_at())
 
     def _carry_out(self, now: float, decision: say.Decision) -> None:
         match decision:
