Platform: what was never read is gone, what can be derived is no longer kept twice

Found on reading the change once more: front.CAUSE, carry.ENDED, the clock handed to the carrier, Viewing.patience, Front.accepted and hostline.Reader.within were never used; viewings by media host, Conn.closing and the count of connections repeated what viewings, tasks and lines say. counts held one entry for each cause that a media host chose to send, a table without a bound: it counts by outcome code now.

--- a/ledgehitch/facts.py
+++ b/ledgehitch/facts.py
@@ -72,8 +72,12 @@
     return _number(conf, path) / 1000
 
 
+def _is_true(value: Any) -> bool:
+    return value in (True, "true", "1")
+
+
 def _flag(conf: Conf, path: str) -> bool:
-    return _at(conf, path) in (True, "true", "1")
+    return _is_true(_at(conf, path))
 
 
 def _text(conf: Conf, path: str, default: str) -> str:
@@ -132,7 +136,7 @@
             floor=int(_nth(fam["floorByClass"], i, 0)),
             top=int(_nth(fam["classTop"], i, 99)),
             seats=int(_nth(fam["seats"], i, 0)),
-            live=_nth(live, i, False) in (True, "true", "1"),
+            live=_is_true(_nth(live, i, False)),
         )
         for i, sold in enumerate(_objects(conf, "categories"))
     )
--- a/ledgehitch/hostline/codec.py
+++ b/ledgehitch/hostline/codec.py
@@ -33,11 +33,6 @@
         self._rest = b""
         self._broken = False
 
-    @property
-    def within(self) -> bool:
-        """Whether a line has begun and is not whole."""
-        return bool(self._rest)
-
     def feed(self, data: bytes) -> Iterator[Message]:
         if self._broken:
             return
--- a/ledgehitch/platform/carry.py
+++ b/ledgehitch/platform/carry.py
@@ -25,17 +25,17 @@
 CAUSES = {16: Outcome.OK, 31: Outcome.CANCELLED, 34: Outcome.FULL, 41: Outcome.RESET, 47: Outcome.ERROR,
           102: Outcome.MOOT}  # fmt: skip
 NOTES = {"kept_up": 1, "tier": 2, "wire": 3, "trunk": 4}
-CUT, ENDED = 41, 16  # causes in releases to viewers
+CUT = 41  # cause in releases to viewers whose media host was lost
 
 
 class Viewing:
     """What carrying out needs to know of a viewing; let go with its end."""
 
-    __slots__ = ("sid", "package", "title", "blob", "patience", "rung", "tune_ins", "host", "line", "sent_at",
+    __slots__ = ("sid", "package", "title", "blob", "rung", "tune_ins", "host", "line", "sent_at",
                  "timer", "out", "plays", "began")  # fmt: skip
 
-    def __init__(self, sid: str, package: Package, title: str, blob: str, patience: float) -> None:
-        self.sid, self.package, self.title, self.blob, self.patience = sid, package, title, blob, patience
+    def __init__(self, sid: str, package: Package, title: str, blob: str) -> None:
+        self.sid, self.package, self.title, self.blob = sid, package, title, blob
         self.rung = package.floor
         self.tune_ins = 0
         self.host = ""
@@ -47,13 +47,11 @@
 
 class Carrier:
     def __init__(self, loop: Loop, brain: Gateway, desk: Desk, gate: Gate, watch: Watch, hosts: Hosts,
-                 tell: Callable[[bytes, int], None], now: Callable[[], float] = time.monotonic,
-                 ) -> None:  # fmt: skip
+                 tell: Callable[[bytes, int], None]) -> None:  # fmt: skip
         self.loop, self.brain, self.desk, self.gate, self.watch = loop, brain, desk, gate, watch
-        self.hosts, self.tell, self.clock = hosts, tell, now
+        self.hosts, self.tell = hosts, tell
         self.front: Front
         self.viewings: dict[int, Viewing] = {}
-        self.playing: dict[str, dict[int, None]] = {}  # by media host
         self.counts: dict[str, int] = {}
         self._undone: list[Callable[[], None]] = []  # outcomes of decisions that could not be carried out
         self.stir = Pump(loop, self._pull).stir  # something was told
@@ -65,7 +63,7 @@
 
     def _pull(self) -> float:
         while True:
-            now = self.clock()
+            now = time.monotonic()
             while (decision := self.brain.decide(now)) is not None:
                 self._carry_out(now, decision)
             done = not self._undone
@@ -146,7 +144,8 @@
             up = v.line.pipe is not None
             self.hosts.give_up(v.line, v.sid, True)
             code = Outcome.TIMEOUT if up else Outcome.CONNECT_FAILED
-            self._ended(self.clock(), vw, False, code, v.host, self.clock() - v.sent_at, v.tune_ins - 1)
+            now = time.monotonic()
+            self._ended(now, vw, False, code, v.host, now - v.sent_at, v.tune_ins - 1)
 
     # ---- what viewers want ---------------------------------------------------------------------------------
 
@@ -156,7 +155,7 @@
         if vw is None:
             return False
         self.count("asked")
-        self.viewings[vw] = Viewing(sid, package, title, blob, patience)
+        self.viewings[vw] = Viewing(sid, package, title, blob)
         self.gate.asked(vw, package, patience)
         self.brain.asked(now, vw, package.name, title, first, spread, top, patience)
         self.stir()
@@ -171,10 +170,10 @@
         if vw is None:
             return True
         self.count("handed_over")
-        v = self.viewings[vw] = Viewing(sid, package, title, "", now + package.patience)
+        v = self.viewings[vw] = Viewing(sid, package, title, "")
         v.host, v.plays, v.began, v.tune_ins = host, True, now, 1
-        self.gate.asked(vw, package, v.patience)
-        self._stands(now, vw, v)
+        self.gate.asked(vw, package, now + package.patience)
+        self.watch.stands(now, host)
         self.brain.handed_over(now, vw, package.name, title, first, spread, top, host)
         self.stir()
         return True
@@ -231,7 +230,7 @@
         self._in(v)
         v.plays, v.began, v.blob = True, v.sent_at, ""
         self.gate.came_back(vw, Outcome.OK)
-        self._stands(now, vw, v)
+        self.watch.stands(now, host)
         self.brain.opened(now, vw, host, v.tune_ins - 1, now - v.sent_at)
         self.desk.plays(vw, blob)
         self.stir()
@@ -243,7 +242,7 @@
         vw, v = found
         code = CAUSES.get(cause, Outcome.RESET)
         if v.plays:
-            self.count(f"over_{cause}")
+            self.count(f"over_{code.name.lower()}")  # by code: causes are any number a media host likes
             self._over(now, vw, code, loads)
             self.desk.over(vw, cause, owed=code != Outcome.CANCELLED)
         else:
@@ -294,10 +293,6 @@
 
     # ---- ends ----------------------------------------------------------------------------------------------
 
-    def _stands(self, now: float, vw: int, v: Viewing) -> None:
-        self.playing.setdefault(v.host, {})[vw] = None
-        self.watch.stands(now, v.host)
-
     def _in(self, v: Viewing) -> None:
         v.out = False
         if v.timer is not None:
@@ -319,20 +314,15 @@
     def _over(self, now: float, vw: int, code: Outcome, loads: list[float] | None = None) -> None:
         """A viewing that played has ended."""
         v = self.viewings[vw]
-        there = self.playing.get(v.host, {})
-        there.pop(vw, None)
-        if not there:
-            self.playing.pop(v.host, None)
         self.watch.over(v.host)
         self.brain.ended(now, vw, True, code, v.host, now - v.sent_at, v.tune_ins - 1, loads or ())
         self._done(vw)
 
     def _lost(self, now: float, host: str, before: float) -> None:
-        gone = [vw for vw in self.playing.get(host, ()) if self.viewings[vw].began < before]
+        gone = [(vw, v) for vw, v in self.viewings.items() if v.plays and v.host == host and v.began < before]
         log("lost", host=host, viewings=len(gone))
-        for vw in gone:
+        for vw, v in gone:
             self.count("lost")
-            v = self.viewings[vw]
             # Guards against one that plays on behind a cut: it is ended should the host ever hear it.
             if host in self.hosts.lines:
                 self.hosts.release(host, v.sid, v.line)
--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -24,7 +24,6 @@
 SID = re.compile(r"[0-9a-f]{16}\Z")
 NUMBER = re.compile(r"[0-9]{1,9}\Z")
 TITLE = re.compile(r"rtsp://media/([A-Za-z0-9._~-]{1,64})\Z")
-CAUSE = re.compile(r"cause=([0-9]{1,9})\Z")
 
 
 class Wrong(ValueError):
@@ -49,7 +48,7 @@
 
 
 class Conn:
-    __slots__ = ("number", "stream", "pipe", "pace", "reader", "task", "heard", "closing")
+    __slots__ = ("number", "stream", "pipe", "pace", "reader", "task", "heard")
 
     def __init__(self, number: int, stream: Stream, now: float) -> None:
         self.number, self.stream = number, stream
@@ -58,7 +57,6 @@
         self.reader = rtsp.Reader()
         self.task: Task | None = None
         self.heard = now
-        self.closing = False
 
 
 class Front:
@@ -69,14 +67,13 @@
         self.bounds = bounds
         self.conns: dict[int, Conn] = {}
         self.home: Task | None = None
-        self.refused = self.accepted = self.turned_off = self.made_room = 0
+        self.refused = self.turned_off = self.made_room = 0
         self._next = 0
 
     def serve(self, listener: Listener) -> None:
         """Accepts for good; runs as a task."""
         while True:
             stream = listener.accept()
-            self.accepted += 1
             if len(self.conns) >= self.bounds.viewer_conns and not self._make_room():
                 # Guards against descriptors running out for media hosts: the newest is turned off.
                 self.turned_off += 1
@@ -92,7 +89,7 @@
         number = first_to_go(
             (c.number, c.pace.spoke, desk.on(c.number), desk.waits_on(c.number), c.heard)
             for c in self.conns.values()
-            if not c.closing
+            if c.task is None or not c.task.cancelled
         )
         if number is None:
             return False
@@ -101,7 +98,6 @@
         return True
 
     def close(self, conn: Conn) -> None:
-        conn.closing = True
         if conn.task is not None:
             conn.task.cancel()
 
--- a/ledgehitch/platform/hosts.py
+++ b/ledgehitch/platform/hosts.py
@@ -61,11 +61,16 @@
         self.most_lines, self.out_bytes, self.load_fields = most_lines, out_bytes, load_fields
         self.at: dict[str, str] = {}
         self.lines: dict[str, list[Line]] = {}
-        self.count = self.opened = self.spoilt = 0
+        self.opened = self.spoilt = 0
         self.carrier: Carrier
         self.home: Task | None = None  # owns the tasks of all lines
         self._probes = 0
 
+    @property
+    def count(self) -> int:
+        """Connections that are up or being opened."""
+        return sum(map(len, self.lines.values()))
+
     # ---- what the carrier asks for -------------------------------------------------------------------------
 
     def set_up(self, tag: str, host: str, fields: dict[str, str | int | float], blob: str) -> Line | None:
@@ -147,7 +152,6 @@
                 return None
         line = Line(host, self.loop.now)
         self.lines.setdefault(host, []).append(line)
-        self.count += 1
         self.opened += 1
         self.watch.opening(host)
         line.task = self.loop.spawn(self._run, line, address, name="line", owner=self.home)
@@ -233,7 +237,6 @@
     def _gone(self, line: Line, how: Outcome) -> None:
         """What was open on a connection that ended is told."""
         line.closed = True
-        self.count -= 1
         lines = self.lines[line.host]
         lines.remove(line)
         if not lines:
--- a/ledgehitch/platform/pace.py
+++ b/ledgehitch/platform/pace.py
@@ -12,8 +12,6 @@
 FREE = 3  # faults of a connection that cost it nothing
 PAUSE, LONGEST = 0.05, 1.0  # seconds without reading after a further fault: doubled each time
 MOST_FAULTS = 40  # then it is closed
-
-
 IDLE = 6.0  # seconds after which a connection without a viewing goes: viewers close theirs after 4
 
 
