What the platform's gateway decides on connections and bounds lies in modules of its own

Found on reading the change once more: hosts.py says that it decides nothing, and chose which connection takes a set-up and which are let go, with two tuned values; told.py, which reads the configuration, worked out the bounds.

--- a/ledgehitch/gate.py
+++ b/ledgehitch/gate.py
@@ -41,8 +41,8 @@
             self.hosts[host] = None
         elif self.hosts.get(host) is None:
             self.hosts[host] = now
-            # Guards against memory that grows with each media host that was ever there. Past the grace nothing
-            # may go there in any case: it is stopped as unknown.
+            # Guards against memory that grows with each media host that was ever there. Past the grace
+            # nothing may go there in any case: it is stopped as unknown.
             over = [name for name, at in self.hosts.items() if at is not None and now > at + self.grace]
             for name in over:
                 del self.hosts[name]
--- a/ledgehitch/platform/__main__.py
+++ b/ledgehitch/platform/__main__.py
@@ -12,6 +12,7 @@
 from ledgehitch.interface import Row
 from ledgehitch.loop.kernel import Event, Loop
 from ledgehitch.loop.sockets import Listener, endpoint
+from ledgehitch.platform.bounds import bounds_of
 from ledgehitch.platform.carry import Carrier
 from ledgehitch.platform.desk import Desk
 from ledgehitch.platform.front import Front
@@ -21,7 +22,7 @@
 from ledgehitch.platform.log import log
 from ledgehitch.platform.lost import Watch
 from ledgehitch.platform.peers import Peers
-from ledgehitch.platform.told import Told, bounds_of, read, rows_of
+from ledgehitch.platform.told import Told, read, rows_of
 
 SWEEP = 0.25  # seconds between looks for connections to close
 SAY = 5.0  # seconds between lines of counts in the log
@@ -39,7 +40,7 @@
         self.loop, self.path = loop, path
         facts = facts_from(told.settings)
         ladder, packages, fleet, terms = facts
-        reach, bounds = reach_of(told.settings), bounds_of(told)
+        reach, bounds = reach_of(told.settings), bounds_of(told.memory_mb, told.sockets)
         brain = Gateway(told.seed, now, *facts)
         self.life = Life(max((p.patience for p in packages), default=0.0))
         watch, desk = Watch(fleet.told_every), Desk()
--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -12,12 +12,12 @@
 from ledgehitch.interface import Fleet, Ladder, Package
 from ledgehitch.loop.kernel import Loop, Task
 from ledgehitch.loop.sockets import Listener, Stream
+from ledgehitch.platform.bounds import Bounds
 from ledgehitch.platform.desk import Answer, Desk, Release
 from ledgehitch.platform.life import Life
 from ledgehitch.platform.log import log
 from ledgehitch.platform.pace import IDLE, Pace, first_to_go
 from ledgehitch.platform.pipe import Pipe
-from ledgehitch.platform.told import Bounds
 
 MOST_READ = 16384
 STATUS = {"plays": 200, "blocked": 453, "aborted": 500}
@@ -186,8 +186,7 @@
         except UnicodeDecodeError:
             raise Wrong(400, "the description is not UTF-8") from None
         desk = self.carrier.desk
-        full = desk.waiting >= self.bounds.waiting or len(desk.by_vw) >= self.bounds.viewings
-        if full or not self.life.takes:
+        if self.bounds.full(desk.waiting, len(desk.by_vw)) or not self.life.takes:
             conn.pipe.write(rtsp.answer(503, cseq, sid))
             return
         if not self.carrier.asked(now, conn.number, sid, cseq, *sold, now + int(left) / 1000, blob):
--- a/ledgehitch/platform/hosts.py
+++ b/ledgehitch/platform/hosts.py
@@ -1,7 +1,6 @@
 """Connections to media hosts: opened as needed, shared by set-ups, let go when idle. Decides nothing.
 
-What comes in is handed to the carrier at once. A line on which a set-up ran out of time takes no new ones
-until it gives a sign: peers that spoil an answer may leave a connection open that is of no further use.
+What comes in is handed to the carrier at once. Which connection takes a set-up is decided in `lines.py`.
 """
 
 import errno
@@ -13,6 +12,7 @@
 from ledgehitch.interface import Outcome
 from ledgehitch.loop.kernel import Cancelled, Loop, Task, TimedOut
 from ledgehitch.loop.sockets import Stream, connect, endpoint
+from ledgehitch.platform.lines import first_to_go, fittest, over
 from ledgehitch.platform.log import log
 from ledgehitch.platform.lost import Watch
 from ledgehitch.platform.pipe import Pipe
@@ -47,6 +47,10 @@
         self.used_at = now
         self.task: Task | None = None
 
+    @property
+    def up(self) -> bool:
+        return self.pipe is not None
+
     def write(self, data: bytes) -> None:
         if self.pipe is None:
             self.queued.append(data)
@@ -134,10 +138,7 @@
             line.write(data)
 
     def _fit(self, host: str) -> Line | None:
-        fit = [x for x in self.lines.get(host, ()) if not x.doubted and len(x.open) < self.reach.streams]
-        if fit:
-            return min(fit, key=lambda x: (x.pipe is None, len(x.open)))
-        return self._open(host)
+        return fittest(self.lines.get(host, ()), self.reach.streams) or self._open(host)
 
     # ---- one connection ------------------------------------------------------------------------------------
 
@@ -146,10 +147,11 @@
         if address is None:
             return None
         if self.count >= self.most_lines:
-            self._make_room()
-            if self.count >= self.most_lines:
-                log("no-room-for-line", host=host, lines=self.count)
-                return None
+            spare = first_to_go(x for lines in self.lines.values() for x in lines)
+            if spare is not None:
+                self.close(spare)
+            log("no-room-for-line", host=host, lines=self.count)
+            return None
         line = Line(host, self.loop.now)
         self.lines.setdefault(host, []).append(line)
         self.opened += 1
@@ -157,11 +159,6 @@
         line.task = self.loop.spawn(self._run, line, address, name="line", owner=self.home)
         return line
 
-    def _make_room(self) -> None:
-        idle = [x for lines in self.lines.values() for x in lines if not x.open and x.pipe is not None]
-        if idle:
-            self.close(min(idle, key=lambda x: x.used_at))
-
     def _run(self, line: Line, address: str) -> None:
         try:
             with self.loop.deadline(self.reach.connect_within):
@@ -252,15 +249,8 @@
 
     def sweep(self, now: float) -> None:
         """Lets go of connections that were unused too long, and of doubted ones without a set-up."""
-        for host in list(self.lines):
-            lines = self.lines[host]
-            spare = len(lines)
+        for host, lines in self.lines.items():
             h = self.watch.hosts.get(host)
             needed = 1 if h is not None and h.standing else 0
-            for line in list(lines):
-                if line.open or line.pipe is None or now - line.used_at < 1.0:
-                    continue
-                idle = now - line.used_at > self.reach.idle * 0.9
-                if line.doubted or (idle and spare > needed):
-                    spare -= 1
-                    self.close(line)
+            for line in over(now, lines, needed, self.reach.idle):
+                self.close(line)
--- a/ledgehitch/platform/told.py
+++ b/ledgehitch/platform/told.py
@@ -28,32 +28,6 @@
     settings: Mapping[str, Any]
 
 
-@dataclass(frozen=True)
-class Bounds:
-    """How much of everything is held at most, from the limits of the machine."""
-
-    viewer_conns: int
-    host_lines: int
-    out_bytes: int  # unsent bytes of one connection
-    waiting: int  # set-ups without an answer
-    viewings: int
-
-
-def bounds_of(told: Told) -> Bounds:
-    """Viewers hold up to a third of the descriptors, bad clients the like; the rest is for media hosts, the
-    journal, peers and the program. A set-up that waits holds up to 16 KiB, one that plays far less; each may
-    fill an eighth of the memory, as may what is unsent."""
-    eighth = told.memory_mb * (1 << 20) / 8
-    conns = max(8, told.sockets * 5 // 8)
-    return Bounds(
-        viewer_conns=conns,
-        host_lines=max(8, told.sockets // 4),
-        out_bytes=max(65536, int(eighth / conns)),
-        waiting=max(64, int(eighth / 16384)),
-        viewings=max(256, int(eighth / 2048)),
-    )
-
-
 def _of(thing: Mapping[str, Any], key: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
     value = thing.get(key.rpartition(".")[2], default)
     if not isinstance(value, kind) or isinstance(value, bool):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,11 +14,13 @@
 from ledgehitch.facts import BadFact, facts_from, nested, reach_of
 from ledgehitch.gate import Gate, Shut
 from ledgehitch.interface import Package, Row
+from ledgehitch.platform import lines
+from ledgehitch.platform.bounds import bounds_of
 from ledgehitch.platform.desk import Answer, Desk, Leave, Release
 from ledgehitch.platform.life import Life
 from ledgehitch.platform.lost import Lost, Open, Watch
 from ledgehitch.platform.pace import FREE, IDLE, MOST_FAULTS, SILENT, Pace, first_to_go
-from ledgehitch.platform.told import bounds_of, read, rows_of
+from ledgehitch.platform.told import read, rows_of
 from ledgehitch.simhost.wire import main as simhost
 
 SID = "9b1f03aa5c7e2d41"
@@ -68,9 +70,9 @@
 @seed(4)
 @settings(max_examples=150, deadline=None)
 @given(st.lists(st.sampled_from(LINES), max_size=5), st.lists(st.integers(0, 9999), max_size=12))
-def test_lines_read_the_same_from_any_cut(lines: list[bytes], at: list[int]) -> None:
-    whole = fed(hostline.Reader(), [b"".join(lines)])
-    assert whole == fed(hostline.Reader(), cut(b"".join(lines), at)) and len(whole[0]) == len(lines)
+def test_lines_read_the_same_from_any_cut(sent: list[bytes], at: list[int]) -> None:
+    whole = fed(hostline.Reader(), [b"".join(sent)])
+    assert whole == fed(hostline.Reader(), cut(b"".join(sent), at)) and len(whole[0]) == len(sent)
 
 
 @seed(5)
@@ -262,6 +264,34 @@
             gate.sending(50.6, 2, host, 1.0)
 
 
+class Way:
+    """A connection to a media host, as `lines` sees one."""
+
+    def __init__(self, used_at: float, out: int = 0, up: bool = True, doubted: bool = False) -> None:
+        self.open: dict[str, None] = {str(n): None for n in range(out)}
+        self.used_at, self.up, self.doubted = used_at, up, doubted
+
+
+def test_set_ups_go_to_a_connection_that_is_up_and_undoubted_with_the_fewest() -> None:
+    opening, busy, free, doubted = Way(0, up=False), Way(0, 2), Way(0, 1), Way(0, doubted=True)
+    assert lines.fittest([opening, busy, free, doubted], 32) is free
+    assert lines.fittest([opening, busy, free, doubted], 2) is free
+    assert lines.fittest([opening, busy, free, doubted], 1) is opening
+    assert lines.fittest([doubted, busy], 2) is None
+
+
+def test_connections_are_let_go_when_doubted_or_idle_and_never_the_last_one_needed() -> None:
+    old, older, busy, opening = Way(5.0), Way(0.0), Way(0.0, 1), Way(0.0, up=False)
+    assert lines.first_to_go([old, older, busy, opening]) is older
+    assert lines.first_to_go([busy, opening]) is None
+    assert lines.over(100.0, [old, older, busy, opening], 0, 30.0) == [old, older]
+    assert lines.over(100.0, [old, older], 1, 30.0) == [old] and lines.over(20.0, [old, older], 1, 30.0) == []
+    doubted = Way(99.5, doubted=True)
+    assert lines.over(100.0, [doubted], 1, 30.0) == [] and lines.over(101.0, [doubted], 1, 30.0) == [doubted]
+
+
+
+
 # ---- pace and life -----------------------------------------------------------------------------------------
 
 
@@ -394,7 +424,7 @@
     news = rows_of(told.known[0][1], 2.0)
     assert news is not None and news[0] == "total"
     assert news[1] == [(Row("s-1", 2, 4.0, "", "", "in_service", 3.0), "127.0.0.1:9")]
-    bounds = bounds_of(told)
+    bounds = bounds_of(told.memory_mb, told.sockets)
     assert bounds.viewer_conns > 256 // 3 and bounds.viewer_conns + bounds.host_lines <= 256 - 24
     assert bounds.waiting * 16384 <= 32 << 17
     with pytest.raises(ValueError):
