--- a/ledgehitch/http/__init__.py
+++ b/ledgehitch/http/__init__.py
@@ -6,11 +6,11 @@
 
 from typing import TYPE_CHECKING, Any
 
+from ledgehitch.http.client import Client, ConnectFailed, Interrupted
 from ledgehitch.http.events import Feed, event, events_from
 from ledgehitch.http.message import NoAnswer, Refused, Request, Response, problem
 
 if TYPE_CHECKING:
-    from ledgehitch.http.client import Client, ConnectFailed, Interrupted
     from ledgehitch.http.server import Limits, Server
 
 __all__ = [
@@ -31,11 +31,7 @@
 
 
 def __getattr__(name: str) -> Any:
-    """Client and server are loaded where they are used, TLS with them: the platform's gateway has no room."""
-    if name in ("Client", "ConnectFailed", "Interrupted"):
-        from ledgehitch.http import client
-
-        return getattr(client, name)
+    """The server is loaded where it is used, TLS with it: the platform's gateway has no room."""
     if name in ("Limits", "Server"):
         from ledgehitch.http import server
 
--- a/ledgehitch/http/client.py
+++ b/ledgehitch/http/client.py
@@ -1,13 +1,18 @@
 """The client: keeps connections open for each address, closes idle ones, never sends a request twice."""
 
-import ssl
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import TYPE_CHECKING
 
 from ledgehitch.http.message import Response
 from ledgehitch.http.parse import ResponseReader
-from ledgehitch.loop import AnyStream, Endpoint, Loop, Stream, TlsStream, connect, endpoint
+from ledgehitch.loop import Endpoint, Loop, Stream, connect, endpoint
+
+if TYPE_CHECKING:
+    import ssl
+
+    from ledgehitch.loop import AnyStream, TlsStream
 
 IDLE = 10.0  # seconds that a connection is kept unused: less than servers keep theirs
 KEPT = 64  # unused connections kept for one address
@@ -29,7 +34,7 @@
     A call that is cut short by its deadline closes its connection: the other side sees it end.
     """
 
-    def __init__(self, loop: Loop, tls: ssl.SSLContext | None = None,
+    def __init__(self, loop: Loop, tls: "ssl.SSLContext | None" = None,
                  judge: Callable[[str, bytes], None] = lambda address, shown: None) -> None:  # fmt: skip
         """`tls` is for addresses such as `tls:127.0.0.1:80`; `judge` is shown each one's certificate (DER)
         and raises an error that says why it is not the one that is meant."""
@@ -69,9 +74,11 @@
 
     @contextmanager
     def stream(self, address: str, target: str, headers: list[tuple[str, str]] | None = None,
-               within: float = 2.0) -> Iterator[tuple[Response, Iterator[bytes]]]:  # fmt: skip
-        """A response whose body comes bit by bit; its head must come within so many seconds."""
-        with self.loop.deadline(within):
+               within: float = 2.0, connect_within: float | None = None,
+               ) -> Iterator[tuple[Response, Iterator[bytes]]]:  # fmt: skip
+        """A response whose body comes bit by bit; its head must come within so many seconds, the connection
+        too where nothing else is said."""
+        with self.loop.deadline(within if connect_within is None else connect_within):
             stream = self._connect(address)
         try:
             reader = ResponseReader(stream=True)
@@ -105,7 +112,7 @@
         finally:
             stream.close()
 
-    def _stream(self, address: str) -> AnyStream:
+    def _stream(self, address: str) -> "AnyStream":
         pool = self._pools.get(address)
         while pool:
             _, stream = pool.pop()
@@ -118,7 +125,7 @@
             stream.close()
         return self._connect(address)
 
-    def _connect(self, address: str) -> AnyStream:
+    def _connect(self, address: str) -> "AnyStream":
         at = self._endpoints.get(address)
         if at is None:
             at = self._endpoints[address] = endpoint(address.removeprefix(TLS))
@@ -129,10 +136,12 @@
             raise ConnectFailed(str(problem)) from None
         return self._wrapped(address, stream) if address.startswith(TLS) else stream
 
-    def _wrapped(self, address: str, stream: Stream) -> TlsStream:
+    def _wrapped(self, address: str, stream: Stream) -> "TlsStream":
         if self.tls is None:
             stream.close()
             raise ConnectFailed(f"{address} asks for a certificate, and none is given")
+        from ledgehitch.loop import TlsStream  # here: most gateways on small machines speak none
+
         wrapped = TlsStream(stream, self.tls, False)
         fine = False
         try:
@@ -146,7 +155,7 @@
             if not fine:
                 stream.close()
 
-    def _keep(self, address: str, stream: AnyStream) -> None:
+    def _keep(self, address: str, stream: "AnyStream") -> None:
         pool = self._pools.setdefault(address, deque())
         if len(pool) >= KEPT:
             pool.popleft()[1].close()
--- a/ledgehitch/platform/journal.py
+++ b/ledgehitch/platform/journal.py
@@ -6,10 +6,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from ledgehitch.http.events import Events
-from ledgehitch.http.parse import ResponseReader
+from ledgehitch.http import Client, ConnectFailed, Interrupted, events_from
 from ledgehitch.loop.kernel import Loop, Task, TimedOut
-from ledgehitch.loop.sockets import Stream, connect, endpoint
 from ledgehitch.platform.carry import Carrier
 from ledgehitch.platform.log import log
 from ledgehitch.platform.told import rows_of
@@ -17,7 +15,6 @@
 SILENT = 1.7  # seconds without a byte until a new call is made: a comment is due each second
 CONNECT = 0.5
 FIRST, LONGEST = 0.03, 0.4  # seconds until the next call: doubled with each that brought nothing, plus chance
-MOST_HEAD = 16384
 
 
 class Journal:
@@ -45,42 +42,29 @@
             before = self.pos
             try:
                 self._call(at)
-            except (OSError, TimedOut, ValueError) as why:
+            except (ConnectFailed, Interrupted, TimedOut, ValueError) as why:
                 log("journal-broke", at=at, pos=self.pos, why=str(why) or type(why).__name__)
             wait = FIRST if self.pos != before else min(LONGEST, 2 * wait)
             self.loop.sleep(wait * (1 + self.chance.random()))
 
     def _call(self, at: str) -> None:
         self.calls += 1
-        with self.loop.deadline(CONNECT):
-            stream = connect(self.loop, endpoint(at))
-        try:
-            stream.send(
-                f"GET /journal HTTP/1.1\r\nHost: {at}\r\nAccept: text/event-stream\r\n"
-                f"Last-Event-ID: {self.pos}\r\n\r\n".encode()
-            )
-            reader = Events()
-            for part in self._parts(stream):
-                for _, number, data in reader.feed(part):
-                    self._heard(number, data)
-        finally:
-            stream.close()
+        asked = [("Accept", "text/event-stream"), ("Last-Event-ID", str(self.pos))]
+        with Client(self.loop).stream(at, "/journal", asked, SILENT, CONNECT) as (response, parts):
+            if response.status != 200:
+                raise ValueError(f"answered {response.status}")
+            for _, number, data in events_from(self._in_time(parts)):
+                self._heard(number, data)
+        raise Interrupted("the stream ended")
 
-    def _parts(self, stream: Stream) -> Iterator[bytes]:
-        reader = ResponseReader(MOST_HEAD, stream=True)
-        headed = False
+    def _in_time(self, parts: Iterator[bytes]) -> Iterator[bytes]:
+        """Each part, which must come before the silence is too long."""
         while True:
             with self.loop.deadline(SILENT):
-                data = stream.receive(16384, likely_empty=True)
-            if not data:
+                part = next(parts, b"")
+            if not part:
                 return
-            response = reader.feed(data)
-            if response is not None:
-                headed = True
-                if response.status != 200:
-                    raise ValueError(f"answered {response.status}")
-            if headed and (part := reader.taken()):
-                yield part
+            yield part
 
     def _heard(self, number: str, data: str) -> None:
         try:
