Signals reach the loop over a pipe: run opens sockets of TCP and UDP only

Checked: `run` execs one dynamically linked process, starts no other program, forks nothing, uses neither io_uring nor splice nor sendfile (grep of loop, platform, rtsp, hostline, http; children.py is never imported there).

The test lists the descriptors that on_signals adds and fails on the old code.

--- a/ledgehitch/loop/kernel.py
+++ b/ledgehitch/loop/kernel.py
@@ -6,9 +6,9 @@
 parks. A task owns the tasks it spawns: when it ends, however it ends, they are cancelled.
 """
 
+import os
 import select
 import signal
-import socket
 import sys
 import time
 from collections import deque
@@ -326,36 +326,39 @@
 
     def on_signals(self, numbers: list[int], call: Callable[[int], None]) -> Callable[[], None]:
         """Calls from the loop, never from the handler; gives back what restores the old handlers."""
-        ours, theirs = socket.socketpair()
+        # A pipe: guards against places where a process may have sockets of TCP and UDP only.
+        ours, theirs = os.pipe()
         for end in (ours, theirs):
-            end.setblocking(False)
-        before_fd = signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+            os.set_blocking(end, False)
+        before_fd = signal.set_wakeup_fd(theirs, warn_on_full_buffer=False)
         before = {n: signal.signal(n, lambda *_: None) for n in numbers}
+        over = False
 
         def read() -> None:
-            # Naming both ends guards against the writing one being collected where the caller keeps nothing
-            # of what is given back: this end would then read its end for good, and signals be lost.
-            if ours.fileno() < 0 or theirs.fileno() < 0:
+            if over:
                 return
             try:
-                got = ours.recv(4096)
+                got = os.read(ours, 4096)
             except BlockingIOError:
                 got = b""
-            self.on_readable(ours.fileno(), read)
+            self.on_readable(ours, read)
             for number in got:
                 if number in before:
                     call(number)
 
         def restore() -> None:
+            nonlocal over
+            if over:
+                return
+            over = True
             signal.set_wakeup_fd(before_fd)
             for n, handler in before.items():
                 signal.signal(n, handler)
-            fd = ours.fileno()
-            ours.close()
-            self.forget(fd)
-            theirs.close()
+            self.forget(ours)
+            os.close(ours)
+            os.close(theirs)
 
-        self.on_readable(ours.fileno(), read)
+        self.on_readable(ours, read)
         return restore
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import signal
+import stat
 import sys
 import time
 from typing import Any
@@ -301,6 +302,29 @@
     loop.run(main)
 
 
+def test_signals_take_no_socket_and_leave_no_descriptor() -> None:
+    """Where a process may have sockets of TCP and UDP only, a pair of local sockets could be refused."""
+    loop = Loop()
+
+    def main() -> None:
+        before = _open_now()
+        restore = loop.on_signals([signal.SIGUSR1], lambda _: None)
+        added = _open_now() - before
+        assert len(added) == 2
+        assert not [fd for fd in added if stat.S_ISSOCK(os.fstat(fd).st_mode)]
+        restore()
+        restore()
+        assert not added & _open_now()
+
+    loop.run(main)
+
+
+def _open_now() -> set[int]:
+    with os.scandir("/proc/self/fd") as listing:
+        named = {int(entry.name) for entry in listing}
+    return {fd for fd in named if os.path.lexists(f"/proc/self/fd/{fd}")}  # less the listing's own
+
+
 def test_a_copy_of_the_process_works_while_the_loop_goes_on(tmp_path: Any) -> None:
     loop = Loop()
 
