Holders that answer no probe are tried; no viewing is held to near patience by asking them

Seen: module by hand, probes allowed, six holders that answer nothing: 28 probes, no tune-in, blocked after 2.98 of 3.00 s of patience; without probes 3 tune-ins and blocked after 1.41 s. Faulty lines: brain.py 534-539, where a viewing without a read holder asks the next one every 0.1 s and returns before its wait is looked at. Excluded: the wait itself (WAIT_PART, it blocks at 0.4 of the join target where probes are not allowed) and the time-outs. Now it asks again only while it may wait; after that unread holders are drawn and tried.

What it should hold against: silent hosts, a cut zone, hosts whose answers carry no use of links. It may hurt where the first reading comes after the wait. The test plays the six silent holders and fails on the old code.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -520,6 +520,7 @@
         `full` holds what was found to fit nowhere in this pull, where no chance or probe had a part."""
         alike = v.cells, v.package.name
         in_time = now < v.patience - EDGE and v.tune_ins < self.terms.tune_ins
+        until = min(v.asked_at + WAIT_PART * v.package.join_target, v.patience - EDGE)  # waits for a holder
         may = in_time and self._may_try_again(now, v)
         if may and (alike not in full or v.tried):
             held = [h for h in self._holders(v.cells) if self._within_key(v, h)]
@@ -531,8 +532,10 @@
             holders = [h for h in held if h.link.at >= late and not self._too_cold(now, h)]
             # Guards against gateways that know little all going to one media host, or to one that is full or
             # stands still or just started: where they may ask, one without a reading is asked first.
-            ask = now >= v.asks_until if not holders else v.asks is None and len(holders) < ENOUGH
-            if self.terms.may_probe and unread and ask:
+            # Guards against a viewing held to patience by holders that answer no probe, or without a reading:
+            # it is asked again only while it may wait, then those drawn by chance are tried unread.
+            ask = v.asks is None or not holders and v.asks_until <= now < until
+            if self.terms.may_probe and unread and ask and len(holders) < ENOUGH:
                 v.asks, v.asks_until = self.chance.choice(unread), now + ANSWERS
                 yield say.Probe(v.asks.row.host)
             if v.asks in unread and now < v.asks_until:
@@ -548,7 +551,7 @@
                     return
             if not unread and not v.tried and v.top >= v.package.floor:
                 full.add(alike)
-        if may and now < min(v.asked_at + WAIT_PART * v.package.join_target, v.patience - EDGE):
+        if may and now < until:
             return
         del self.waiting[v.vw]
         del self.viewings[v.vw]
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -290,6 +290,26 @@
     assert any(isinstance(d, say.TuneIn) for d in pulled(gw, NOW + 1.2))
 
 
+def test_holders_that_answer_nothing_are_tried_and_nobody_is_held_to_patience() -> None:
+    """Once it asked one after the other for 3 s, sent nothing and blocked 20 ms before patience ended."""
+    gw = gateway(terms=replace(TERMS, may_probe=True, may_tell=False, may_advise=True, longest_advice=0.5))
+    now, out, asks, tried, answer = 200.0, None, 0, 0, None
+    ask(gw, now, 1)
+    while answer is None and now < 202.9:
+        if out is not None and now >= out[1]:
+            gw.ended(now, 1, False, Outcome.TIMEOUT, out[0].host, out[0].within, tried - 1)
+            out = None
+        for decision in pulled(gw, now):
+            if isinstance(decision, say.TuneIn):
+                out, tried = (decision, now + decision.within), tried + 1
+                assert tried > 1 or now <= 200.0 + 0.4 * PLAIN.join_target + 0.11, "the first is sent in time"
+            asks += isinstance(decision, say.Probe)
+            answer = decision if isinstance(decision, say.Block) else answer
+        now += 0.01
+    assert answer == say.Block(1, 0.5) and now < 202.0, "blocked at once after the last try, with advice"
+    assert tried == TERMS.tune_ins and 1 <= asks <= 5
+
+
 def test_restarted_gateway_asks_a_doubted_host_and_uses_it_once_others_are_seen_to_play_there() -> None:
     gw = gateway(terms=replace(TERMS, may_probe=True, gateways=900, ordinal=899))
     ask(gw, 100.0, 1)
