--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -533,8 +533,8 @@
             # Guards against gateways that know little all going to one media host, or to one that is full or
             # stands still or just started: where they may ask, one without a reading is asked first.
             # Guards against a viewing held to patience by holders that answer no probe, or without a reading:
-            # it is asked again only while it may wait, then those drawn by chance are tried unread.
-            ask = v.asks is None or not holders and v.asks_until <= now < until
+            # it asks again only up to its join target, then those drawn by chance are tried unread.
+            ask = v.asks is None or not holders and v.asks_until <= now < v.asked_at + v.package.join_target
             if self.terms.may_probe and unread and ask and len(holders) < ENOUGH:
                 v.asks, v.asks_until = self.chance.choice(unread), now + ANSWERS
                 yield say.Probe(v.asks.row.host)
