A cold host's set-ups are remembered as far as its budget reaches, not 512 of them

Lines at fault: brain.py 123 and 621: `sent` held 512 times at most and was compared with a part of 2,400, which it could never reach. Excluded: the budget and its parts (2,400 of 3,000, as stated), the time of the start. The length now follows from the settings: a gateway's part and one more, so the comparison can always be met, whatever the machine; where nothing warms up nothing is remembered. The test fails on the old code with 1,200 of 960.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -104,7 +104,8 @@
 
 
 class MediaHost:
-    def __init__(self, number: int, row: Row, link_kb: float, uplink: Use, rack: list["MediaHost"]) -> None:
+    def __init__(self, number: int, row: Row, link_kb: float, most_sent: int, uplink: Use,
+                 rack: list["MediaHost"]) -> None:  # fmt: skip
         self.number = number  # in the order in which hosts were first named
         self.row, self.uplink, self.rack = row, uplink, rack  # the uplink and the hosts it serves, itself too
         self.mark = zlib.crc32(row.host.encode()) & 0xFFFF  # the same at every gateway
@@ -120,7 +121,7 @@
         self.aside_until = -1e9
         self.cold_until = -1e9
         self.doubted = False  # whether it may have started while this gateway was away
-        self.sent: deque[float] = deque(maxlen=512)  # when it was last sent set-ups
+        self.sent: deque[float] = deque(maxlen=most_sent)  # when it was last sent set-ups
         self.tick_at = 0.0
         self.uses: tuple[float, float] = (0.0, 0.0)  # of link and uplink, as last worked out for `uses_of`
         self.uses_of: tuple[float, int, int, int] | None = None
@@ -201,6 +202,9 @@
         self.list_due = now if terms.on_request else None
         budget = COLD_SAFE * terms.fall_multiple * terms.cold_share * terms.fall_after
         self.cold_budget = budget / max(terms.warm_up, 1e-9)  # of all gateways in a window, for each place
+        # Guards against a part of the budget larger than what is remembered: it would never be used up.
+        largest = max((fleet.slots or {"": 1}).values(), default=1) if terms.warm_up > 0 else 0
+        self.most_sent = int(self.cold_budget * largest) // self.gateways + 1
 
     # ---- what is known -------------------------------------------------------------------------------------
 
@@ -221,7 +225,8 @@
             if host is None:
                 link_kb = row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / len(rows)
                 self.named += 1
-                host = MediaHost(self.named, row, link_kb, *self.racks[row.cell % len(self.racks)])
+                host = MediaHost(self.named, row, link_kb, self.most_sent,
+                                 *self.racks[row.cell % len(self.racks)])  # fmt: skip
                 host.rack.append(host)
                 self.hosts[row.host] = host
                 host.tick_at = now + self.chance.random() * TICK
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -128,6 +128,19 @@
     assert 1 <= sent <= TERMS.fall_multiple * TERMS.cold_share * 30 / TERMS.warm_up * TERMS.fall_after
 
 
+def test_large_machine_at_one_gateway_keeps_its_budget_while_cold() -> None:
+    """Once only 512 set-ups were remembered, so that a larger part of the budget was never used up."""
+    fleet = replace(FLEET, slots={"k": 4000}, link_unit_kb=1e9, uplink_kb=1e12)
+    terms = replace(TERMS, gateways=1)
+    gw = Gateway(7, NOW, LADDER, (PLAIN,), fleet, terms)
+    gw.listed(NOW, "incr", [say.Row("new", 0, 2.0, "k", "a", "in_service", NOW)])
+    limit, sent = terms.fall_multiple * terms.cold_share * 4000 / terms.warm_up * terms.fall_after, 0
+    for vw in range(1200):
+        ask(gw, NOW + vw * 0.001, vw)
+        sent += sum(isinstance(d, say.TuneIn) for d in pulled(gw, NOW + vw * 0.001))
+    assert 512 < sent <= limit < 1000
+
+
 def test_one_host_standing_still_does_not_blame_its_rack() -> None:
     gw = gateway()
     for vw, host in enumerate(["h0", "h2", "h4"]):
