A lost list is asked for again before what it said meanwhile counts as heard

Line at fault: brain.py 210, a fixed 1 s plus up to 5 s by chance. Excluded: the wait after a call without an answer, which goes by half of askWithin already (490). The wait after a loss is now scaled to the same half where that is shorter, still by chance, so that gateways do not call at once; a failed call has four times as long and is covered. The test fails on the old code with 5.996 of 1.0 s.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -211,7 +211,9 @@
     def listed(self, now: float, how: str, rows: Sequence[Row]) -> None:
         self.inputs += 1
         if how == "lost":
-            self.list_due = now + (ASK_AGAIN + ASK_MORE * self.chance.random())
+            # Guards against asking so late that what the list said meanwhile counts as heard (rule 3).
+            soon = min(1.0, 0.5 * self.terms.ask_within / (ASK_AGAIN + ASK_MORE) or 1.0)
+            self.list_due = now + soon * (ASK_AGAIN + ASK_MORE * self.chance.random())
             return
         if how != "warm_copy":
             self.list_due = None
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -261,6 +261,21 @@
     assert pulled(gw, 150.0) == []
 
 
+@pytest.mark.parametrize("within, least, most", [(2.0, 0.1, 1.0), (20.0, 1.0, 6.0), (0.0, 1.0, 6.0)])
+def test_lost_list_is_asked_for_before_it_counts_as_heard(within: float, least: float, most: float) -> None:
+    """Once up to 6 s later, whatever the settings say of a gateway that does not ask."""
+    waits = []
+    for seed in range(50):
+        gw = Gateway(seed, NOW, LADDER, (PLAIN,), FLEET, replace(TERMS, on_request=True, ask_within=within))
+        assert pulled(gw, NOW) == [say.Subscribe()]
+        gw.listed(NOW, "incr", rows())
+        gw.listed(NOW, "lost", [])
+        due = gw.wake_at()
+        assert due is not None
+        waits.append(due - NOW)
+    assert least <= min(waits) < max(waits) <= most, "never all at once, never too late"
+
+
 def run(text: str) -> tuple[int, str, str]:
     out, err = io.BytesIO(), io.StringIO()
     code = main(io.BytesIO(text.replace(" ", "\t").encode()), out, err)
