Bad settings are named by key at both doors; odd rows harm no other media host

Seen, by hand: facts.py took what is missing for the unsafe end (a stated warm-up without coldShare counts a cold host as warm, without peersTotal one gateway spends the whole cold budget, a class without effect may be set up again), took negative figures and nan, and lists shorter than the classes (rungWorth too short ends in an IndexError at the first viewing). A row with `-` for a cell ended the adapter with all instances (simhost/wire.py 121); on the platform no cell was cell 0 and an unreadable one dropped the event with all its rows (told.py 95); a cell beyond the places counted as holder (brain.py 584): cell 99 of 6 for titles in cell 3. A reload took the addresses of a file whose settings no gateway would start with.

Changed: facts_from checks once for both doors and raises BadFact with the key (adapter: one line, status 2; gateway: one line, status 2; reload: refused as a whole, the old one stays). Unknown settings are ignored. A row without a readable cell is unplaced: it holds no title where places are told, and shares no rack.

One old test listed 12 hosts in 6 places; it has 12 places now, its assertion is the same.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -227,8 +227,10 @@
             if host is None:
                 link_kb = row.weight * self.fleet.link_unit_kb or self.fleet.links_kb / len(rows)
                 self.named += 1
-                host = MediaHost(self.named, row, link_kb, self.most_sent,
-                                 *self.racks[row.cell % len(self.racks)])  # fmt: skip
+                # Guards against a host without a place counting on the uplink of a rack that it is not in.
+                apart = Use(self.fleet.uplink_kb or 1e12), list[MediaHost]()
+                rack = self.racks[row.cell % len(self.racks)] if row.cell >= 0 else apart
+                host = MediaHost(self.named, row, link_kb, self.most_sent, *rack)
                 host.rack.append(host)
                 self.hosts[row.host] = host
                 host.tick_at = now + self.chance.random() * TICK
@@ -589,9 +591,10 @@
         held = self.holders.get(cells)
         if held is None:
             (first, spread), places = cells, self.fleet.cells
+            # A cell beyond the places holds nothing: no title's cells reach it.
             held = self.holders[cells] = [
-                h for h in self.hosts.values()
-                if h.listed and (places <= 0 or (h.row.cell - first) % places < spread)
+                h for h in self.hosts.values() if h.listed and (
+                    places <= 0 or 0 <= h.row.cell < places and (h.row.cell - first) % places < spread)
             ]  # fmt: skip
         return held
 
--- a/ledgehitch/facts.py
+++ b/ledgehitch/facts.py
@@ -3,9 +3,11 @@
 Both doors derive them here: the bench adapter from pairs of path and value (`nested` folds them), the
 platform's gateway from nested JSON. Names and units are those of the first message of the simulator's wire:
 times in milliseconds, rates in kB a second; what comes out is in seconds. A value that is missing, empty or
-`-` is its default; one that is not what it should be raises `BadFact`, which names its key.
+`-` is its default; one that is not what it should be, that contradicts another or has no safe default raises
+`BadFact`, which names its key. Settings that nothing here reads are ignored.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -51,9 +53,12 @@
     try:
         if isinstance(value, bool) or not isinstance(value, (int, float, str)):
             raise ValueError
-        return float(value)
-    except ValueError:
+        number = float(value)
+    except (ValueError, OverflowError):
         raise BadFact(f"{path}: {value!r:.60} is no number") from None
+    if not 0 <= number < math.inf:  # also what is no number by its own name
+        raise BadFact(f"{path}: {value!r:.60} is out of range")
+    return number
 
 
 def _number(conf: Conf, path: str, default: float = 0.0) -> float:
@@ -191,9 +196,69 @@
     return Ladder(kb, tuple(_numbers(conf, "familyInfo.rungWorth")))
 
 
+EFFECTS, SCOPES = ("repeatable", "by_key", "once"), ("all", "zone", "cell")
+BY_CLASS = ("classScale", "floorByClass", "classTop", "seats", "live")
+IF_COLD = ("rules.coldShare", "rules.fallMultiple", "rules.tipAfter", "peersTotal", "familyInfo.kindSlots")
+
+
+def _wants(holds: bool, path: str, why: str) -> None:
+    if not holds:
+        raise BadFact(f"{path}: {why}")
+
+
+def _check_ladder(ladder: Ladder) -> None:
+    rungs, earns = len(ladder.kb), len(ladder.earns)
+    _wants(rungs > 0, "familyInfo.levelKb", "missing")
+    rises = all(a < b for a, b in zip((0.0, *ladder.kb), ladder.kb, strict=False))
+    _wants(rises, "familyInfo.levelKb", "rates must rise from above 0")
+    _wants(earns == rungs, "familyInfo.rungWorth", f"{earns} figures for {rungs} rungs")
+
+
+def _check_packages(conf: Conf, packages: Sequence[Package], rungs: int) -> None:
+    _wants(len(packages) > 0, "categories", "missing")
+    for path in (f"familyInfo.{key}" for key in BY_CLASS):
+        given = len(_parts(conf, path))
+        _wants(given in (0, len(packages)), path, f"{given} figures for {len(packages)} categories")
+    for i, (p, sold) in enumerate(zip(packages, _objects(conf, "categories"), strict=True)):
+        at = f"categories.{i}"
+        _wants(p.name != "", f"{at}.name", "missing")
+        _wants(p.name not in [other.name for other in packages[:i]], f"{at}.name", f"{p.name!r:.60} twice")
+        _wants(p.join_target > 0, f"{at}.onTime", "missing or 0")
+        _wants(p.patience > 0, f"{at}.deadline", "missing or 0")
+        # Guards against what may be set up once only being taken for harmless.
+        _wants(_at(sold, "effect") is not None, f"{at}.effect", "missing")
+        _wants(p.effect in EFFECTS, f"{at}.effect", f"{p.effect!r:.60} is none of {', '.join(EFFECTS)}")
+        if p.effect == "by_key":
+            _wants(_at(sold, "keyScope") in SCOPES, f"{at}.keyScope", f"none of {', '.join(SCOPES)}")
+        _wants(p.scale > 0, "familyInfo.classScale", f"0 for {p.name!r:.60}")
+        top = min(p.top, rungs - 1)
+        _wants(p.floor <= top, "familyInfo.floorByClass", f"{p.floor} for {p.name!r:.60}, whose top is {top}")
+
+
+def _check_fleet(conf: Conf, fleet: Fleet, terms: Terms) -> None:
+    kinds, slots = len(_parts(conf, "kinds")), len(_parts(conf, "familyInfo.kindSlots"))
+    _wants(slots in (0, kinds), "familyInfo.kindSlots", f"{slots} figures for {kinds} kinds")
+    if terms.warm_up > 0:
+        # Guards against a cold media host that gets more than it bears because a figure was left out.
+        for path in IF_COLD:
+            _wants(_at(conf, path) is not None, path, "missing, while rules.warmUp is set")
+        _wants(terms.cold_share <= 1, "rules.coldShare", f"{terms.cold_share:g} is more than the whole")
+    if _at(conf, "peersTotal") is not None:
+        _wants(terms.ordinal < terms.gateways, "ordinal", f"{terms.ordinal} of {terms.gateways} gateways")
+    for path in ("rules.extraFree", "rules.resendRatio"):
+        given = _at(conf, path) is None or terms.extra_window > 0
+        _wants(given, "rules.extraWindow", f"missing or 0, while {path} is set")
+    how = _text(conf, "discovery", "pushed")
+    _wants(how in ("pushed", "on_request"), "discovery", f"{how!r:.60} is neither pushed nor on_request")
+
+
 def facts_from(conf: Conf) -> tuple[Ladder, tuple[Package, ...], Fleet, Terms]:
-    """All of them, in the order in which `Gateway` takes them."""
-    return ladder_of(conf), packages_of(conf), fleet_of(conf), terms_of(conf)
+    """All of them, in the order in which `Gateway` takes them; raises `BadFact`."""
+    ladder, packages, fleet, terms = ladder_of(conf), packages_of(conf), fleet_of(conf), terms_of(conf)
+    _check_ladder(ladder)
+    _check_packages(conf, packages, len(ladder.kb))
+    _check_fleet(conf, fleet, terms)
+    return ladder, packages, fleet, terms
 
 
 @dataclass(frozen=True)
--- a/ledgehitch/interface.py
+++ b/ledgehitch/interface.py
@@ -91,12 +91,15 @@
     cross_price: float = 0.0
 
 
+UNPLACED = -1  # the cell of a media host whose row names none
+
+
 @dataclass(frozen=True)
 class Row:
     """One media host as a list names it."""
 
     host: str
-    cell: int
+    cell: int  # from 0; `UNPLACED` where the row names none
     weight: float
     kind: str
     zone: str
--- a/ledgehitch/platform/__main__.py
+++ b/ledgehitch/platform/__main__.py
@@ -31,7 +31,11 @@
 def told_from(path: str) -> Told:
     """Raises `BadFact`, or `OSError` for a file that is not there."""
     with open(path, "rb") as file:
-        return read(file.read())
+        told = read(file.read())
+    # Guards against a reload that takes addresses from a file whose settings no gateway would start with.
+    facts_from(told.settings)
+    reach_of(told.settings)
+    return told
 
 
 class Running:
--- a/ledgehitch/platform/told.py
+++ b/ledgehitch/platform/told.py
@@ -4,12 +4,13 @@
 """
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from ledgehitch.facts import BadFact
-from ledgehitch.interface import Row
+from ledgehitch.interface import UNPLACED, Row
 
 STATES = {"ready": "in_service", "draining": "terminating", "gone": "terminated"}
 
@@ -56,6 +57,11 @@
             rows_of(entry, 0.0)
         except (KeyError, TypeError, ValueError) as why:
             raise BadFact(f"known.entries: {why}") from None
+    memory_mb = float(_of(limits, "limits.memory_mb", (int, float), 64))
+    sockets = _of(limits, "limits.sockets", int, 256)
+    for key, value in (("limits.memory_mb", memory_mb), ("limits.sockets", sockets)):
+        if not 0 < value < math.inf:
+            raise BadFact(f"{key}: {value!r:.60} is out of range")
     peers = _of(thing, "peers", list, [])
     for address in (_of(thing, "listen", str), _of(thing, "journal", str), *peers):
         _address(address)
@@ -63,8 +69,8 @@
         name=_of(thing, "name", str, ""),
         listen=thing["listen"],
         seed=number,
-        memory_mb=float(_of(limits, "limits.memory_mb", (int, float), 64)),
-        sockets=int(_of(limits, "limits.sockets", int, 256)),
+        memory_mb=memory_mb,
+        sockets=sockets,
         peer_listen=_of(thing, "peer_listen", str, ""),
         peers=tuple(peers),
         journal=thing["journal"],
@@ -79,6 +85,12 @@
         raise BadFact(f"{text!r:.60} is no address such as 127.0.0.1:80")
 
 
+def _cell(value: Any) -> int:
+    """Guards against a row without a place, or with one that cannot be read, being taken for the first cell's
+    or keeping the rows beside it from being heard."""
+    return value if isinstance(value, int) and not isinstance(value, bool) else UNPLACED
+
+
 def rows_of(entry: Mapping[str, Any], ahead: float) -> tuple[str, list[tuple[Row, str]]] | None:
     """An event of the journal as the module is told it, each row with its address; None for one that is not
     of the media hosts. `ahead` is what the system's clock is ahead of the gateway's, in seconds. Raises
@@ -92,7 +104,7 @@
             began = float(m.get("up_since_ms") or 0) / 1000
             _address(m["host_port"])
             row = Row(
-                str(m["id"]), int(m.get("cell", 0)), float(m.get("size", 1)), str(m.get("flavor", "")),
+                str(m["id"]), _cell(m.get("cell")), float(m.get("size", 1)), str(m.get("flavor", "")),
                 str(m.get("locality", "")), STATES[m["phase"]], began - ahead if began else 0.0,
             )  # fmt: skip
             rows.append((row, m["host_port"]))
--- a/ledgehitch/simhost/wire.py
+++ b/ledgehitch/simhost/wire.py
@@ -11,6 +11,7 @@
 from ledgehitch.brain import Gateway
 from ledgehitch.facts import facts_from, nested
 from ledgehitch.interface import (
+    UNPLACED,
     Abort,
     Block,
     Decision,
@@ -118,7 +119,9 @@
                         raise ValueError("row outside a list")
                     wanted -= 1
                     cell, weight, kind, host, zone, state, started = parts
-                    rows.append(Row(host, int(cell), _num(weight), kind, zone, state, _ms(started)))
+                    # Guards against one row without a place ending all instances.
+                    place = UNPLACED if cell == "-" else int(cell)
+                    rows.append(Row(host, place, _num(weight), kind, zone, state, _ms(started)))
                 elif name == "create":
                     facts = facts_from(nested(part.partition("=")[::2] for part in parts[1:]))
                     self.instances[at] = Instance(Gateway(int(parts[0]), now, *facts))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -141,6 +141,26 @@
     assert 512 < sent <= limit < 1000
 
 
+@pytest.mark.parametrize("cell", [say.UNPLACED, 99])
+def test_a_row_of_unknown_place_kind_and_zone_harms_no_other_host(cell: int) -> None:
+    """Once it counted as holder of whatever its cell came to, and on the uplink of a rack not its own."""
+    gw = gateway()
+    odd = say.Row("odd", cell, 2.0, "nobody-knows", "nowhere", "in_service", NOW - 1)
+    gw.listed(NOW, "incr", [odd])
+    for vw in range(12):
+        ask(gw, NOW, vw)
+    sent = [d.host for d in pulled(gw, NOW) if isinstance(d, say.TuneIn)]
+    assert len(sent) == 12 and "odd" not in sent
+    if cell == say.UNPLACED:
+        assert all("odd" not in [h.row.host for h in rack] for _, rack in gw.racks)
+    everywhere = gateway(fleet=replace(FLEET, cells=0))
+    everywhere.listed(NOW, "total", [odd])
+    for vw in range(40):
+        ask(everywhere, NOW, vw)
+    held = sum(isinstance(d, say.TuneIn) for d in pulled(everywhere, NOW))
+    assert 1 <= held <= 3, "an unknown kind has the smallest budget: 30 places, 6 in two seconds, one of two"
+
+
 def test_one_host_standing_still_does_not_blame_its_rack() -> None:
     gw = gateway()
     for vw, host in enumerate(["h0", "h2", "h4"]):
@@ -207,9 +227,9 @@
 def test_unread_holders_do_not_draw_every_gateway_to_the_same_one() -> None:
     taken = set()
     for seed in range(20):
-        gw = Gateway(seed, 100.0, LADDER, (PLAIN,), FLEET, TERMS)
+        gw = Gateway(seed, 100.0, LADDER, (PLAIN,), replace(FLEET, cells=12), TERMS)
         gw.listed(100.0, "warm_copy", rows(12))
-        ask(gw, NOW, 1)
+        ask(gw, NOW, 1, spread=12)
         taken |= {d.host for d in pulled(gw, NOW) if isinstance(d, say.TuneIn)}
     assert len(taken) > 4
 
@@ -283,7 +303,8 @@
 
 
 CREATE = "create 5 familyInfo.levelKb=100,200 rules.warmUp=0 ceilings.tryLimit=2 categories.count=1 " + (
-    "categories.0.name=p categories.0.onTime=800 familyInfo.linkUnitKb=900"
+    "categories.0.name=p categories.0.onTime=800 familyInfo.linkUnitKb=900 familyInfo.rungWorth=0.5,1 "
+    "categories.0.effect=repeatable categories.0.deadline=3000"
 )
 LIST = "snapshot_rows 0 1\nrow 0 1 k a:1 z in_service -\nview warm_copy 1 0\n"
 
@@ -297,6 +318,12 @@
     assert out.splitlines()[-1] == "ack\t3"
 
 
+def test_a_row_without_a_cell_ends_nothing() -> None:
+    two = LIST.replace("rows 0 1", "rows 0 2").replace("row 0", "row - 1 k b:1 z in_service -\nrow 0", 1)
+    code, out, err = run(f"batch 2000 1\nat 3\n{CREATE}\n{two}query 9 5000 aa 0 1 - t 0 1 - p\nend\n")
+    assert (code, err) == (0, "") and "forward\t9\ta:1\t450.000" in out
+
+
 @pytest.mark.parametrize(
     "line", ["nonsense 1", "withdrawn", "withdrawn x", "view total 1 7", "snapshot_rows 0 2\nat 1"]
 )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -13,8 +14,9 @@
 from ledgehitch.brain import Gateway
 from ledgehitch.facts import BadFact, facts_from, nested, reach_of
 from ledgehitch.gate import Gate, Shut
-from ledgehitch.interface import Package, Row
+from ledgehitch.interface import UNPLACED, Package, Row
 from ledgehitch.platform import lines
+from ledgehitch.platform.__main__ import main as platform
 from ledgehitch.platform.bounds import bounds_of
 from ledgehitch.platform.desk import Answer, Desk, Leave, Release
 from ledgehitch.platform.life import Life
@@ -403,7 +405,8 @@
 @pytest.mark.parametrize(
     "key, value",
     [("listen", 5), ("listen", "nowhere"), ("journal", None), ("seed", "xyz"), ("limits", []),
-     ("settings", 1), ("known", {"entries": [{"pos": "a"}]}), ("peers", [7])],
+     ("settings", 1), ("known", {"entries": [{"pos": "a"}]}), ("peers", [7]),
+     ("limits", {"memory_mb": -1}), ("limits", {"memory_mb": float("nan")}), ("limits", {"sockets": 0})],
 )  # fmt: skip
 def test_a_configuration_that_is_wrong_names_its_key(key: str, value: Any) -> None:
     assert read(json.dumps(CONFIG).encode()).sockets == 256
@@ -419,6 +422,71 @@
         facts_from({**SETTINGS, "categories": "x"})
 
 
+def changed(path: str, value: Any) -> dict[str, Any]:
+    """The settings with one of them changed, or taken out where the value is `...`."""
+    out = json.loads(json.dumps(SETTINGS))
+    *way, last = path.split(".")
+    at = out
+    for part in way:
+        at = at[int(part)] if isinstance(at, list) else at[part]
+    at.pop(last) if value is ... else at.update({last: value})
+    return dict(out)
+
+
+WRONG: list[tuple[str, Any, str]] = [
+    ("rules.warmUp", -1, ""), ("rules.tipAfter", "nan", ""), ("prices.crossZone", float("inf"), ""),
+    ("familyInfo.linkUnitKb", 10**400, ""), ("rules.coldShare", ..., ""), ("rules.coldShare", 1.5, ""),
+    ("rules.fallMultiple", ..., ""), ("rules.tipAfter", ..., ""), ("peersTotal", ..., ""), ("ordinal", 3, ""),
+    ("familyInfo.kindSlots", ..., ""), ("familyInfo.kindSlots", [30, 20], ""), ("discovery", "guessed", ""),
+    ("categories", ..., ""), ("categories", [], ""), ("categories.0.name", ..., ""),
+    ("categories.0.deadline", ..., ""), ("categories.0.onTime", 0, ""), ("categories.0.effect", ..., ""),
+    ("categories.0.effect", "maybe", ""), ("categories.0.effect", "by_key", "categories.0.keyScope"),
+    ("familyInfo.levelKb", ..., ""), ("familyInfo.levelKb", [100, 400, 200], ""),
+    ("familyInfo.rungWorth", [0.2, 1], ""), ("familyInfo.floorByClass", [3], ""),
+    ("familyInfo.classTop", [0], "familyInfo.floorByClass"), ("familyInfo.floorByClass", [0, 0], ""),
+    ("familyInfo.seats", [-1], ""), ("familyInfo.classScale", [0], ""),
+    ("rules.extraFree", 3, "rules.extraWindow"), ("rules.resendRatio", 0.1, "rules.extraWindow"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("path, value, named", WRONG)
+def test_a_setting_without_safe_default_out_of_range_or_contradictory_is_named_at_both_doors(
+    path: str, value: Any, named: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    floored = changed("familyInfo.floorByClass", [1]) if path == "familyInfo.classTop" else SETTINGS
+    monkeypatch.setattr("tests.test_platform.SETTINGS", floored)
+    conf = changed(path, value)
+    with pytest.raises(BadFact, match=f"^{named or path}: "):
+        facts_from(conf)
+    line = "create\t7\t" + "\t".join(pairs(conf))
+    out, err = io.BytesIO(), io.StringIO()
+    assert simhost(io.BytesIO(f"batch\t1000\t1\nat\t0\n{line}\nend\n".encode()), out, err) == 2
+    assert f"{named or path}: " in err.getvalue() and err.getvalue().count("\n") == 1
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({**CONFIG, "settings": conf}))
+    monkeypatch.setenv("ROUTER_CONFIG", str(file))
+    assert platform() == 2
+    told = capsys.readouterr().err
+    assert f"{named or path}: " in told and told.count("\n") == 1
+
+
+def test_settings_that_nothing_reads_are_ignored_and_a_site_without_warm_up_needs_no_figures_for_it() -> None:
+    odd = {**SETTINGS, "novel": {"kind": [-1, "x"]}, "rules": {**SETTINGS["rules"], "novel": "nan"}}
+    assert facts_from(odd) == facts_from(SETTINGS)
+    bare = {key: value for key, value in SETTINGS.items() if key not in ("peersTotal", "ordinal")}
+    assert facts_from({**bare, "rules": {"warmUp": 0}})[3].gateways == 1
+
+
+def test_a_row_without_a_readable_cell_keeps_no_other_from_being_heard() -> None:
+    """Once no cell was the first one, and one that could not be read dropped all rows beside it."""
+    plain = {"host_port": "127.0.0.1:9", "phase": "ready", "size": 4}
+    members = [{**plain, "id": "a"}, {**plain, "id": "b", "cell": "?"}, {**plain, "id": "c", "cell": 2}]
+    news = rows_of({"hosts": {"members": members}}, 0.0)
+    assert news is not None
+    assert [(row.host, row.cell) for row, _ in news[1]] == [("a", UNPLACED), ("b", UNPLACED), ("c", 2)]
+
+
 def test_rows_carry_the_gateways_clock_and_bounds_fit_the_limits() -> None:
     told = read(json.dumps(CONFIG).encode())
     news = rows_of(told.known[0][1], 2.0)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -427,9 +427,17 @@
             v.set_up(n)
             assert v.answer()[0] == "200"
         assert not world.hosts[0].out() and not judge(world.log)
+        was = json.loads(world.path.read_text())
         world.path.write_text("{")
         world.process.send_signal(signal.SIGHUP)
         world.until(lambda: "reload-failed" in world.errors.read_text())
+        # Once the addresses of a file were taken whose settings no gateway would start with.
+        rules = {**SETTINGS["rules"], "warmUp": "soon"}
+        wrong = {**was, "journal": "127.0.0.1:9", "settings": {**SETTINGS, "rules": rules}}
+        world.path.write_text(json.dumps(wrong))
+        world.process.send_signal(signal.SIGHUP)
+        world.until(lambda: "rules.warmUp" in world.errors.read_text())
+        assert "journal=127.0.0.1:9" not in world.errors.read_text()
         world.journal = world.serve_journal()
         world.write()
         world.process.send_signal(signal.SIGHUP)
