Nobody is asked before a set-up where an answer tells no use of a link

Seen, by hand: probes allowed, reports `active` alone or none at all, holders that answer each probe: every viewing asks one after the other and sends nothing while it may ask, since no answer makes a holder read. Line at fault: brain.py, `unread` in _place counts hosts without a reading of the link, whatever the reports can tell. Excluded: the limit on asking (it now ends at the join target, which here is 8 probes and a late join for each viewing). It may hurt where such probes would have shown which host stands still; the module never used that.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -192,6 +192,9 @@
         self.stale = max(1.0, TRUST * (fleet.told_every or 2.0))
         self.x1 = "x1" in fleet.load_fields  # whether the use of uplinks is reported
         self.must_probe = fleet.reports == "pull" and terms.may_probe
+        # Guards against probes before a set-up, and a wait for each, whose answer tells no use of a link.
+        tells = fleet.reports != "silent" and not {"x0", "cpu"}.isdisjoint(fleet.load_fields)
+        self.may_ask = terms.may_probe and tells
         self.usual = USUAL  # use of a link, as reports have it lately
         self.inputs = 0  # counts what was told
         self.holders: dict[tuple[int, int], list[MediaHost]] = {}  # by cells, as far as the list says
@@ -544,7 +547,7 @@
             # Guards against a viewing held to patience by holders that answer no probe, or without a reading:
             # it asks again only up to its join target, then those drawn by chance are tried unread.
             ask = v.asks is None or not holders and v.asks_until <= now < v.asked_at + v.package.join_target
-            if self.terms.may_probe and unread and ask and len(holders) < ENOUGH:
+            if self.may_ask and unread and ask and len(holders) < ENOUGH:
                 v.asks, v.asks_until = self.chance.choice(unread), now + ANSWERS
                 yield say.Probe(v.asks.row.host)
             if v.asks in unread and now < v.asks_until:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -365,6 +365,22 @@
     assert tried == TERMS.tune_ins and 1 <= asks <= 9
 
 
+@pytest.mark.parametrize(
+    "fields, reports, asks",
+    [(("x0",), "pull", 1), (("active", "cpu"), "piggyback", 1), (("active", "x1"), "piggyback", 0),
+     (("x0",), "silent", 0)],
+)  # fmt: skip
+def test_nobody_is_asked_where_an_answer_tells_no_use_of_a_link(fields: tuple[str, ...], reports: str,
+                                                                asks: int) -> None:  # fmt: skip
+    """Once each viewing there asked holder after holder, and waited for each answer in vain."""
+    fleet = replace(FLEET, load_fields=fields, reports=reports)
+    gw = gateway(terms=replace(TERMS, may_probe=True, may_tell=False), fleet=fleet)
+    ask(gw, 200.0, 1)
+    decisions = pulled(gw, 200.0)
+    assert sum(isinstance(d, say.Probe) for d in decisions) == asks
+    assert sum(isinstance(d, say.TuneIn) for d in decisions) == 1 - asks
+
+
 def test_restarted_gateway_asks_a_doubted_host_and_uses_it_once_others_are_seen_to_play_there() -> None:
     gw = gateway(terms=replace(TERMS, may_probe=True, gateways=900, ordinal=899))
     ask(gw, 100.0, 1)
