What was never read is never taken for fresh, also on a machine that has just booted

Seen, by hand: with a clock that starts at 0 a gateway asks no holder and looks at all unread ones for its first 9 s, with one that starts at 100 it asks one. Excluded: other times that begin at 0: share_at, aside_until, cold_until begin far in the past, tick_at is set when listed.

The test fails on the old code.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -71,7 +71,7 @@
     def __init__(self, cap_kb: float) -> None:
         self.cap_kb = max(cap_kb, 1e-9)
         self.value: float | None = None
-        self.at = 0.0
+        self.at = -math.inf  # never: guards against a clock near 0, at which what was never read looks fresh
         self.changes: deque[tuple[float, float]] = deque()
         self.changed_kb = 0.0  # their sum
         self.version = 0  # counts what was read and changed
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -234,6 +234,21 @@
     assert len(taken) > 4
 
 
+def test_the_clock_may_start_anywhere() -> None:
+    """Once what was never read looked as if it were read at 0, so that a machine just booted asked nobody."""
+    decided = []
+    for start in (0.0, 3.0, 100.0, 634345.0):
+        gw = Gateway(7, start, LADDER, (PLAIN,), FLEET, replace(TERMS, may_probe=True, warm_up=0.0))
+        gw.listed(start, "warm_copy", rows())
+        said: list[str] = []
+        for vw in range(4):
+            gw.asked(start + vw, vw, "plain", "t1", 0, 6, 3, start + vw + 3.0)
+            for step in range(3):
+                said += [type(d).__name__ + getattr(d, "host", "") for d in pulled(gw, start + vw + step / 8)]
+        decided.append(said)
+    assert "Probe" in str(decided[0]) and all(said == decided[0] for said in decided)
+
+
 def test_gateway_that_stood_still_answers_at_once_what_has_waited_too_long() -> None:
     gw = gateway()
     gw.asked(NOW, 1, "plain", "t1", 0, 6, 3, NOW - 0.5)  # its patience is over already
