Where nothing fits viewers are told at once and when to come back: shown on a running gateway

Scripted viewers and media hosts on loopback: full hosts (453 within 0.8 s of 3 s) and hosts that answer neither set-up nor probe (453 after the tries, within 2.6 s), both with the advice that the settings allow. No code changed.

--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -77,6 +77,7 @@
         self.heard: list[hostline.codec.Message] = []
         self.streams: list[Stream] = []
         self.accepted = 0
+        self.echoes = True
         self.listener = Listener(world.loop, endpoint("127.0.0.1:0"))
         self.at = str(self.listener.at)
         world.loop.spawn(self._serve, name=name)
@@ -107,7 +108,7 @@
                             stream.send(answer)
                     elif verb == "FINISH":
                         self.world.log.append(("end", tag, self.name))
-                    elif verb == "ECHO":
+                    elif verb == "ECHO" and self.echoes:
                         stream.send(hostline.written("ECHOED", tag, {"load": "x0:0.1;active:1"}, 1))
         except OSError:
             pass
@@ -178,8 +179,9 @@
 
 
 class World:
-    def __init__(self, loop: Loop, hosts: int, folder: Path) -> None:
+    def __init__(self, loop: Loop, hosts: int, folder: Path, ceilings: dict[str, Any]) -> None:
         self.loop, self.folder = loop, folder
+        self.ceilings = {**SETTINGS["ceilings"], "peerMessages": True, **ceilings}
         self.log: Log = []
         self.calls: list[str] = []  # Last-Event-ID of each call to the journal
         self.feeds: list[Stream] = []
@@ -211,7 +213,7 @@
     def write(self) -> None:
         hosts = {"revision": 1, "complete": True, "members": self.members()}
         entry = {"pos": 1, "hosts": hosts}
-        settings = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], "peerMessages": True}}
+        settings = {**SETTINGS, "ceilings": self.ceilings}
         settings["rules"] = {**SETTINGS["rules"], "warmUp": 0}  # no media host counts as just started
         config = {"name": "n0", "listen": self.listen, "seed": "7",
                   "limits": {"memory_mb": 32, "sockets": 256}, "peer_listen": self.peer_listen,
@@ -271,9 +273,9 @@
 
 
 @contextmanager
-def running(loop: Loop, hosts: int = 2) -> Iterator[tuple[World, Viewers]]:
+def running(loop: Loop, hosts: int = 2, **ceilings: Any) -> Iterator[tuple[World, Viewers]]:
     with tempfile.TemporaryDirectory() as folder:
-        world = World(loop, hosts, Path(folder))
+        world = World(loop, hosts, Path(folder), ceilings)
         try:
             yield world, world.ready()
             assert world.process.poll() is None or world.process.returncode == 0
@@ -503,6 +505,30 @@
             v.next(0.3)
 
 
+def nothing(tag: str) -> None:
+    return None
+
+
+def turned_away(tag: str) -> bytes:
+    return hostline.written("FINISH", tag, {"load": "x0:1.2;active:30"}, 34)
+
+
+@on_loop
+def test_where_nothing_fits_viewers_are_told_at_once_and_when_to_come_back(loop: Loop) -> None:
+    """Full media hosts, then ones that answer nothing: there once held for 2.97 of 3 s, and nothing sent."""
+    for silent, within in ((False, 0.8), (True, 2.6)):
+        with running(loop, retryAfter=True, maxRetryAfter=400) as (world, v):
+            for h in world.hosts:
+                h.echoes, h.how = not silent, nothing if silent else turned_away
+            began = time.monotonic()
+            v.set_up(1)
+            _, status, fields, _ = v.next()
+            took = time.monotonic() - began
+            assert (status, fields["session"], fields["retry-after"]) == ("453", sid(1), "0.400")
+            assert took < within and not judge(world.log)
+            assert any(what == "start" for what, *_ in world.log), "somebody was tried"
+
+
 def test_a_configuration_that_is_missing_or_wrong_ends_with_one_line() -> None:
     with tempfile.TemporaryDirectory() as folder:
         wrong = Path(folder) / "config.json"
