Asking also ends at 0.4 of patience, where the join target is as long as patience

Seen on reading the change: a class whose join target is its patience would again be asked for until patience ends (brain.py, the limit of `ask` in _place). The test with 3 s of both fails without it. Also: the classes' lists are named once in facts.py, and a memory limit of absurd size is named instead of ending in an OverflowError.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -545,8 +545,9 @@
             # Guards against gateways that know little all going to one media host, or to one that is full or
             # stands still or just started: where they may ask, one without a reading is asked first.
             # Guards against a viewing held to patience by holders that answer no probe, or without a reading:
-            # it asks again only up to its join target, then those drawn by chance are tried unread.
-            ask = v.asks is None or not holders and v.asks_until <= now < v.asked_at + v.package.join_target
+            # it asks again up to its join target, well before patience, then some are tried unread by chance.
+            latest = v.asked_at + min(v.package.join_target, WAIT_PART * v.package.patience)
+            ask = v.asks is None or not holders and v.asks_until <= now < latest
             if self.may_ask and unread and ask and len(holders) < ENOUGH:
                 v.asks, v.asks_until = self.chance.choice(unread), now + ANSWERS
                 yield say.Probe(v.asks.row.host)
--- a/ledgehitch/facts.py
+++ b/ledgehitch/facts.py
@@ -20,6 +20,7 @@
 
 
 Conf = Mapping[str, Any]
+BY_CLASS = ("classScale", "floorByClass", "classTop", "seats")  # lists of numbers, one for each class
 
 
 def nested(pairs: Iterable[tuple[str, str]]) -> dict[str, Any]:
@@ -125,8 +126,7 @@
 
 
 def packages_of(conf: Conf) -> tuple[Package, ...]:
-    by_class = ("classScale", "floorByClass", "classTop", "seats")
-    fam = {k: _numbers(conf, "familyInfo." + k) for k in by_class}
+    fam = {k: _numbers(conf, "familyInfo." + k) for k in BY_CLASS}
     live = _parts(conf, "familyInfo.live")
     return tuple(
         Package(
@@ -197,7 +197,6 @@
 
 
 EFFECTS, SCOPES = ("repeatable", "by_key", "once"), ("all", "zone", "cell")
-BY_CLASS = ("classScale", "floorByClass", "classTop", "seats", "live")
 IF_COLD = ("rules.coldShare", "rules.fallMultiple", "rules.tipAfter", "peersTotal", "familyInfo.kindSlots")
 
 
@@ -216,7 +215,7 @@
 
 def _check_packages(conf: Conf, packages: Sequence[Package], rungs: int) -> None:
     _wants(len(packages) > 0, "categories", "missing")
-    for path in (f"familyInfo.{key}" for key in BY_CLASS):
+    for path in (f"familyInfo.{key}" for key in (*BY_CLASS, "live")):
         given = len(_parts(conf, path))
         _wants(given in (0, len(packages)), path, f"{given} figures for {len(packages)} categories")
     for i, (p, sold) in enumerate(zip(packages, _objects(conf, "categories"), strict=True)):
--- a/ledgehitch/platform/told.py
+++ b/ledgehitch/platform/told.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -12,6 +11,7 @@
 from ledgehitch.facts import BadFact
 from ledgehitch.interface import UNPLACED, Row
 
+MOST = 1 << 40  # no machine has so many MB or descriptors
 STATES = {"ready": "in_service", "draining": "terminating", "gone": "terminated"}
 
 
@@ -57,10 +57,10 @@
             rows_of(entry, 0.0)
         except (KeyError, TypeError, ValueError) as why:
             raise BadFact(f"known.entries: {why}") from None
-    memory_mb = float(_of(limits, "limits.memory_mb", (int, float), 64))
+    memory_mb = _of(limits, "limits.memory_mb", (int, float), 64)
     sockets = _of(limits, "limits.sockets", int, 256)
     for key, value in (("limits.memory_mb", memory_mb), ("limits.sockets", sockets)):
-        if not 0 < value < math.inf:
+        if not 0 < value < MOST:  # also what is no number by its own name
             raise BadFact(f"{key}: {value!r:.60} is out of range")
     peers = _of(thing, "peers", list, [])
     for address in (_of(thing, "listen", str), _of(thing, "journal", str), *peers):
@@ -69,7 +69,7 @@
         name=_of(thing, "name", str, ""),
         listen=thing["listen"],
         seed=number,
-        memory_mb=memory_mb,
+        memory_mb=float(memory_mb),
         sockets=sockets,
         peer_listen=_of(thing, "peer_listen", str, ""),
         peers=tuple(peers),
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -360,6 +360,13 @@
     assert any(isinstance(d, say.TuneIn) for d in pulled(gw, NOW + 1.2))
 
 
+def test_a_join_target_as_long_as_patience_lets_nobody_ask_until_patience_ends() -> None:
+    gw = gateway(replace(PLAIN, join_target=3.0), replace(TERMS, may_probe=True, may_tell=False))
+    ask(gw, 200.0, 1)
+    first = next(t for t in range(300) for d in pulled(gw, 200 + t / 100) if isinstance(d, say.TuneIn))
+    assert 20 < first <= 0.4 * 300 + 11, "asks again, and then tries one with time left to come to play"
+
+
 def test_holders_that_answer_nothing_are_tried_and_nobody_is_held_to_patience() -> None:
     """Once it asked one after the other for 3 s, sent nothing and blocked 20 ms before patience ended."""
     gw = gateway(terms=replace(TERMS, may_probe=True, may_tell=False, may_advise=True, longest_advice=0.5))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -406,7 +406,8 @@
     "key, value",
     [("listen", 5), ("listen", "nowhere"), ("journal", None), ("seed", "xyz"), ("limits", []),
      ("settings", 1), ("known", {"entries": [{"pos": "a"}]}), ("peers", [7]),
-     ("limits", {"memory_mb": -1}), ("limits", {"memory_mb": float("nan")}), ("limits", {"sockets": 0})],
+     ("limits", {"memory_mb": -1}), ("limits", {"memory_mb": float("nan")}),
+     ("limits", {"memory_mb": 10**400}), ("limits", {"sockets": 0})],
 )  # fmt: skip
 def test_a_configuration_that_is_wrong_names_its_key(key: str, value: Any) -> None:
     assert read(json.dumps(CONFIG).encode()).sockets == 256
