The test of the faulty rack no longer hangs on which viewings timing places there

Seen: make test failed once, "to blame: title clip-2" without rack-1. Cause, from the counts of 40 runs: a viewing stalls by its number (n % 10 in tests/test_quality.py), which numbers land on rack 1 is timing, and so 30 to 38 of about 114 stall there; 30 fails, 31 passes.

--- a/tests/test_quality.py
+++ b/tests/test_quality.py
@@ -4,6 +4,7 @@
 import os
 import random
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -401,6 +402,7 @@
 
         tokens.passes.issue = issued_earlier  # type: ignore[method-assign]
         titles = sorted(rig.gateway.front.titles)
+        nth: Counter[tuple[str, str]] = Counter()
         for n in range(1, 361):
             title = titles[n % 3]
             plays = rig.offer(n, token=f"t{n}", title=title)
@@ -408,7 +410,10 @@
             vw = max(rig.gateway.carrier.viewings)
             rack = rig.gateway.rack_of(rig.gateway.carrier.viewings[vw].host)
             faulty = (rack == "1") * 3 + (title == titles[1]) * 3
-            stalls = [400] if n % 10 < faulty else []
+            # By their order within rack and title: by number alone the share that stalls on a rack swings
+            # with where timing places them, and 30 of 114 is one too few for a verdict.
+            nth[rack, title] += 1
+            stalls = [400] if nth[rack, title] * 7 % 10 < faulty else []
             rig.loop.sleep(0.0)
             body = json.dumps([{"sn": 0, "ts": 1, "bsd": stalls}]).encode()
             assert post(str(plays.header("location")), str(plays.header("report-token")), body).status == 200
