--- a/ledgehitch/cli/daemon.py
+++ b/ledgehitch/cli/daemon.py
@@ -9,6 +9,7 @@
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.run import run_daemon
 from ledgehitch.daemon.why import words_on
+from ledgehitch.fleet.onduty import restarts_of
 from ledgehitch.gateway.versions import started_with
 from ledgehitch.keys.store import Keys
 
@@ -44,7 +45,7 @@
     """
     site, name, source = started_with(site_file, name, state)
     bearer = Keys(keys) if keys is not None else None
-    sys.exit(run_daemon(site, name, seed, state, record, source, logfile, bearer))
+    sys.exit(run_daemon(site, name, seed, state, record, source, logfile, bearer, restarts_of))
 
 
 @click.command("why")
--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -13,18 +13,21 @@
 from rich.table import Table
 
 from ledgehitch.config import BadInput, Site, read_site
+from ledgehitch.daemon.facts import PlanCall, PlanWords
 from ledgehitch.fleet.carry import WITHIN, Caller, Work
 from ledgehitch.fleet.found import Found, Target, counted
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
+from ledgehitch.fleet.owned import Said, cannot_vote, owned
+from ledgehitch.fleet.owned import read as read_owners
 from ledgehitch.fleet.plan import Action, Over, Plan, Rolling, Terms, foretold
 from ledgehitch.fleet.show import COLOURS, line_words
 from ledgehitch.gateway.versions import checked
-from ledgehitch.http import Client, ConnectFailed
+from ledgehitch.http import Client, ConnectFailed, Interrupted
 from ledgehitch.http.client import TLS
 from ledgehitch.keys.contexts import context
 from ledgehitch.keys.judge import Refused, shown, taken
 from ledgehitch.keys.store import Keys
-from ledgehitch.loop import Loop
+from ledgehitch.loop import Loop, TimedOut
 
 GOOD = ("answered", "slow", "draining")
 
@@ -57,6 +60,7 @@
     ) -> None:
         self.site_file, self.admin_dir, self.plans, self.within = site_file, admin_dir, plans, within
         self.cert = cert
+        self.patience = 30.0  # seconds to look for an owner
         self.site = read_site(site_file)
 
     def targets(self, only: tuple[str, ...] = ()) -> list[Target]:
@@ -83,6 +87,51 @@
         found: list[Found] = loop.run(lambda: self.caller(loop).ask_all(self.targets(only)))
         return found
 
+    def asked(self, method: str, path: str, only: tuple[str, ...] = (), body: bytes = b""
+              ) -> list[tuple[str, int, bytes, str]]:  # fmt: skip
+        """Each gateway's name, status (0: no answer), body or why there is none, and the owner it names."""
+        loop, found = Loop(), dict[str, tuple[str, int, bytes, str]]()
+
+        def one(caller: Caller, t: Target) -> None:
+            try:
+                with loop.deadline(self.within):
+                    answer = caller.client.request(t.at, method, path, None, body)
+                found[t.name] = t.name, answer.status, answer.body, answer.header("owner") or ""
+            except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
+                found[t.name] = t.name, 0, str(why or "no whole answer in time").encode(), ""
+
+        def main() -> None:
+            caller = self.caller(loop)
+            for task in [loop.spawn(one, caller, t, name=f"ask {t.name}") for t in self.targets(only)]:
+                task.wait()
+
+        loop.run(main)
+        return [found[t.name] for t in self.targets(only)]
+
+    def said(self) -> list[Said]:
+        return [read_owners(name, status, body) if status else Said(name, None, body.decode())
+                for name, status, body, _ in self.asked("GET", "/v1/owners")]  # fmt: skip
+
+    def planned(self, call: PlanCall) -> dict[str, Any]:
+        """An operator's word at the owner of `restarts`, wherever that is now; it may take a lease to be
+        found."""
+        body, why, until = msgspec.json.encode(call), "", time.monotonic() + self.patience
+        while True:
+            for name, status, answer, _ in self.asked("GET", "/v1/owners"):
+                told = read_owners(name, status, answer)
+                if told.state is None or not told.state["duties"].get("restarts", {}).get("mine"):
+                    continue
+                ((_, status, answer, _),) = self.asked("POST", "/v1/plan", (name,), body)
+                if status == 200:
+                    return dict(msgspec.json.decode(answer, type=dict[str, Any]))
+                why = f"{name}: {_detail(answer) or status}"
+                if status not in (0, 503) and "restarts" not in why:
+                    raise BadInput(why)
+            if time.monotonic() > until:
+                raise BadInput(f"nobody takes it: {why or 'no gateway says that it owns restarts'}; "
+                               "see `fleet owners`")  # fmt: skip
+            time.sleep(0.3)
+
     def lock(self) -> Path:
         self.plans.mkdir(parents=True, exist_ok=True)
         return self.plans / f"{self.site.name}.lock"
@@ -177,11 +226,13 @@
     @click.option("--slow-ms", type=click.FloatRange(0), default=0.0, help="What joins may take at the 99th "
                   "percentile, in the gateways' median; 0: anything.")  # fmt: skip
     @click.option("--halls-together", is_flag=True, help="Do not finish a hall before the next begins.")
+    @click.option("--by-fleet", is_flag=True, help="Leave the plan with the fleet, which carries it out "
+                  "though this tool ends.")  # fmt: skip
     @click.option("--plan", "only_plan", is_flag=True, help="Say what would be done, and do nothing.")
     @click.pass_obj
     def command(work: Fleet, gateways: tuple[str, ...], at_once: int, share: float, drain_within: float,
                 back_within: float, settle: float, failures: int, worse: float, slow_ms: float,
-                halls_together: bool, only_plan: bool) -> None:  # fmt: skip
+                halls_together: bool, by_fleet: bool, only_plan: bool) -> None:  # fmt: skip
         terms = Terms(at_once, share, drain_within, back_within, settle, failures, worse, not halls_together,
                       slow_ms)  # fmt: skip
         digest = ""
@@ -196,6 +247,12 @@
             for number, group in enumerate(foretold(plan), 1):
                 click.echo(f"{number}. {action} {', '.join(group)}")
             return
+        if by_fleet:
+            if action != "restart":
+                raise BadInput("the fleet carries out restarts alone")
+            said = work.planned(PlanCall("begin", msgspec.to_builtins(plan)))
+            click.echo(f"{said['id']} lies with a majority, the fleet carries it out: `fleet plan status`")
+            return
         older = unfinished(work.plans) if work.plans.is_dir() else []
         if older:
             raise BadInput(f"{older[-1]} is not at its end: `fleet resume` or `fleet give-up` first")
@@ -213,6 +270,87 @@
 _rolled("apply", "Have gateways read the site anew, and see that they run it.", "reload")
 
 
+def _detail(body: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(body, type=dict[str, Any]).get("detail", ""))
+    except msgspec.MsgspecError:
+        return body[:200].decode("utf-8", "replace")
+
+
+@fleet.command()
+@click.option("--json", "as_json", is_flag=True)
+@click.pass_obj
+def owners(work: Fleet, as_json: bool) -> None:
+    """Who does the work that one gateway at a time does for all. Exit code 1 where a duty has no owner that
+    is known."""
+    said = work.said()
+    found = owned(said)
+    if as_json:
+        answers = {s.name: s.state if s.state is not None else {"silent": s.why} for s in said}
+        click.echo(msgspec.json.encode({"duties": found, "gateways": answers}).decode())
+    else:
+        table = Table("duty", "is", "owner", "term", "lease left", "does", "refused", "why", box=None)
+        for f in found:
+            left = f"{f.lease_left:.1f} s" if f.lease_left else "-"
+            why = f.why or f.standstill
+            table.add_row(f.duty, f.kind, f.owner or "-", str(f.term), left, f.doing, str(f.refused), why)
+        Console(highlight=False, width=None if sys.stdout.isatty() else 160).print(table)
+        for line in cannot_vote(said):
+            click.echo(line)
+    sys.exit(0 if found and all(f.kind == "owned" for f in found) else 1)
+
+
+@fleet.group("plan")
+def fleet_plan() -> None:
+    """The restart that the fleet itself carries out (`fleet restart --by-fleet`), from any machine."""
+
+
+@fleet_plan.command("status")
+@click.option("--json", "as_json", is_flag=True)
+@click.pass_obj
+def plan_status(work: Fleet, as_json: bool) -> None:
+    """The plan as a majority of the gateways holds it, and what its owner does."""
+    held, silent = [], []
+    answers = work.asked("GET", "/v1/plans")
+    for name, status, body, _ in answers:
+        try:
+            words = msgspec.json.decode(body, type=dict[str, Any])["held"] if status == 200 else None
+            if status != 200:
+                silent.append(name)
+            elif words is not None:
+                held.append(msgspec.convert(words, PlanWords))
+        except (msgspec.MsgspecError, KeyError):
+            silent.append(name)
+    latest = max(held, key=lambda w: (w.term, w.version), default=None)
+    doing = next((f.doing for f in owned(work.said()) if f.duty == "restarts"), "")
+    with_it = [w for w in held if latest is not None and (w.term, w.version) == (latest.term, latest.version)]
+    out = {"plan": msgspec.to_builtins(latest) if latest else None, "doing": doing, "silent": silent,
+           "held_by": len(with_it), "of": len(answers)}  # fmt: skip
+    if as_json:
+        click.echo(json.dumps(out))
+    elif latest is None:
+        click.echo("no plan" + (f"; silent: {', '.join(silent)}" if silent else ""))
+    else:
+        why = f", {latest.why}" if latest.why else ""
+        there = f"with {len(with_it)} of {len(answers)} gateways"
+        click.echo(f"{latest.plan['id']}: {latest.word}{why}; {there}")
+        click.echo(doing or "no owner is known now: it stands still")
+    sys.exit(0 if len(silent) * 2 < len(answers) else 1)
+
+
+def _said(name: str, do: Any, summary: str) -> None:
+    @fleet_plan.command(name, help=summary)
+    @click.pass_obj
+    def command(work: Fleet) -> None:
+        said = work.planned(PlanCall(do))
+        click.echo(f"{said['id']}: {said['word']}")
+
+
+_said("stop", "stop", "Begin nothing more; what is under way comes back by itself.")
+_said("resume", "resume", "Go on with a plan that was stopped, or stopped itself.")
+_said("give-up", "give up", "Say that it is not to be gone on with.")
+
+
 def _work(work: Fleet, journal: Journal, plan: Plan) -> None:
     loop = Loop()
     rolling = Rolling(time.monotonic(), plan, journal.lines[1:])
--- a/ledgehitch/config/compiled.py
+++ b/ledgehitch/config/compiled.py
@@ -123,6 +123,7 @@
         "list_at": data["list_at"],
         "peer_key_file": data["peer_key_file"],
         "door": data["door"],
+        "owners": data["owners"],
     }
 
 
--- a/ledgehitch/config/day.py
+++ b/ledgehitch/config/day.py
@@ -18,7 +18,7 @@
 class Kind:
     """What a kind of fault does to `whom`, and the bounds of its size and extra (None: not used)."""
 
-    whom: Literal["hosts", "links", "uplinks", "list", "gateways", "viewers", "peers"]
+    whom: Literal["hosts", "links", "uplinks", "list", "gateways", "viewers", "peers", "daemons"]
     what: str
     size: tuple[float, float] | None = None
     extra: tuple[float, float] | None = None
@@ -64,6 +64,17 @@
     "peers_lost": Kind("peers", "`size` of the messages between gateways is lost", (0, 1)),
     "list_late": Kind("list", "news of media hosts come `size` s later", (0, 60)),
     "list_lost": Kind("list", "the list service is away"),
+    "wires_cut": Kind(
+        "daemons",
+        "`who` and the others are cut from each other; `extra` 1: it is not heard, 2: it does not hear",
+        None,
+        (0, 2),
+    ),
+    "wires_bad": Kind(
+        "daemons", "`size` of what daemons say is lost and doubled, late by up to `extra` s", (0, 1), (0, 60)
+    ),
+    "daemon_still": Kind("daemons", "`who` stands still (is stopped) and goes on when it is over"),
+    "daemon_killed": Kind("daemons", "`who` is killed and starts again when it is over"),
 }
 
 
@@ -72,6 +83,7 @@
     at: Amount
     len: Positive = 5.0
     part: Share = 0.25
+    who: str = ""  # of daemons: a gateway's name, "hall NAME" or "owner of DUTY"
     size: float | None = None
     extra: float | None = None
 
@@ -190,5 +202,7 @@
                 raise BadInput(f"{at}.{field}: a {fault.kind} has none")
             if not bounds[0] <= value <= bounds[1]:
                 raise BadInput(f"{at}.{field}: {value:g} is not from {bounds[0]:g} to {bounds[1]:g}")
+        if kind.whom == "daemons":
+            raise BadInput(f"{at}.kind: {fault.kind} is played between daemons alone")
         if fault.at >= day.length:
             raise BadInput(f"{at}.at: {fault.at:g} s is after the day's end, {day.length:g} s")
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -91,6 +91,7 @@
     peer_at: str = ""  # where it hears other gateways
     peer_via: str = ""  # where others send to reach it, if not there
     rack: str = ""  # for the order of restarts
+    admin_via: str = ""  # where other gateways call it; empty: admin_at, or their own state directory
     admin_at: str = ""  # where operators call it from other machines, over TLS; empty: its Unix socket alone
     members_at: str = ""  # where it hears whether others are there; empty: it takes no part in membership
     members_via: str = ""  # where others send to reach it, if not there
@@ -117,6 +118,14 @@
     set_ups: Amount = 0.0  # at once, of the whole fleet; 0: only what each gateway finds out itself
 
 
+class OwnersRecord(Record, kw_only=True, frozen=True):
+    """Work for the whole fleet that one gateway at a time does. Times are seconds."""
+
+    lease: Annotated[float, msgspec.Meta(ge=0.5, le=600)] = 10.0  # of a duty's owner
+    verdicts_to: str = ""  # HOST:PORT that takes the fleet's verdicts; empty: nobody does
+    verdicts_every: Annotated[float, msgspec.Meta(ge=0.5)] = 60.0
+
+
 class Site(Record, kw_only=True, frozen=True):
     name: Name
     ladder: Annotated[list[Rung], msgspec.Meta(min_length=1, max_length=32)]
@@ -129,6 +138,7 @@
     list_at: str
     peer_key_file: str = ""
     door: DoorRecord = DoorRecord()
+    owners: OwnersRecord = OwnersRecord()
 
 
 def read_site(path: Path) -> Site:
--- a/ledgehitch/daemon/admin.py
+++ b/ledgehitch/daemon/admin.py
@@ -1,7 +1,8 @@
 """The admin call: what a gateway is and does, and what operators may have it do. HTTP/1.1, version 1.
 
-GET  /v1/state, /v1/viewings, /v1/hosts, /v1/limits, /v1/why/ID     for who may look
-POST /v1/drain, /v1/undrain, /v1/reload                             for who may operate
+GET  /v1/state, /v1/viewings, /v1/hosts, /v1/limits, /v1/why/ID, /v1/owners, /v1/plans   for who may look
+POST /v1/drain, /v1/undrain, /v1/reload, /v1/plan                                  for who may operate
+POST /v1/fence, /v1/plans, and /v1/drain with a term           for the owner of a duty: another gateway
 """
 
 import os
@@ -12,8 +13,24 @@
 import msgspec
 
 from ledgehitch import __version__
-from ledgehitch.daemon.facts import VERSION, Counts, Done, Drain, HostSeen, Reload, Role, State
+from ledgehitch.daemon.facts import (
+    VERSION,
+    Counts,
+    Done,
+    Drain,
+    Fence,
+    Fenced,
+    HostSeen,
+    PlanCall,
+    PlanWords,
+    Reload,
+    Role,
+    State,
+)
 from ledgehitch.daemon.life import Life
+from ledgehitch.daemon.owning import Owning
+from ledgehitch.daemon.plans import MOST as MOST_PLAN
+from ledgehitch.daemon.plans import Plans
 from ledgehitch.daemon.why import words_on
 from ledgehitch.gateway.serve import Running
 from ledgehitch.http import Refused, Request, Response
@@ -30,6 +47,10 @@
         self.running, self.life, self.started_by, self.changed = running, life, started_by, changed
         self.born = time.monotonic()
         self.members: Callable[[], dict[str, str]] = dict
+        self.owning: Owning | None = None  # None: this gateway takes no part in membership
+        self.plans: Plans | None = None
+        # What becomes of an operator's word on the fleet's plan, at the owner: raises `Refused`.
+        self.planned: Callable[[PlanCall], dict[str, Any]] | None = None
 
     def handle(self, request: Request, role: Role) -> Response:
         match request.method, request.path.strip("/").split("/"):
@@ -49,6 +70,20 @@
                 return self._operates(role, self._undrain, None)
             case "POST", ["v1", "reload"]:
                 return self._operates(role, self._reload, self._read(request, Reload))
+            case "GET", ["v1", "owners"]:
+                return self._told(self._owning().state())
+            case "GET", ["v1", "plans"]:
+                return self._told(self._plans().told())
+            case "POST", ["v1", "fence"]:
+                return self._fenced(role, self._read(request, Fence), self.state)
+            case "POST", ["v1", "plans"]:
+                return self._fenced(role, words := self._read(request, PlanWords), lambda: self._left(words))
+            case "POST", ["v1", "plan"]:
+                if role != "operate":
+                    raise Refused(403, "this certificate may look, not operate")
+                return self._told(self._plan(self._read(request, PlanCall)))
+            case _, ["v1", "owners" | "plans" | "plan" | "fence"]:
+                raise Refused(405, f"{request.method} is not done here")
             case _, ["v1", "state" | "hosts" | "limits" | "viewings" | "drain" | "undrain" | "reload"]:
                 raise Refused(405, f"{request.method} is not done here")
         raise Refused(404, f"nothing at {request.path[:100]!r}; this is version {VERSION}: /v1/state")
@@ -63,9 +98,57 @@
         except msgspec.MsgspecError as wrong:
             raise Refused(400, f"the call does not read: {wrong}") from None
 
+    def _owning(self) -> Owning:
+        if self.owning is None:
+            raise Refused(409, "this gateway has no part in membership: see members_at, peer_key_file")
+        return self.owning
+
+    def _plans(self) -> Plans:
+        self._owning()
+        assert self.plans is not None
+        return self.plans
+
+    def _pass(self, what: Fenced) -> None:
+        """Guards against an owner that woke up late: a term below the highest one seen here is refused, with
+        the one that is known, before anything is done."""
+        if not what.duty:
+            return
+        known = self._owning().takes(what.duty, what.term, what.owner)
+        if known:
+            word = f"term {what.term} of {what.duty} is over, {known} is known here"
+            if self._owning().disk:
+                word = f"the disk does not keep the term: {self._owning().disk}"
+            raise Refused(409, word, [("Known-Term", str(known))])
+
+    def _fenced(self, role: Role, what: Fenced, call: Callable[[], Any]) -> Response:
+        if role == "look":
+            raise Refused(403, "this certificate may look, not operate")
+        if not what.duty:
+            raise Refused(400, "a step for the fleet names its duty and its term")
+        self._pass(what)
+        return self._told(call())
+
+    def _left(self, words: PlanWords) -> dict[str, Any]:
+        if len(msgspec.json.encode(words.plan)) > MOST_PLAN:
+            raise Refused(413, f"a plan has {MOST_PLAN} bytes at most")
+        try:
+            return {"taken": self._plans().taken(words)}
+        except OSError as problem:
+            raise Refused(503, f"the disk does not take the plan: {problem.strerror}") from None
+
+    def _plan(self, call: PlanCall) -> dict[str, Any]:
+        """At the owner of `restarts`; elsewhere it says who that is."""
+        owning = self._owning()
+        if not owning.owns("restarts") or self.planned is None:
+            owner = owning.owners.told(owning.now())["restarts"]["owner"]
+            raise Refused(409, f"{owner or 'nobody that is known'} owns restarts", [("Owner", owner)])
+        return self.planned(call)
+
     def _operates(self, role: Role, call: Callable[[Any], bool], what: Any) -> Response:
-        if role != "operate":
+        if role == "look" or (role == "gateway" and not getattr(what, "duty", "")):
             raise Refused(403, "this certificate may look, not operate")
+        if isinstance(what, Fenced):
+            self._pass(what)
         boot = self.running.boot
         if getattr(what, "if_boot", "") not in ("", boot):
             raise Refused(412, f"another life runs here: {boot}, started by {self.started_by or 'somebody'}")
--- a/ledgehitch/daemon/facts.py
+++ b/ledgehitch/daemon/facts.py
@@ -5,7 +5,7 @@
 import msgspec
 
 VERSION = "1"  # of the admin call: rises when something that is here changes its meaning
-Role = Literal["look", "operate"]
+Role = Literal["look", "operate", "gateway"]  # a gateway: looks, and takes steps that a term fences
 
 
 class Counts(msgspec.Struct, frozen=True):
@@ -49,7 +49,38 @@
     zone: str = ""
 
 
-class Drain(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+class Fenced(msgspec.Struct, frozen=True, kw_only=True):
+    """Of a step on behalf of the fleet: the duty, the term and who owns it. Without a duty it is an
+    operator's own."""
+
+    duty: str = ""
+    term: int = 0
+    owner: str = ""
+
+
+class Fence(Fenced, forbid_unknown_fields=True, frozen=True):
+    """POST /v1/fence: an owner says its term before its first step, and asks for the state."""
+
+
+class PlanWords(Fenced, forbid_unknown_fields=True, frozen=True):
+    """POST /v1/plans: what the owner of `restarts` leaves with each gateway. The higher (term, version)
+    counts. `word`: go, stopped, given up, ended."""
+
+    version: int
+    word: Literal["go", "stopped", "given up", "ended"]
+    plan: Any = None
+    why: str = ""
+    share: float | None = None  # of viewings turned away before the first step
+
+
+class PlanCall(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """POST /v1/plan: what an operator wants of the plan that the fleet carries out."""
+
+    do: Literal["begin", "stop", "resume", "give up"]
+    plan: Any = None
+
+
+class Drain(Fenced, forbid_unknown_fields=True, frozen=True):
     """POST /v1/drain. `if_boot`: only where this life still runs."""
 
     within: float = 0.0
--- a/ledgehitch/daemon/membership.py
+++ b/ledgehitch/daemon/membership.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +16,7 @@
 from ledgehitch.loop.timers import Timer
 from ledgehitch.members.decide import Became, KeepFloors, Members, Send
 from ledgehitch.members.words import BadWords, read, written
+from ledgehitch.owners.words import FIRST
 from ledgehitch.quality.keep import Keep
 
 CONTEXT = "ledgehitch 2026 membership datagrams"  # so that no datagram of another kind is one of these
@@ -46,6 +47,7 @@
                    if i != me and (g.members_via or g.members_at)}  # fmt: skip
         self._leaving = False
         self.bad: dict[str, int] = {}
+        self.more: Callable[[int, bytes], None] | None = None  # words that are not membership's own
         self._timer: Timer | None = None
         self._hearing = loop.spawn(self._hear, name="members")
         self._pull()
@@ -64,6 +66,10 @@
             data, _ = self.socket.receive()
             try:
                 sender, body = self.frames.words(time.time(), data)
+                if body and body[0] >= FIRST:
+                    if self.more is not None:
+                        self.more(sender, body)
+                    continue
                 self.members.heard(time.monotonic(), sender, read(body))
             except Refusal:
                 continue  # counted there
@@ -77,8 +83,7 @@
         while (decision := self.members.decide(now)) is not None:
             match decision:
                 case Send(to, words):
-                    if to in self.at:
-                        self.socket.send(self.frames.frame(time.time(), to, written(words)), self.at[to])
+                    self.send(to, written(words))
                 case Became(member, status):
                     log.info("a member", gateway=self.names[member], status=status)
                 case KeepFloors(floors):
@@ -94,6 +99,10 @@
             self.loop.timers.cancel(self._timer)
         self._timer = self.loop.call_at(max(self.members.wake_at(), now + 0.005), self._pull)
 
+    def send(self, to: int, body: bytes) -> None:
+        if to in self.at:
+            self.socket.send(self.frames.frame(time.time(), to, body), self.at[to])
+
     def leave(self, back_soon: bool) -> None:
         """Told to others as the process goes; for good, it is on disk first."""
         self._leaving = True
--- /dev/null
+++ b/ledgehitch/daemon/plans.py
@@ -0,0 +1,43 @@
+"""The plan that the fleet carries out, as one gateway keeps it: what its owner left here last, on disk."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from ledgehitch.daemon.facts import PlanWords
+from ledgehitch.quality.keep import Keep
+
+VERSION = 1  # of the file
+MOST = 1 << 19  # bytes of a plan: ten thousand targets and more
+log = structlog.get_logger("plans")
+
+
+class Plans:
+    def __init__(self, path: Path) -> None:
+        self.keep = Keep(path, private=True, synced=True)
+        self.held: PlanWords | None = None
+        self.why = ""  # the file does not read
+        held = self.keep.read()
+        if held is None:
+            return
+        try:
+            if held["version"] != VERSION:
+                raise ValueError(f"it is of version {held['version']!r}, this program keeps {VERSION}")
+            self.held = msgspec.convert(held["plan"], PlanWords)
+        except (msgspec.ValidationError, KeyError, TypeError, ValueError) as wrong:
+            self.why = str(wrong)
+            log.error("the plan that was kept does not read, others may know it", why=self.why)
+
+    def taken(self, new: PlanWords) -> bool:
+        """Whether this is later than what is held, and on disk now. Raises OSError where the disk does not
+        take it."""
+        if self.held is not None and (new.term, new.version) < (self.held.term, self.held.version):
+            return False
+        self.keep.write({"version": VERSION, "plan": msgspec.to_builtins(new)})
+        self.held, self.why = new, ""
+        return True
+
+    def told(self) -> dict[str, Any]:
+        return {"held": msgspec.to_builtins(self.held) if self.held is not None else None, "why": self.why}
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -17,8 +17,11 @@
 from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Prove, Say
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.membership import Membership
+from ledgehitch.daemon.owning import Owning, Work
 from ledgehitch.daemon.place import Place
+from ledgehitch.daemon.plans import Plans
 from ledgehitch.daemon.supervisor import Supervisor
+from ledgehitch.daemon.verdicts import Verdicts
 from ledgehitch.daemon.watchdog import Watchdog
 from ledgehitch.gateway.serve import Running, peer_ring, say_ready
 from ledgehitch.gateway.versions import Compiled, Versions
@@ -46,7 +49,9 @@
 
     def __init__(self, loop: Loop, site: Site, name: str, seed: int, place: Place, record: Path | None,
                  source: tuple[Path, Compiled, Path | None], logfile: LogFile,
-                 environment: dict[str, str], keys: Keys | None = None) -> None:  # fmt: skip
+                 environment: dict[str, str], keys: Keys | None = None,
+                 restarts: "Callable[[Daemon], Work] | None" = None) -> None:  # fmt: skip
+        """`restarts`: what does the work of the duty of that name, from a floor above."""
         self.keys = keys
         self.loop, self.site, self.name, self.place, self.logfile = loop, site, name, place, logfile
         self.supervisor = Supervisor(environment)
@@ -63,6 +68,7 @@
         self.over = Event(loop)
         self.home = loop.current
         self.membership = self._members(seed)
+        self.owning = self._owns(seed, restarts)
 
     def run(self) -> Exit:
         restore = self.loop.on_signals(
@@ -86,6 +92,8 @@
         for admin in admins:
             admin.close()
         self.running.stop()
+        if self.owning is not None:
+            self.owning.close()
         if self.membership is not None:
             self.membership.close()
         self.place.let_go()
@@ -104,6 +112,20 @@
         self.admin.members, self.on_leave = some.told, some.leave
         return some
 
+    def _owns(self, seed: int, restarts: "Callable[[Daemon], Work] | None") -> Owning | None:
+        """The duties of the fleet, where this gateway has a part in membership."""
+        if self.membership is None:
+            return None
+        self.admin.plans = Plans(self.place.directory / f"{self.name}.plan")
+        own = Owning(self.loop, self.site, self.name, self.membership, self.place.directory, seed + 5)
+        own.serves = lambda: self.life.phase == "ready"
+        self.admin.owning = own
+        if restarts is not None:
+            own.work["restarts"] = restarts(self)
+        if self.site.owners.verdicts_to and self.running.reports is not None:
+            own.work["verdicts"] = Verdicts(self.loop, self.site, self.name, own, self.running.reports)
+        return own
+
     def _elsewhere(self) -> str:
         there = self.membership.there if self.membership is not None else lambda name: True
         return elsewhere(self.name, self.site.gateways, there, self.chance)
@@ -127,11 +149,11 @@
         assert self.keys is not None
         try:
             one = shown(request.certificate)
-            role = taken(one, time.time(), ("operate", "look"), self.keys.revoked())
+            role = taken(one, time.time(), ("operate", "look", "gateway"), self.keys.revoked())
         except Refused as why:
             log.warning("an operator is refused", why=str(why), peer=request.peer)
             raise NotTaken(403, str(why)) from None
-        return self.admin.handle(request, "operate" if role == "operate" else "look")
+        return self.admin.handle(request, role)
 
     def _wait_for_list(self) -> None:
         until = time.monotonic() + LIST_WITHIN
@@ -187,6 +209,8 @@
             match decision:
                 case Admit(open):
                     self.running.drain(not open)
+                    if not open and self.owning is not None:
+                        self.owning.resign()  # before it is gone: a successor is named
                 case EndAll():
                     log.info("ends what still plays", viewings=len(self.running.carrier.viewings))
                     self.running.carrier.end_all()
@@ -208,7 +232,7 @@
 
 def run_daemon(site: Site, name: str, seed: int, state_dir: Path, record: Path | None,
                source: tuple[Path, Compiled, Path | None], logfile: LogFile, keys: Keys | None = None,
-               ) -> int:  # fmt: skip
+               restarts: Callable[[Daemon], Work] | None = None) -> int:  # fmt: skip
     """Runs until the life is over. A restart does not come back: the process runs anew in its place."""
     place = Place(state_dir, name)
     gc.collect()
@@ -219,7 +243,8 @@
 
     def main() -> Exit:
         nonlocal ticket
-        daemon = Daemon(loop, site, name, seed, place, record, source, logfile, dict(os.environ), keys)
+        daemon = Daemon(loop, site, name, seed, place, record, source, logfile, dict(os.environ), keys,
+                        restarts)  # fmt: skip
         exit_as = daemon.run()
         ticket = daemon.life.why
         return exit_as
--- a/ledgehitch/fleet/carry.py
+++ b/ledgehitch/fleet/carry.py
@@ -1,16 +1,15 @@
 """Carries out what a plan decides: questions and calls go out, each with its deadline; the journal first."""
 
 import time
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Protocol
 
 import msgspec
 
 from ledgehitch.daemon.facts import Drain, Reload
 from ledgehitch.fleet.found import Found, Target, judged, unheard
-from ledgehitch.fleet.journal import Journal
 from ledgehitch.fleet.plan import Ask, Call, Joins, Over, Rolling, Write
-from ledgehitch.http import Client, ConnectFailed, Interrupted
+from ledgehitch.http import Client, ConnectFailed, Interrupted, Response
 from ledgehitch.loop import Event, Loop, TimedOut
 
 WITHIN = 1.5  # seconds for one gateway's answer
@@ -32,7 +31,7 @@
 
         try:
             with self.loop.deadline(self.within):
-                answer = self.client.request(target.at, "GET", "/v1/state")
+                answer = self._state(target)
         except TimedOut:
             return unheard(target, "silent", f"no whole answer in {self.within:g} s", took())
         except ConnectFailed as why:
@@ -42,6 +41,9 @@
         version = answer.header("admin-version") or ""
         return judged(target, took(), self.within, answer.status, version, answer.body)
 
+    def _state(self, target: Target) -> Response:
+        return self.client.request(target.at, "GET", "/v1/state")
+
     def ask_all(self, targets: Sequence[Target]) -> list[Found]:
         """All of them, some at a time, in the order in which they were named."""
         found: dict[str, Found] = {}
@@ -74,10 +76,16 @@
         return answer.status, answer.body.decode("utf-8", "replace")
 
 
+class Lines(Protocol):
+    """A journal, or what stands in its place."""
+
+    def append(self, line: Mapping[str, Any]) -> None: ...
+
+
 class Work:
     """One plan at work. `tell` gets each line of the journal, for people."""
 
-    def __init__(self, loop: Loop, caller: Caller, journal: Journal, rolling: Rolling,
+    def __init__(self, loop: Loop, caller: Caller, journal: Lines, rolling: Rolling,
                  tell: Callable[[dict[str, Any]], None]) -> None:  # fmt: skip
         self.loop, self.caller, self.journal, self.rolling, self.tell = loop, caller, journal, rolling, tell
         self.targets = {t.name: t for t in rolling.plan.targets}
--- /dev/null
+++ b/ledgehitch/fleet/onduty.py
@@ -0,0 +1,314 @@
+"""The work of the duty `restarts`: the fleet's own rolling change, carried on by whoever owns it.
+
+The plan lies with a majority of the gateways. A new owner first says its term to all of them, so that no step
+of a former one arrives any more, takes the latest plan that a majority knows of, leaves it there under its
+own term, and goes on: what was done it learns from the gateways. It looks at its lease before each call.
+"""
+
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+import structlog
+
+from ledgehitch.daemon.facts import Drain, Fence, PlanCall, PlanWords
+from ledgehitch.daemon.owning import Owning
+from ledgehitch.daemon.run import Daemon
+from ledgehitch.fleet.carry import Caller, Work
+from ledgehitch.fleet.found import Found, Target, unheard
+from ledgehitch.fleet.plan import Call, Over, Plan, Rolling
+from ledgehitch.fleet.show import line_words
+from ledgehitch.http import Client, ConnectFailed, Interrupted, Refused, Response
+from ledgehitch.http.client import TLS
+from ledgehitch.keys.contexts import context
+from ledgehitch.keys.judge import Refused as NotTaken
+from ledgehitch.keys.judge import shown, taken
+from ledgehitch.loop import Event, Loop, TimedOut
+from ledgehitch.owners.facts import majority
+
+DUTY = "restarts"
+AGAIN = 0.5  # seconds until those who did not answer are asked again
+FOR_OTHERS = 3.0  # seconds that an operator's word may take to be with a majority
+MOST_LINES = 200  # of what was done, kept for people
+log = structlog.get_logger("restarts")
+
+
+class NotOwner(Exception):
+    """The term is over; the task that hears it ends."""
+
+
+class Fenced(Caller):
+    """Asks and calls under a term: nothing goes out once the lease is over, and a gateway that knows a higher
+    term ends it."""
+
+    def __init__(self, loop: Loop, client: Client, owning: Owning, term: int) -> None:
+        super().__init__(loop, client=client)
+        self.owning, self.term = owning, term
+
+    def post(self, target: Target, path: str, what: Any) -> Response:
+        if self.owning.owns(DUTY) != self.term:
+            raise NotOwner
+        with self.loop.deadline(self.within):
+            answer = self.client.request(target.at, "POST", f"/v1/{path}", None, msgspec.json.encode(what))
+        known = answer.header("known-term") or ""
+        if answer.status == 409 and known.isdigit() and int(known) > self.term:
+            self.owning.refused(DUTY, self.term, int(known), target.name)
+            raise NotOwner
+        return answer
+
+    def _state(self, target: Target) -> Response:
+        return self.post(target, "fence", Fence(duty=DUTY, term=self.term, owner=self.owning.name))
+
+    def ask(self, target: Target) -> Found:
+        try:
+            return super().ask(target)
+        except NotOwner:
+            return unheard(target, "unknown", "no owner any more", 0.0)
+
+    def call(self, target: Target, call: Call, within: float) -> tuple[int, str]:
+        if call.action != "restart":
+            return 400, "the fleet carries out restarts alone"
+        what = Drain(within, "restart", call.ticket, call.if_boot, duty=DUTY, term=self.term,
+                     owner=self.owning.name)  # fmt: skip
+        try:
+            answer = self.post(target, "drain", what)
+        except NotOwner:
+            return 0, "no owner any more"
+        except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
+            return 0, str(why)
+        return answer.status, answer.body.decode("utf-8", "replace")
+
+
+class Restarts:
+    def __init__(self, loop: Loop, name: str, targets: list[Target], owning: Owning, client: Client) -> None:
+        self.loop, self.name, self.owning, self.client = loop, name, owning, client
+        self.targets = targets
+        self.term = 0
+        self.words: PlanWords | None = None  # as it lies with a majority
+        self.known = False  # whether a majority has told what it knows
+        self.rolling: Rolling | None = None
+        self.lines: list[dict[str, Any]] = []
+        self.news = Event(loop)
+        self._changing: Event | None = None
+        self._version = 0
+
+    def doing(self) -> str:
+        if not self.known:
+            return "asks a majority for the plan"
+        words = self.words
+        if words is None:
+            return "no plan"
+        if self.rolling is None or words.word != "go":
+            return f"{_id(words)}: {words.word}" + (f", {words.why}" if words.why else "")
+        told = ", ".join(f"{n} {step}" for step, n in sorted(self.rolling.told().items()))
+        return f"{_id(words)}: {told}"
+
+    # ---- a term --------------------------------------------------------------------------------------------
+
+    def run(self, term: int) -> None:
+        self.term, self.words, self.known, self.rolling, self.lines = term, None, False, None, []
+        self._changing, self._version = None, 0
+        caller = Fenced(self.loop, self.client, self.owning, term)
+        try:
+            self._learn(caller)
+            while True:
+                if self.words is not None and self.words.word == "go":
+                    self._carry(caller)
+                else:
+                    self.news.wait()
+                self.news = Event(self.loop)
+        except NotOwner:
+            log.info("gives up, another may own it", term=term)
+
+    def _learn(self, caller: Fenced) -> None:
+        """The latest plan that a majority knows of, left there again under this term: a former owner's word
+        that comes later is refused by each of them."""
+        heard: dict[str, PlanWords | None] = {}
+        while len(heard) < majority(len(self.targets)):
+            for target in self.targets:
+                if target.name not in heard:
+                    self._hear(caller, target, heard)
+            if len(heard) < majority(len(self.targets)):
+                self.loop.sleep(AGAIN)
+        latest = max((w for w in heard.values() if w is not None), key=lambda w: (w.term, w.version),
+                     default=None)  # fmt: skip
+        if latest is not None:
+            self._leave(caller, lambda _: latest)
+        self.known = True
+
+    def _hear(self, caller: Fenced, target: Target, heard: dict[str, PlanWords | None]) -> None:
+        try:
+            if caller._state(target).status != 200:
+                return
+            with self.loop.deadline(caller.within):
+                answer = self.client.request(target.at, "GET", f"/v1/plans?owner={self.name}")
+            held = msgspec.json.decode(answer.body, type=dict[str, Any]).get("held")
+            heard[target.name] = msgspec.convert(held, PlanWords) if held is not None else None
+        except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
+            log.debug("not heard", gateway=target.name, why=str(why))
+
+    def _leave(self, caller: Fenced, change: Callable[[PlanWords | None], PlanWords]) -> None:
+        """With a majority, on their disks, before anything is done on it; tried until it is. One change at a
+        time, each with a version of its own: one that was cut off may lie with some."""
+        while self._changing is not None:
+            self._changing.wait()
+        self._changing = done = Event(self.loop)
+        try:
+            self._spread(caller, change(self.words))
+        finally:
+            self._changing = None
+            done.set()
+
+    def _spread(self, caller: Fenced, words: PlanWords) -> None:
+        self._version = max(self._version, words.version) + 1
+        new = msgspec.structs.replace(words, duty=DUTY, term=self.term, owner=self.name,
+                                      version=self._version)  # fmt: skip
+        left: set[str] = set()
+
+        def one(target: Target) -> None:
+            try:
+                if caller.post(target, "plans", new).status == 200:
+                    left.add(target.name)
+            except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
+                log.debug("not left", gateway=target.name, why=str(why))
+
+        while True:
+            tasks = [self.loop.spawn(self._unless_over, one, t, name=f"leave {t.name}")
+                     for t in self.targets if t.name not in left]  # fmt: skip
+            for task in tasks:
+                task.wait()
+            if len(left) >= majority(len(self.targets)):
+                break
+            if self.owning.owns(DUTY) != self.term:
+                raise NotOwner
+            self.loop.sleep(AGAIN)
+        self.words = new
+
+    def _unless_over(self, call: Callable[[Target], None], target: Target) -> None:
+        try:
+            call(target)
+        except NotOwner:
+            return  # who waits for it looks at the lease itself
+
+    def _carry(self, caller: Fenced) -> None:
+        words = self.words
+        assert words is not None
+        plan = msgspec.convert(words.plan, Plan)
+        before = [] if words.share is None else [{"ev": "baseline", "share": words.share}]
+        self.rolling = Rolling(time.monotonic(), plan, before, learnt=True)
+        work = Work(self.loop, caller, _Lines(self, caller), self.rolling, self._tell)
+        task = self.loop.spawn(work.run, name="plan")
+        over = Event(self.loop)
+        self.loop.spawn(lambda: over.set(_result(task)), name="plan ends")
+        news = self.news
+        self.loop.spawn(lambda: over.set(news.wait()), name="plan heard of")
+        result = over.wait()
+        if not isinstance(result, Over):
+            task.cancel()  # an operator's word: what is under way comes back by itself
+            return
+        if self.owning.owns(DUTY) != self.term:
+            raise NotOwner
+        word: Any = "ended" if result.ended else "stopped"
+        self._leave(caller, lambda now: msgspec.structs.replace(now or words, word=word, why=result.why))
+        log.info("the plan", id=plan.id, word=word, why=result.why)
+
+    def _tell(self, line: Mapping[str, Any]) -> None:
+        self.lines = [*self.lines, dict(line)][-MOST_LINES:]
+        log.info("step", what=line_words(line), term=self.term)
+
+    # ---- an operator's word --------------------------------------------------------------------------------
+
+    def planned(self, call: PlanCall) -> dict[str, Any]:
+        """Answered once it lies with a majority; raises `Refused`."""
+        if not self.known:
+            raise Refused(503, "the owner does not know the plan yet: come again", [("Retry-After", "1")])
+        caller, held = Fenced(self.loop, self.client, self.owning, self.term), self.words
+        open_plan = held is not None and held.word in ("go", "stopped")
+        if call.do == "begin":
+            try:
+                plan = msgspec.convert(call.plan, Plan)
+            except msgspec.ValidationError as wrong:
+                raise Refused(400, f"the plan does not read: {wrong}") from None
+            if plan.action != "restart" or not plan.targets:
+                raise Refused(400, "the fleet carries out restarts, of one gateway at least")
+            known = {t.name: t for t in self.targets}
+            strange = [t.name for t in plan.targets if t.name not in known]
+            if strange:
+                raise Refused(400, f"no gateway {strange[0]!r} in the site that the owner runs")
+            if held is not None and _id(held) == plan.id:
+                return {"word": held.word, "id": plan.id}  # said twice: the answer had been lost
+            if open_plan:
+                assert held is not None
+                raise Refused(409, f"{_id(held)} is not at its end: resume it or give it up first")
+            # Where others call a gateway is the owner's to know, not the tool's machine's.
+            plan = msgspec.structs.replace(plan, targets=[known[t.name] for t in plan.targets])
+            version = held.version if held is not None else 0
+            new = PlanWords(version, "go", msgspec.to_builtins(plan))
+        else:
+            if held is None or not open_plan:
+                raise Refused(409, "no plan is under way")
+            word: Any = {"stop": "stopped", "resume": "go", "give up": "given up"}[call.do]
+            if held.word == word:
+                return {"word": word, "id": _id(held)}
+            new = msgspec.structs.replace(held, word=word, why="an operator" if word == "stopped" else "")
+        try:
+            with self.loop.deadline(FOR_OTHERS):
+                self._leave(caller, lambda _: new)
+        except NotOwner:
+            raise Refused(409, "this gateway owns restarts no longer", [("Owner", "")]) from None
+        except TimedOut:
+            raise Refused(503, "no majority has taken it yet, it may still come into force: see the status",
+                          [("Retry-After", "1")]) from None  # fmt: skip
+        self.news.set()
+        assert self.words is not None
+        return {"word": self.words.word, "id": _id(self.words)}
+
+
+class _Lines:
+    """In the journal's place: what must outlive the owner lies with the gateways, or can be learned there."""
+
+    def __init__(self, work: Restarts, caller: Fenced) -> None:
+        self.work, self.caller = work, caller
+
+    def append(self, line: Mapping[str, Any]) -> None:
+        if line.get("ev") == "baseline" and self.work.words is not None:
+            words, share = self.work.words, float(line["share"])
+            self.work._leave(self.caller, lambda now: msgspec.structs.replace(now or words, share=share))
+
+
+def _result(task: Any) -> Any:
+    try:
+        return task.wait()
+    except Exception as problem:  # noqa: BLE001
+        return problem
+
+
+def _id(words: PlanWords) -> str:
+    return str(words.plan.get("id", "?")) if isinstance(words.plan, dict) else "?"
+
+
+def restarts_of(daemon: Daemon) -> Restarts:
+    """The work at one daemon; gateways are called where the site says, or in the same state directory."""
+    site, directory = daemon.site, daemon.place.directory
+    targets = []
+    for g in site.gateways:
+        at = g.admin_via or (TLS + g.admin_at.removeprefix(TLS) if g.admin_at else "")
+        targets.append(Target(g.name, at or f"unix:{directory / g.name}.admin", g.zone, g.rack))
+    client = Client(daemon.loop)
+    if daemon.keys is not None:
+        keys, names = daemon.keys, {t.at: t.name for t in targets}
+
+        def judge(address: str, certificate: bytes) -> None:
+            """Guards against an impostor at a gateway's address."""
+            try:
+                taken(shown(certificate), time.time(), ("gateway",), keys.revoked(), names.get(address, ""))
+            except NotTaken as why:
+                raise ConnectFailed(str(why)) from None
+
+        tls = context(keys.ca, keys.directory / f"{daemon.name}.pem", False)
+        client = Client(daemon.loop, tls, judge)
+    assert daemon.admin.owning is not None
+    work = Restarts(daemon.loop, daemon.name, targets, daemon.admin.owning, client)
+    daemon.admin.planned = work.planned
+    return work
--- /dev/null
+++ b/ledgehitch/fleet/owned.py
@@ -0,0 +1,109 @@
+"""Who owns the duties of the fleet, from what each gateway says. Free of I/O.
+
+Nothing is guessed: who did not answer is counted, and who contradicts each other is told as such.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, Literal
+
+import msgspec
+
+Kind = Literal["owned", "nobody", "unknown", "contradicting"]
+
+
+class Said(msgspec.Struct, frozen=True):
+    """One gateway's answer; `state` None where none came that reads."""
+
+    name: str
+    state: dict[str, Any] | None = None
+    why: str = ""
+
+
+class Owned(msgspec.Struct, frozen=True):
+    duty: str
+    kind: Kind
+    owner: str = ""
+    term: int = 0
+    lease_left: float = 0.0
+    doing: str = ""
+    refused: int = 0  # effects of former owners, at all gateways that answered
+    standstill: str = ""
+    why: str = ""
+
+
+def read(name: str, status: int, body: bytes) -> Said:
+    """What came of asking one gateway."""
+    if status != 200:
+        return Said(name, None, f"it answers {status}")
+    try:
+        state = msgspec.json.decode(body, type=dict[str, Any])
+        for told in state["duties"].values():
+            msgspec.convert(told, _Told)
+        return Said(name, state)
+    except (msgspec.MsgspecError, KeyError, AttributeError) as wrong:
+        return Said(name, None, f"what it says does not read: {wrong!r}"[:200])
+
+
+class _Told(msgspec.Struct):
+    owner: str
+    term: int
+    lease_left: float
+    mine: bool
+    refused: int
+    doing: str = ""
+    standstill: str = ""
+
+
+def owned(said: Sequence[Said]) -> list[Owned]:
+    """By duty. Two that say they own one are told as contradicting, though one of them may stand still and
+    not know better: its term tells which."""
+    heard = [s for s in said if s.state is not None]
+    duties = sorted({d for s in heard for d in _duties(s)})
+    return [_one(duty, heard, len(said)) for duty in duties]
+
+
+def _duties(said: Said) -> Mapping[str, Any]:
+    assert said.state is not None
+    duties: Mapping[str, Any] = said.state["duties"]
+    return duties
+
+
+def _one(duty: str, heard: Sequence[Said], asked: int) -> Owned:
+    some = [(s.name, msgspec.convert(_duties(s)[duty], _Told)) for s in heard if duty in _duties(s)]
+    refused, term = sum(t.refused for _, t in some), max((t.term for _, t in some), default=0)
+    mine = sorted(((n, t) for n, t in some if t.mine), key=lambda pair: -pair[1].term)
+    if len(mine) > 1:
+        why = ", ".join(f"{n} says it owns it with term {t.term}" for n, t in mine)
+        return Owned(duty, "contradicting", mine[0][0], mine[0][1].term, refused=refused, why=why)
+    if mine:
+        name, told = mine[0]
+        return Owned(duty, "owned", name, told.term, told.lease_left, told.doing, refused)
+    named = sorted({t.owner for _, t in some if t.owner})
+    if named:
+        why = f"{', '.join(named)} is said to own it and does not say so itself"
+        return Owned(duty, "unknown", term=term, refused=refused, why=why)
+    stand = next((t.standstill for _, t in some if t.standstill), "")
+    if len(some) <= asked // 2:
+        why = f"{len(some)} of {asked} answered: others may know an owner"
+        return Owned(duty, "unknown", term=term, refused=refused, standstill=stand, why=why)
+    return Owned(duty, "nobody", term=term, refused=refused, standstill=stand)
+
+
+def cannot_vote(said: Sequence[Said]) -> list[str]:
+    """Lines on gateways that give no vote now, or did not answer."""
+    out = [f"{s.name}: silent, {s.why}" for s in said if s.state is None]
+    for s in said:
+        if s.state is None:
+            continue
+        for key, word in (("disk", "its disk takes no vote: "), ("why_not", "")):
+            if s.state.get(key):
+                out.append(f"{s.name}: {word}{s.state[key]}")
+        if s.state.get("settled") is False:
+            out.append(f"{s.name}: the list of gateways changes, a majority of both is needed")
+        stale = s.state.get("frames_refused", {}).get("stale", 0)
+        if stale:
+            out.append(f"{s.name}: frames of others are refused as stale, {stale} times: wall clocks are "
+                       "apart by more than 5 s, who is not heard has no vote")  # fmt: skip
+        if s.state.get("clock") is False:
+            out.append(f"{s.name}: its clock stood still or jumped back")
+    return out
--- a/ledgehitch/fleet/plan.py
+++ b/ledgehitch/fleet/plan.py
@@ -17,7 +17,8 @@
 from ledgehitch.fleet.found import Found, Target
 
 Action = Literal["restart", "drain", "undrain", "reload", "retire"]
-Step = Literal["planned", "intended", "sent", "back", "done", "failed", "skipped"]
+Step = Literal["unseen", "planned", "intended", "sent", "back", "done", "failed", "skipped"]
+UNDER_WAY = ("unseen", "intended", "sent", "back")
 ENOUGH = 40  # viewings asked for since, from which on joins are judged
 
 
@@ -131,8 +132,10 @@
 class Rolling:
     ASKED_EVERY = 0.25  # seconds between two questions to one gateway that is under way
 
-    def __init__(self, now: float, plan: Plan, lines: Sequence[Mapping[str, Any]] = ()) -> None:
-        """`lines`: of the journal, where the plan is taken up again."""
+    def __init__(self, now: float, plan: Plan, lines: Sequence[Mapping[str, Any]] = (),
+                 learnt: bool = False) -> None:  # fmt: skip
+        """`lines`: of the journal, where the plan is taken up again. `learnt`: there is none, what was done
+        is learned from the gateways: until one has answered it counts as under way."""
         self.plan = plan
         self.all = {t.name: One(t) for t in ordered(plan.targets)}
         self.since = Joins()
@@ -146,6 +149,8 @@
         # Who resumes has seen what had failed until then.
         self._forgiven = sum(one.step == "failed" for one in self.all.values())
         for one in self.all.values():
+            if learnt and one.step == "planned":
+                one.step = "unseen"
             one.unsure = one.step in ("intended", "sent", "back")
             one.since = now
         if resumed:
@@ -179,7 +184,9 @@
         if one is None:
             return
         one.asking = False
-        if one.step == "planned":
+        if one.step == "unseen":
+            self._learn(now, one, found)
+        elif one.step == "planned":
             self._begin(now, one, found)
         elif one.step in ("intended", "sent", "back"):
             self._look(now, one, found)
@@ -209,6 +216,22 @@
         self._due.append(Write({"ev": "intended", "gateway": one.target.name, "boot": one.boot}))
         self._due.append(self._call(one))
 
+    def _learn(self, now: float, one: One, found: Found) -> None:
+        """Guards against a second call to one that a former owner has called: its own words say how far it
+        is. One that does not answer may be between two lives, and holds its place until it is overdue."""
+        state, ticket = found.state, self.ticket(one.target.name)
+        if state is None:
+            if now - one.since > self._allowed():
+                why = f"{found.kind}: {found.why}" if found.why else found.kind
+                self._to(now, one, "failed", f"not seen in {self._allowed():g} s, {why}")
+        elif state.started_by == ticket and self.plan.action == "restart":
+            one.step, one.boot, one.since = "sent", "", now  # in its new life; it has yet to settle
+            self._look(now, one, found)
+        elif state.phase != "ready" and state.why == ticket:
+            one.step, one.boot, one.since = "sent", state.boot, now
+        else:
+            one.step = "planned"
+
     def _already(self, one: One, found: Found) -> bool:
         state = found.state
         assert state is not None
@@ -309,7 +332,7 @@
 
     def _next(self, now: float) -> None:
         some = list(self.all.values())
-        moving = [o for o in some if o.step in ("intended", "sent", "back")]
+        moving = [o for o in some if o.step in UNDER_WAY]
         left = [o for o in some if o.step == "planned"]
         if not self.stopped:
             self.stopped = self._trouble(some)
@@ -372,7 +395,7 @@
         """When to ask again what is under way."""
         if self._due:
             return now
-        moving = [o for o in self.all.values() if o.step in ("intended", "sent", "back")]
+        moving = [o for o in self.all.values() if o.step in UNDER_WAY]
         asks = [o.ask_at for o in moving if not o.asking]
         return min(asks, default=None)
 
--- a/ledgehitch/owners/decide.py
+++ b/ledgehitch/owners/decide.py
@@ -15,7 +15,7 @@
 from ledgehitch.owners.votes import Lease
 from ledgehitch.owners.words import NOBODY, Kind, Words
 
-RENEW = 0.5  # of a lease between two rounds of asking
+RENEW = 0.55  # of a lease between two rounds of asking
 AGAIN = 0.05  # of a lease until those who did not answer are asked again
 POLLED = 3  # members that a candidate asks first whether there is an owner
 PATIENT = 0.04  # of a lease for their answers
@@ -26,6 +26,8 @@
 NEARLY = 0.25  # of a lease left, under which a renewal is told as late
 KNOWN = 1.5  # leases that one who does not vote goes by what it was told
 MOST_OUT = 1 << 16  # questions remembered
+# Seconds that a network and a disk that must sync take, however short leases are.
+LEAST_PATIENT, LEAST_AGAIN, LEAST_WON = 0.1, 0.2, 0.5
 GREET = 0.05  # of a lease between two greetings to who has not answered, rising to one lease
 
 
@@ -94,9 +96,13 @@
 
 
 class Owners:
-    def __init__(self, now: float, me: int, names: Sequence[str], memory: Memory, lease: float,
-                 chance: random.Random) -> None:  # fmt: skip
-        self.me, self.names, self.memory, self.lease, self.chance = me, tuple(names), memory, lease, chance
+    def __init__(self, now: float, me: int, names: Sequence[str], memory: Memory, chance: random.Random
+                 ) -> None:  # fmt: skip
+        self.me, self.names, self.memory, self.chance = me, tuple(names), memory, chance
+        self.lease = memory.lists.shortest()
+        self.patient = max(PATIENT * self.lease, LEAST_PATIENT)
+        self.again = max(AGAIN * self.lease, LEAST_AGAIN)
+        self.won_within = max(WON_WITHIN * self.lease, LEAST_WON)
         self.number_of = {name: i for i, name in enumerate(self.names)}
         self.shorts = [short(name) for name in self.names]
         self.duties = {
@@ -114,7 +120,8 @@
         self._on_disk: dict[str, Any] | None = None
         self._after: list[Send] = []
         self._due: deque[Decision] = deque()
-        self._greet_at, self._greet_every = now, GREET * lease
+        self._greet_at, self._greet_every = now, GREET * self.lease
+        self._greets_until = now + memory.promise
         self._latest = now
 
     # ---- what happens --------------------------------------------------------------------------------------
@@ -246,7 +253,7 @@
             one.polled_at = -1e18
             self._stand(now, one)
         elif words.member != NOBODY:
-            one.stand_at = now + 2 * PATIENT * self.lease + self._place(one)
+            one.stand_at = now + 2 * self.patient + self._place(one)
 
     # ---- as a candidate and an owner -----------------------------------------------------------------------
 
@@ -325,7 +332,7 @@
         if lease.asked_at:
             self.memory.voters[one.name].asked(now, lease.term, self.names[self.me])
         self._own.append((one.name, lease.term, now))
-        one.round_at, one.again_at = now, now + AGAIN * self.lease
+        one.round_at, one.again_at = now, now + self.again
         # Those that granted last are asked first, so that others hear nothing of it but who owns.
         before = sorted(self._others(), key=lambda m: (-lease.asked_at.get(self.names[m], -1e18), m))
         most = len(self._others()) if not one.won else len(self.names) // 2 + SPARE
@@ -340,13 +347,16 @@
         """Those of this round that have not granted: it or its answer may have been lost."""
         lease = one.lease
         assert lease is not None
-        one.again_at = now + AGAIN * self.lease
+        one.again_at = now + self.again
         if lease.until() - self.lease >= one.round_at:
             one.again_at = 1e18  # a majority has answered
             return
-        for to in self._others():
-            if lease.asked_at.get(self.names[to], -1e18) < one.round_at:
-                self._question(now, one, to, "ask", lease.term)
+        fresh = [m for m in self._others() if lease.asked_at.get(self.names[m], -1e18) >= one.round_at]
+        missing = max(0, len(self.names) // 2 - len(fresh))
+        late = [m for m in self._others() if m not in fresh]
+        # Twice as many as are missing: at the worst losses that membership bears every second one answers.
+        for to in late if not one.won else self.chance.sample(late, min(len(late), 2 * missing + SPARE)):
+            self._question(now, one, to, "ask", lease.term)
 
     def _tell(self, now: float, one: One, asked: set[int]) -> None:
         """Those who are not asked are told once a lease, so that they do not stand."""
@@ -384,7 +394,7 @@
         one.seen_term = max(one.seen_term, lease.term)
         if one.known[0] == self.me:
             one.known = NOBODY, lease.term, -1e18
-        one.stand_at = now + self._place(one) + WON_WITHIN * self.lease * self.chance.random()
+        one.stand_at = now + self._place(one) + self.won_within * self.chance.random()
         if won:
             self._due.append(Lost(one.name, lease.term, why, late))
 
@@ -404,18 +414,18 @@
         self._latest = now
         if not self._due and not self._after:
             self._look(now)
+        if self._due:
+            return self._due.popleft()  # rests on nothing that is not on disk yet
         if self._dirty():
             then, self._after = tuple(self._after), []
             return Keep(self.memory.record(), then)
-        if self._after:
-            self._due.extend(self._after)
-            self._after = []
-        return self._due.popleft() if self._due else None
+        return self._after.pop(0) if self._after else None
 
     def _look(self, now: float) -> None:
         if now >= self._greet_at:
             self._greet(now)
-        self.memory.settle(now)
+        if self.memory.settle(now):
+            self.lease = self.memory.lists.shortest()
         if len(self._out) > MOST_OUT // 2:
             self._out = {k: v for k, v in self._out.items() if now - v[3] < self.lease}
         for one in self.duties.values():
@@ -435,7 +445,7 @@
         assert lease is not None
         if one.won and not self.owns(now, one.name):
             return
-        if not one.won and now - one.stood_at > WON_WITHIN * self.lease:
+        if not one.won and now - one.stood_at > self.won_within:
             self._give_back(now, one, NOBODY)
             self._lost(now, one, "not enough votes")
         elif not self.fit:
@@ -448,13 +458,13 @@
             self._ask_again(now, one)
 
     def _await_poll(self, now: float, one: One) -> None:
-        if now < one.polled_at + PATIENT * self.lease:
+        if now < one.polled_at + self.patient:
             return
         if not one.widened:
             self._widen(now, one)
         else:
             one.polled_at = -1e18
-            one.stand_at = now + self._place(one) + WON_WITHIN * self.lease * (1 + self.chance.random())
+            one.stand_at = now + self._place(one) + self.won_within * (1 + self.chance.random())
 
     def _may_stand(self, now: float) -> bool:
         unsettled = self._joining and any(self._formers.values())
@@ -473,9 +483,11 @@
     # ---- greetings -----------------------------------------------------------------------------------------
 
     def _greet(self, now: float) -> None:
-        """Until most have told what they know; while a change of the list is unsettled, now and then."""
+        """Until all have told what they know, or for a while; while a change of the list is unsettled too."""
         memory = self.memory
         waiting = [m for m in self._others() if self.names[m] not in memory.answers]
+        if memory.votes(now) and now >= self._greets_until:
+            waiting = []
         if memory.lists.former:
             waiting = [m for m in self._others() if self.names[m] not in memory.on_new]
         if not waiting:
@@ -485,7 +497,7 @@
             self._send(to, self._words("greet", 0, memory.nonce, 0)._replace(
                 life=memory.life, intact=memory.intact, terms=memory.terms()))  # fmt: skip
         self._greet_at = now + self._greet_every
-        self._greet_every = min(self.lease, self._greet_every * 1.5)
+        self._greet_every = min(self.lease / 4, self._greet_every * 1.5)
 
     def _greeting(self, now: float, sender: int, words: Words) -> None:
         name, memory = self.names[sender], self.memory
@@ -551,9 +563,9 @@
         for one in self.duties.values():
             if one.lease is not None:
                 at += [one.round_at + RENEW * self.lease, one.again_at]
-                at.append(one.lease.until() if one.won else one.stood_at + WON_WITHIN * self.lease)
+                at.append(one.lease.until() if one.won else one.stood_at + self.won_within)
             elif one.polled_at >= 0:
-                at.append(one.polled_at + PATIENT * self.lease)
+                at.append(one.polled_at + self.patient)
             elif self._may_stand(now):
                 at.append(one.stand_at if one.stand_at < 1e17 else self._free_at(one))
             else:
--- a/ledgehitch/owners/explore.py
+++ b/ledgehitch/owners/explore.py
@@ -162,7 +162,7 @@
             m.voters[DUTY].until = -1e18
         if self.spoilt == "fence forgotten at a restart":
             m.fence = Fence()
-        if self.spoilt in ("a lost file is believed", "an old file is believed"):
+        if self.spoilt == "a lost file is believed":
             m.intact, m.confirmed, m.votes_from = True, True, self.clock(me) + promise
         # Where nobody comes back with another file than its own, greetings only add states: left out.
         if not c.stale and not c.empty:
@@ -289,7 +289,8 @@
         assert one is not None
         one.confirmed, one.votes_from = True, 0.0
         one.lives = {str(i): (1, 1) for i in range(n) if i != me}
-        w.disks[me] = one.record()
+        # The old copy is of the life that runs: its number of lives does not tell it from the last one.
+        w.disks[me] = w.first[me] = one.record()
     return w
 
 
@@ -311,7 +312,9 @@
                 new.start(me, w.disks[me], True)
                 yield f"{me} starts by the longer list", new
             elif w.lives[me] < c.lives:
-                held = w.first[me] if me in c.stale else None if me in c.empty else w.disks[me]
+                held = None if me in c.empty | c.stale else w.disks[me]
+                if w.spoilt == "an old file is believed":
+                    held = w.first[me]
                 new = w.copied()
                 new.start(me, held)
                 yield f"{me} starts", new
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -28,9 +28,10 @@
     return stated // 2 + 1
 
 
-def digest_of(names: Sequence[str]) -> bytes:
-    """Four bytes that two versions of a site share where they state the same gateways in the same order."""
-    return blake3("\n".join(names).encode()).digest(4) if names else NO_LIST
+def digest_of(names: Sequence[str], lease: float) -> bytes:
+    """Four bytes that two versions of a site share where they state the same gateways in the same order, and
+    leases of the same length."""
+    return blake3("\n".join([*names, f"{lease:.3f}"]).encode()).digest(4) if names else NO_LIST
 
 
 def short(name: str) -> bytes:
@@ -45,17 +46,27 @@
 
 
 class Lists(NamedTuple):
-    """The gateways that the site states, by name; `former`: of the version before, until it is settled that
-    none of its majorities can be had any more. A majority of both is needed until then."""
+    """The gateways that the site states, by name, and its lease; `former`: of the version before, until it is
+    settled that none of its majorities can be had any more. A majority of both is needed until then."""
 
     current: tuple[str, ...]
     former: tuple[str, ...] = ()
+    lease: float = LEASE
+    former_lease: float = LEASE
+
+    def shortest(self) -> float:
+        """What an owner counts on: voters of either list bind themselves for at least so long."""
+        return min(self.lease, self.former_lease) if self.former else self.lease
+
+    def longest(self) -> float:
+        """What a voter binds itself for."""
+        return max(self.lease, self.former_lease) if self.former else self.lease
 
     def all(self) -> tuple[tuple[str, ...], ...]:
         return (self.current, self.former) if self.former else (self.current,)
 
     def digests(self) -> tuple[bytes, bytes]:
-        return digest_of(self.current), digest_of(self.former)
+        return digest_of(self.current, self.lease), digest_of(self.former, self.former_lease)
 
     def covered_by(self, current: bytes, former: bytes) -> bool:
         """Whether one who goes by these needs a majority of each list that counts here: else it gets no vote,
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -1,13 +1,13 @@
 """What a member must not forget, and what it knows when it cannot be sure that it did not. Free of I/O.
 
-A file that is torn, missing or older than the gateway's last life does not count: its gateway neither votes
-nor takes effects until others have told it the terms they know, and it votes only after the longest promise
-of a former life has ended.
+A file that is torn, missing, a copy that was put back or older than the gateway's last life does not count:
+its gateway neither votes nor takes effects until others have told it the terms they know, and it votes only
+after the longest promise of a former life has ended.
 """
 
 from typing import Any
 
-from ledgehitch.owners.facts import STEP, TOP, Lists, digest_of, majority, promise_of
+from ledgehitch.owners.facts import STEP, TOP, Lists, majority, promise_of
 from ledgehitch.owners.votes import Fence, Voter
 
 VERSION = 1
@@ -18,8 +18,7 @@
                  held: Any, nonce: int, promise: float = 0.0) -> None:  # fmt: skip
         """`held`: what the file gave, None where it is not whole. `nonce`: of this life, drawn anew.
         `promise`: seconds that a vote binds; left out, what the bound on clocks asks for."""
-        self.me, self.lease, self.nonce = me, lease, nonce
-        self.promise = promise or promise_of(lease)
+        self.me, self.nonce = me, nonce
         self.intact = isinstance(held, dict) and held.get("version") == VERSION
         votes: dict[str, Any] = held["votes"] if self.intact else {}
         fence: dict[str, int] = held["fence"] if self.intact else {}
@@ -27,14 +26,17 @@
         self.lives: dict[str, tuple[int, int]] = {}
         if self.intact:
             self.lives = {n: (int(a), int(b)) for n, (a, b) in held["lives"].items() if n in stated}
-        self.lists = _lists(stated, held if self.intact else {})
+        self.lists = _lists(stated, lease, held if self.intact else {})
+        # A promise of the last life may have been longer than those of now.
+        before = float(held["lease"]) if self.intact else 0.0
+        self.promise = promise or promise_of(max(self.lists.longest(), before))
         self.voters = {d: Voter(self.promise, *votes.get(d, (0, ""))) for d in duties}
         for voter in self.voters.values():
             voter.started(now)
         self.fence = Fence(fence)
         self.votes_from = now if self.intact else now + self.promise
         self.answers: dict[str, tuple[bool, tuple[int, ...]]] = {}  # to our greeting: intact, terms
-        self.confirmed = len(stated) == 1
+        self.confirmed = self.intact or len(stated) == 1
         self.begun = False  # terms begin here: nobody that was heard knew of any
         self.on_new: set[str] = {me}  # who goes by the current list, of those that are in the former one
         self.settles_at = 1e18
@@ -45,6 +47,7 @@
             "votes": {d: [v.term, v.member] for d, v in self.voters.items()},
             "fence": dict(self.fence.highest), "lives": {n: list(pair) for n, pair in self.lives.items()},
             "current": list(self.lists.current), "former": list(self.lists.former),
+            "lease": self.lists.lease, "former_lease": self.lists.former_lease,
         }  # fmt: skip
 
     def terms(self) -> tuple[int, ...]:
@@ -76,13 +79,11 @@
         if self.confirmed:
             return
         sound = [n for n, (whole, _) in self.answers.items() if whole]
-        if self.intact:
-            self.confirmed = self.lists.reached([*self.answers, self.me])
-        elif len(sound) >= self._needed():
+        if len(sound) >= self._needed():
             self.confirmed = True
-        elif not sound and len(self.answers) >= self._needed():
+        elif not sound and len(self.answers) + 1 >= majority(len(self.lists.current)):
             self.confirmed = self.begun = True
-        if self.confirmed and not self.intact:
+        if self.confirmed:
             self._learn()
 
     def _needed(self) -> int:
@@ -107,7 +108,7 @@
         majority of it, no lease can be won or renewed by it any more; the longest that may still run is
         waited for."""
         former = self.lists.former
-        if not former or member in self.on_new or current != digest_of(self.lists.current):
+        if not former or member in self.on_new or current != self.lists.digests()[0]:
             return
         self.on_new.add(member)
         left = len(former) - len(self.on_new.intersection(former))
@@ -118,17 +119,18 @@
         """Whether the former list is let go of by this."""
         if now < self.settles_at:
             return False
-        self.lists, self.settles_at = Lists(self.lists.current), 1e18
+        self.lists = Lists(self.lists.current, (), self.lists.lease, self.lists.lease)
+        self.settles_at = 1e18
         return True
 
 
-def _lists(stated: tuple[str, ...], held: dict[str, Any]) -> Lists:
+def _lists(stated: tuple[str, ...], lease: float, held: dict[str, Any]) -> Lists:
     """One change of the list at a time: a third version waits behind one that is not settled."""
-    current, former = tuple(held.get("current", ())), tuple(held.get("former", ()))
-    if not current:
-        return Lists(stated)
-    if current == stated:
-        return Lists(stated, former)
-    if former and former != stated:
-        return Lists(current, former)
-    return Lists(stated, current)
+    if not held.get("current"):
+        return Lists(stated, (), lease, lease)
+    old = Lists(tuple(held["current"]), tuple(held["former"]), held["lease"], held["former_lease"])
+    if (old.current, old.lease) == (stated, lease):
+        return old
+    if old.former and (old.former, old.former_lease) != (stated, lease):
+        return old
+    return Lists(stated, old.current, lease, old.lease)
--- a/ledgehitch/quality/keep.py
+++ b/ledgehitch/quality/keep.py
@@ -13,37 +13,80 @@
 from blake3 import blake3
 
 MAGIC = b"ledgehitch quality 1\n"
+PLACE = struct.Struct(">QQ")  # number of the file, when it last changed in ns
 HEAD = struct.Struct(">QI")  # serial number, length
 
 
 class Keep:
-    """Two files, `PATH.0` and `PATH.1`; the one with the higher serial that is whole counts."""
+    """Two files, `PATH.0` and `PATH.1`; the one with the higher serial that is whole counts.
 
-    def __init__(self, path: Path, private: bool = False) -> None:
-        self.path, self.private = path, private
+    `synced`: what is written outlives the machine as well, and there is one file alone, since an older one
+    must never be taken for the newest where that is torn. Beside it `PATH.mark` says which file of the disk
+    it is and when it last changed, so that a copy that was put back is not taken for what was written last
+    (`read` gives None then). A disk that was set back as a whole is not noticed."""
+
+    def __init__(self, path: Path, private: bool = False, synced: bool = False) -> None:
+        self.path, self.private, self.synced = path, private, synced
         self.serial = max((s for s, _ in self._whole()), default=0)
 
     def write(self, thing: Any) -> None:
         self.serial += 1
-        body = msgspec.msgpack.encode(thing)
-        head = HEAD.pack(self.serial, len(body))
-        data = MAGIC + head + blake3(head + body).digest() + body
-        slot = self.path.with_name(f"{self.path.name}.{self.serial % 2}")
+        slot = self.path.with_name(f"{self.path.name}.{0 if self.synced else self.serial % 2}")
         slot.parent.mkdir(parents=True, exist_ok=True)
         partly = slot.with_name(slot.name + ".new")
-        mode = 0o600 if self.private else 0o644
-        with open(os.open(partly, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, mode), "wb") as file:
-            file.write(data)
+        self._put(partly, self._whole_file(thing), os.O_TRUNC)
         os.replace(partly, slot)
+        if self.synced:
+            directory = os.open(slot.parent, os.O_RDONLY | os.O_DIRECTORY)
+            try:
+                os.fsync(directory)
+            finally:
+                os.close(directory)
+            # Guards against a kill in between as well: without its mark the file does not count.
+            self._put(self._mark, PLACE.pack(*self._place(slot)), 0)
+
+    def _put(self, path: Path, data: bytes, more: int) -> None:
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | more, 0o600 if self.private else 0o644)
+        with open(descriptor, "wb") as file:
+            file.write(data)
+            if self.synced:
+                file.flush()
+                os.fsync(descriptor)
+
+    @property
+    def _mark(self) -> Path:
+        return self.path.with_name(f"{self.path.name}.mark")
+
+    @staticmethod
+    def _place(slot: Path) -> tuple[int, int]:
+        place = os.stat(slot)
+        return place.st_ino, place.st_ctime_ns
+
+    def _whole_file(self, thing: Any) -> bytes:
+        body = msgspec.msgpack.encode(thing)
+        head = HEAD.pack(self.serial, len(body))
+        return MAGIC + head + blake3(head + body).digest() + body
 
     def read(self) -> Any:
         """What the newest whole snapshot holds; None without one."""
         found = sorted(self._whole(), key=lambda pair: pair[0])
-        return msgspec.msgpack.decode(found[-1][1]) if found else None
+        if not found:
+            return None
+        if self.synced and not self._written_here():
+            return None
+        return msgspec.msgpack.decode(found[-1][1])
+
+    def _written_here(self) -> bool:
+        try:
+            mark = self._mark.read_bytes()
+            return mark == PLACE.pack(*self._place(self.path.with_name(f"{self.path.name}.0")))
+        except OSError:
+            return False
+
 
     def _whole(self) -> list[tuple[int, bytes]]:
         found = []
-        for n in (0, 1):
+        for n in (0,) if self.synced else (0, 1):
             try:
                 data = self.path.with_name(f"{self.path.name}.{n}").read_bytes()
             except OSError:
