Owners that die anywhere, strange answers and torn plans are tested; Cuts for both networks

Need: the plan as carried on by one owner after another was only shown with real processes.

Who owns a duty is told as owned, nobody, unknown or contradicting; a plan's file is cut off anywhere and of another version; words on duties and what owners leave are in the fuzzing.

Members in virtual time use the same Cuts as the wires on loopback.

--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -1,8 +1,8 @@
 """Parsers fed with spoilt input for as long as is wished: no crash, no growth. `python -m benchmarks.fuzz
 [SECONDS]`.
 
-Datagrams between members, the frames around them, bodies of the admin call, journals, certificates, HTTP
-requests.
+Datagrams between members, the frames around them, words on duties, bodies of the admin call, journals,
+certificates, HTTP requests.
 """
 
 import contextlib
@@ -17,7 +17,7 @@
 import msgspec
 
 from ledgehitch.config import BadInput
-from ledgehitch.daemon.facts import Drain, Reload, State
+from ledgehitch.daemon.facts import Drain, Fence, PlanCall, PlanWords, Reload, State
 from ledgehitch.fleet.journal import _read, _sum
 from ledgehitch.gateway.peers import Peers, Refusal
 from ledgehitch.http import Refused
@@ -26,6 +26,14 @@
 from ledgehitch.members.decide import Members
 from ledgehitch.members.roster import News
 from ledgehitch.members.words import BadWords, Words, read, written
+from ledgehitch.owners.decide import Owners
+from ledgehitch.owners.facts import DUTIES, short
+from ledgehitch.owners.memory import Memory
+from ledgehitch.owners.words import KINDS as DUTY_KINDS
+from ledgehitch.owners.words import BadWords as BadDuty
+from ledgehitch.owners.words import Words as Duty
+from ledgehitch.owners.words import read as duty_read
+from ledgehitch.owners.words import written as duty_written
 
 KEY = bytes(range(32))
 
@@ -59,6 +67,12 @@
         line = json.dumps({"ev": "done", "gateway": "g0"})
         self.journal = f"{_sum('', line)} {line}\n".encode() * 1
         self.drain = msgspec.json.encode(Drain(3.0, "restart", "t", "b"))
+        duty = Duty("ask", 0, 1, 1, short("g0"), b"abcd", b"\0" * 4)
+        self.duty_words = [duty_written(duty._replace(kind=kind, terms=(1, 2))) for kind in DUTY_KINDS]
+        names = tuple(f"g{n}" for n in range(8))
+        memory = Memory(0.0, "g1", names, DUTIES, 10.0, None, 7)
+        self.owners = Owners(0.0, 1, names, memory, random.Random(1))
+        self.left = msgspec.json.encode(PlanWords(duty="restarts", term=1, version=1, word="go", plan={}))
         self.request = b"POST /v1/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}"
 
     def datagram(self) -> None:
@@ -81,6 +95,18 @@
             with contextlib.suppress(msgspec.MsgspecError, UnicodeDecodeError):
                 msgspec.json.decode(spoilt(self.drain, self.chance), type=kind)
 
+    def duty(self) -> None:
+        """Words on duties of a member that says nonsense; what an owner leaves with a gateway."""
+        self.now += 0.001
+        with contextlib.suppress(BadDuty):
+            data = spoilt(self.chance.choice(self.duty_words), self.chance)
+            self.owners.heard(self.now, 0, duty_read(data))
+        while self.owners.decide(self.now) is not None:
+            self.owners.kept(self.owners.memory.record())
+        for kind in (Fence, PlanWords, PlanCall):
+            with contextlib.suppress(msgspec.MsgspecError, UnicodeDecodeError):
+                msgspec.json.decode(spoilt(self.left, self.chance), type=kind)
+
     def plan(self) -> None:
         with contextlib.suppress(BadInput):
             _read(spoilt(self.journal, self.chance), Path("journal"))
@@ -103,7 +129,7 @@
     fed = Fed(random.Random(1))
     kinds: dict[str, Callable[[], None]] = {
         "datagram": fed.datagram, "admin": fed.admin, "journal": fed.plan, "http": fed.http,
-        "certificate": fed.certificate,
+        "certificate": fed.certificate, "duties": fed.duty,
     }  # fmt: skip
     counts, began, first = dict.fromkeys(kinds, 0), time.monotonic(), 0.0
     while time.monotonic() - began < seconds:
--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
 from statistics import median
 from typing import Any
@@ -24,6 +24,7 @@
 from ledgehitch.owners.memory import Memory
 from ledgehitch.owners.words import read, written
 from ledgehitch.rehearsal.fleet import FleetRig
+from ledgehitch.standins.cuts import Bad, Cuts
 
 FRAME = 52  # bytes of head and MAC around the words
 
@@ -34,7 +35,9 @@
 
     def __init__(self, members: int, lease: float = 10.0, seed: int = 1, loss: float = 0.0,
                  rates: Sequence[float] = (), duties: tuple[str, ...] = DUTIES) -> None:  # fmt: skip
-        self.chance, self.loss, self.now = random.Random(seed), loss, 100.0
+        self.chance, self.now = random.Random(seed), 100.0
+        self.cuts = Cuts(self.chance)
+        self.cuts.everywhere = Bad(loss=loss, late=0.02)
         self.n, self.lease = members, lease
         self.names, self.duties = tuple(f"g{n}" for n in range(members)), duties
         self.rates = list(rates) or [1.0] * members
@@ -42,7 +45,6 @@
         self.disks: dict[int, Any] = dict.fromkeys(range(members))
         self.events: list[tuple[float, int, int, int, bytes]] = []
         self.number = self.bytes = self.most_owners = 0
-        self.parted: set[int] = set()
         self.still: dict[int, float] = {}
         self.wakes: dict[int, float] = {}
         self.won: list[tuple[float, str, int]] = []
@@ -68,6 +70,14 @@
     def stop(self, n: int) -> None:
         self.all[n] = None
 
+    def part(self, some: Iterable[int]) -> None:
+        """These and the others do not hear each other; with nobody, all do."""
+        bad, self.parted = self.cuts.everywhere, set(some)
+        self.cuts.heal()
+        self.cuts.everywhere = bad
+        self.cuts.cut([self.names[n] for n in self.parted],
+                      [name for n, name in enumerate(self.names) if n not in self.parted])  # fmt: skip
+
     def resign(self, n: int) -> None:
         one = self.all[n]
         if one is not None:
@@ -144,11 +154,9 @@
     def _send(self, sender: int, send: Send) -> None:
         data = written(send.words)
         self.bytes += len(data) + FRAME
-        apart = (sender in self.parted) != (send.to in self.parted)
-        if not apart and self.chance.random() >= self.loss:
+        for late in self.cuts.arrives(self.names[sender], self.names[send.to]):
             self.number += 1
-            late = self.now + self.chance.uniform(0.001, 0.02)
-            heapq.heappush(self.events, (late, self.number, sender, send.to, data))
+            heapq.heappush(self.events, (self.now + 0.001 + late, self.number, sender, send.to, data))
 
 
 def states(most: int = 1_000_000) -> dict[str, Any]:
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -94,10 +94,10 @@
     def _learn(self) -> None:
         for number, (duty, voter) in enumerate(self.voters.items()):
             told = [terms[number] for _, terms in self.answers.values() if number < len(terms)]
+            told.append(voter.term)  # where one alone has answered it does not decide
             # Guards against one broken member's term near the top: what most do not reach is not believed at
             # once, it is come closer to by a step.
-            highest = max(told, default=0)
-            middle = sorted(told)[(len(told) - 1) // 2] if told else 0
+            highest, middle = max(told), sorted(told)[(len(told) - 1) // 2]
             term = min(highest, max(middle, voter.term) + STEP, TOP)
             if term > voter.term:
                 voter.term, voter.member = term, ""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,15 +23,18 @@
 from benchmarks.fuzz import Fed
 from ledgehitch.config import BadInput
 from ledgehitch.daemon.admin import Admin
-from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, Role, State
+from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, PlanWords, Role, State
 from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Prove, Say, Then
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.place import Place, holder
+from ledgehitch.daemon.plans import Plans
 from ledgehitch.daemon.supervisor import Supervisor
 from ledgehitch.daemon.why import told
 from ledgehitch.fleet.carry import Caller
 from ledgehitch.fleet.found import Found, Target, judged
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
+from ledgehitch.fleet.owned import Said, cannot_vote, owned
+from ledgehitch.fleet.owned import read as read_owners
 from ledgehitch.fleet.plan import Ask, Call, Joins, Over, Plan, Rolling, Terms, Write, foretold
 from ledgehitch.fleet.screen import FleetScreen
 from ledgehitch.fleet.show import halls_of, hosts_of, plan_words
@@ -433,6 +436,142 @@
         assert rolling.told() == {"done": len(TARGETS)}
 
 
+class Fenced(Gateways):
+    """Gateways that hear terms: a step below the highest heard is refused, one that is late comes all the
+    same, and who drains says for which plan."""
+
+    def __init__(self, chance: random.Random) -> None:
+        super().__init__(chance)
+        self.known = dict.fromkeys(self.lives, 0)
+        self.drains: dict[str, tuple[float, str]] = {}  # until when, for which ticket
+        self.late: list[tuple[int, Call]] = []
+        self.most_under_way = 0
+
+    def told(self, name: str, term: int) -> Found:
+        self.turn()
+        if self.now < self.away.get(name, 0.0):
+            return Found(name, "refused", "nobody listens")
+        if term < self.known[name]:
+            return Found(name, "unknown", "a higher term is known")
+        self.known[name] = term
+        if name in self.drains:
+            found = msgspec.structs.replace(state(name, self.boot(name)), phase="draining",
+                                            why=self.drains[name][1])  # fmt: skip
+            return Found(name, "draining", state=found)
+        return self.ask(name)
+
+    def step(self, term: int, call: Call) -> tuple[int, str]:
+        self.turn()
+        if self.now < self.away.get(call.name, 0.0):
+            return 0, "nobody listens"
+        if term < self.known[call.name]:
+            return 409, "a higher term is known"
+        self.known[call.name] = term
+        if call.if_boot != self.boot(call.name):
+            return 412, "another life"
+        self.drains.setdefault(call.name, (self.now + self.chance.uniform(0.0, 2.0), call.ticket))
+        return 200, ""
+
+    def turn(self) -> None:
+        for name, (until, ticket) in list(self.drains.items()):
+            if self.now >= until:
+                del self.drains[name]
+                self.restart(name, ticket)
+        away = {n for n, until in self.away.items() if self.now < until} | set(self.drains)
+        self.most_under_way = max(self.most_under_way, len(away))
+
+
+@settings(max_examples=120, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_owners_that_die_anywhere_restart_each_once_and_never_more_at_once(seed: int) -> None:
+    """Each owner knows nothing of the one before; calls of former ones arrive after the next has begun."""
+    chance = random.Random(seed)
+    most = chance.randrange(1, 4)
+    plan = Plan("p", "restart", TARGETS, Terms(at_once=most, settle=0.2, failures=9))
+    gateways, term = Fenced(chance), 0
+    while True:
+        term += 1
+        rolling, cut = Rolling(gateways.now, plan, (), learnt=True), chance.randrange(1, 120)
+        for _ in range(cut):
+            decision = rolling.decide(gateways.now)
+            if decision is None:
+                gateways.now += 0.1
+                if gateways.late and chance.random() < 0.2:
+                    gateways.step(*gateways.late.pop(chance.randrange(len(gateways.late))))
+                gateways.turn()
+            elif isinstance(decision, Ask):
+                rolling.found(gateways.now, gateways.told(decision.name, term))
+            elif isinstance(decision, Call):
+                if chance.random() < 0.3:
+                    gateways.late.append((term, decision))  # on its way when its owner dies
+                    break
+                rolling.called(gateways.now, decision.name, *gateways.step(term, decision))
+            if rolling.over:
+                break
+        if rolling.over:
+            break
+        assert term < 200
+    assert all(tickets == [f"p/{name}"] for name, tickets in gateways.restarts.items())
+    assert gateways.most_under_way <= most and set(rolling.told()) == {"done"}
+
+
+def test_a_gateway_that_is_not_seen_holds_its_place_until_it_is_overdue() -> None:
+    plan = Plan("p", "restart", TARGETS[:3], Terms(settle=0.0, within=0.0, back_within=5.0))
+    rolling, now, asked = Rolling(T, plan, (), learnt=True), T, list[str]()
+    while not rolling.over and now < T + 20:
+        while (decision := rolling.decide(now)) is not None:
+            assert not isinstance(decision, Call), "one may be between two lives: no other is touched"
+            if isinstance(decision, Ask):
+                asked.append(decision.name)
+                there = decision.name != "g1"
+                found = Found(decision.name, "answered", state=state(decision.name)) if there else None
+                rolling.found(now, found or Found(decision.name, "silent", "nothing"))
+        now += 0.1
+    assert rolling.stopped.startswith("1 failed: g1: not seen in 5 s") and set(asked) == {"g0", "g1", "g2"}
+
+
+def test_who_owns_a_duty_is_told_as_what_it_is() -> None:
+    def says(name: str, owner: str = "", mine: bool = False, term: int = 3, **more: Any) -> Said:
+        told = {"owner": owner, "term": term, "lease_left": 2.0, "mine": mine, "refused": 1,
+                "standstill": "" if owner else "plans wait"}  # fmt: skip
+        return Said(name, {"duties": {"restarts": told}, **more})
+
+    def kind(*said: Said) -> tuple[str, str]:
+        (found,) = owned(said)
+        return found.kind, found.owner
+
+    silent = Said("g9", None, "no whole answer")
+    assert kind(says("g0", "g0", True), says("g1", "g0"), silent) == ("owned", "g0")
+    assert kind(says("g0", "g0", True), says("g1", "g1", True, 4)) == ("contradicting", "g1")
+    assert kind(says("g0", "g7"), says("g1")) == ("unknown", "")
+    assert kind(says("g0"), says("g1"), silent) == ("nobody", "")
+    assert kind(says("g0"), silent, silent) == ("unknown", "")
+    assert owned([says("g0"), says("g1")])[0].refused == 2 and owned([silent]) == []
+    lines = cannot_vote([silent, says("g0", disk="No space left on device", settled=False, clock=False,
+                                      why_not="drains", frames_refused={"stale": 4})])  # fmt: skip
+    assert [line.partition(" ")[0] for line in lines] == ["g9:"] + ["g0:"] * 5
+    for body in (b"{", b"[]", b'{"duties": []}', b'{"duties": {"restarts": {"owner": 3}}}', b"\xff"):
+        assert read_owners("g0", 200, body).state is None
+    assert read_owners("g0", 409, b"").why == "it answers 409"
+
+
+def test_a_plan_that_was_left_is_kept_and_an_older_or_strange_one_is_not(tmp_path: Path) -> None:
+    plans = Plans(tmp_path / "g0.plan")
+    words = PlanWords(duty="restarts", term=4, owner="g1", version=2, word="go", plan={"id": "p"})
+    assert plans.taken(words) and not plans.taken(msgspec.structs.replace(words, term=3, version=9))
+    assert plans.taken(msgspec.structs.replace(words, term=4, version=3, word="stopped"))
+    again = Plans(tmp_path / "g0.plan")
+    assert again.held == msgspec.structs.replace(words, version=3, word="stopped")
+    whole = (tmp_path / "g0.plan.0").read_bytes()
+    for cut in range(0, len(whole), 5):
+        (tmp_path / "g0.plan.0").write_bytes(whole[:cut])
+        assert Plans(tmp_path / "g0.plan").held is None
+    other = Plans(tmp_path / "g0.plan")
+    other.keep.write({"version": 2, "plan": {}})
+    strange = Plans(tmp_path / "g0.plan")
+    assert strange.held is None and "it is of version 2" in strange.why
+
+
 def test_who_was_restarted_by_somebody_else_is_not_touched_and_who_stays_away_stops_the_plan() -> None:
     plan = Plan("p", "restart", TARGETS, Terms(settle=0.2, back_within=5.0, within=0.0))
     gateways, lines = Gateways(random.Random(3)), list[dict[str, Any]]()
@@ -784,10 +923,12 @@
     for _ in range(400):
         fed.datagram()
         fed.admin()
+        fed.duty()
         fed.plan()
         fed.http()
         fed.certificate()
     assert fed.receiver.refused["mac"] > 100 and len(fed.members.told()) == 7
+    assert len(fed.owners._out) < 1000 and all(v.term < 2**40 for v in fed.owners.memory.voters.values())
     assert len(fed.members._out) < 100 and len(fed.members._for) < 400
 
 
@@ -817,6 +958,11 @@
         status, why = call("POST", "/v1/drain", b'{"if_boot": "another"}')
         assert status == 412 and "another life runs here" in why and life.phase == "ready"
         assert call("POST", "/v1/reload")[0] == 409 and call("PUT", "/v1/drain")[0] == 405
+        assert call("GET", "/v1/owners")[0] == 409, "no part in membership"
+        assert call("POST", "/v1/fence", b'{"duty": "restarts", "term": 1}')[0] == 409
+        assert call("POST", "/v1/fence", b"{}")[0] == 400 and call("PUT", "/v1/plans")[0] == 405
+        assert call("POST", "/v1/drain", b'{"duty": "restarts", "term": 1}', "gateway")[0] == 409
+        assert call("POST", "/v1/drain", b"{}", "gateway")[0] == 403 and life.phase == "ready"
         assert call("GET", "/v2/state")[0] == 404 and "version 1" in call("GET", "/v2/state")[1]
         assert call("GET", "/v1/why/1") == (
             409, "this gateway keeps no flight record: start it with --record")  # fmt: skip
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -135,12 +135,12 @@
     crowd = Crowd(5, lease=10.0, seed=5)
     crowd.run(25.0)
     (owner,) = crowd.owners("restarts")
-    crowd.parted = {owner, (owner + 1) % 5}
+    crowd.part({owner, (owner + 1) % 5})
     crowd.run(60.0)
     (other,) = crowd.owners("restarts")
     assert other not in crowd.parted and crowd.most_owners == 1
     term = crowd.term("restarts")
-    crowd.parted = set()
+    crowd.part(())
     crowd.run(40.0)
     assert crowd.owners("restarts") == [other] and crowd.term("restarts") == term
 
@@ -160,9 +160,9 @@
             case "start":
                 crowd.start(n, "same")
             case "part":
-                crowd.parted = set(chance.sample(range(5), chance.randrange(1, 4)))
+                crowd.part(chance.sample(range(5), chance.randrange(1, 4)))
             case "heal":
-                crowd.parted = set()
+                crowd.part(())
             case "still":
                 crowd.still[n] = crowd.now + chance.uniform(1.0, 12.0)
             case "empty" as what if sum(one is None for one in crowd.all.values()) == 0:
@@ -172,7 +172,8 @@
             case "resign":
                 crowd.resign(n)
         crowd.run(chance.uniform(0.2, 6.0))
-    crowd.parted, crowd.still = set(), {}
+    crowd.part(())
+    crowd.still = {}
     for n in range(5):
         crowd.stop(n)
         crowd.start(n, "same")
