Votes go to disk in a copy of the process, so that viewers do not wait for a sync

Cause: a vote is written and synced before it is answered, and the loop stood still meanwhile: 70 ms a sync where a file is replaced on this machine's disk, measured with 20 writes; /dev/shm 0.0 ms. Excluded: the sync of the directory (0.2 ms).

Keep is now carried out by a forked copy (loop.children.forked), nothing that rests on it is said before it came through, and an effect that arrives waits for its term to be on disk and looks at the highest one again after that. A copy that outlives a killed process holds its lock, so that no new life reads a file that is still written.

--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -2,6 +2,7 @@
 machine sleeps, and a duty's work begun when it is won and ended when it is lost.
 """
 
+import os
 import random
 import secrets
 import time
@@ -14,7 +15,7 @@
 
 from ledgehitch.config import Site
 from ledgehitch.daemon.membership import Membership
-from ledgehitch.loop import Loop
+from ledgehitch.loop import Event, Loop, forked
 from ledgehitch.loop.kernel import Task
 from ledgehitch.loop.timers import Timer
 from ledgehitch.members.decide import SLOWEST
@@ -52,6 +53,7 @@
         self.home = loop.current
         self._timer: Timer | None = None
         self._disk_again = 0.0
+        self._writing: Event | None = None  # set when what is on its way to the disk is there, or is not
         self.serves: Callable[[], bool] = lambda: False  # whether this gateway takes viewings now
         membership.more = self._heard
         self.pull()
@@ -91,15 +93,16 @@
     def pull(self) -> None:
         now = self.now()
         self._fitness()
-        while (decision := self.owners.decide(now)) is not None:
+        while self._writing is None and (decision := self.owners.decide(now)) is not None:
             match decision:
                 case Send():
                     self._send(decision)
                 case Keep(record, then):
-                    if not self._keep(now, record):
+                    if self._disk_again > time.monotonic():
+                        self.owners.not_kept(now)
                         break
-                    for send in then:
-                        self._send(send)
+                    self._writing = Event(self.loop)
+                    self.loop.spawn(self._keep, record, then, name="votes to disk", owner=self.home)
                 case Won(duty, term):
                     log.info("won", duty=duty, term=term)
                     self._begin(duty, term)
@@ -119,24 +122,37 @@
         why = "drains" if not self.serves() else "slow itself" if slow else ""
         self.owners.may(there - {self.owners.me}, not why, why)
 
-    def _keep(self, now: float, record: dict[str, Any]) -> bool:
-        """Written, synced, moved into its place; or nothing is said that rests on it."""
-        if self._disk_again > time.monotonic():
-            self.owners.not_kept(now)
-            return False
+    def _keep(self, record: dict[str, Any], then: tuple[Send, ...]) -> None:
+        """Written, synced, moved into its place; or nothing is said that rests on it. A copy of the process
+        does it, so that viewers do not wait for the disk. Should this process be killed meanwhile, the copy
+        holds its lock until it is through: no new life reads a file that an old one still writes."""
+
+        def put() -> None:
+            try:
+                self.file.write(record)
+            except OSError as problem:
+                os._exit(problem.errno or 5)
+
+        code, writing = 5, self._writing
         try:
-            self.file.write(record)
-        except OSError as problem:
+            code = forked(self.loop, put)
+        finally:
+            self._writing = None
+            assert writing is not None
+            writing.set()
+        if code:
             if not self.disk:
-                log.error("the disk takes no vote: none is given", why=problem.strerror)
-            self.disk, self._disk_again = str(problem.strerror), time.monotonic() + DISK_AGAIN
-            self.owners.not_kept(now)
-            return False
-        if self.disk:
-            log.info("the disk takes votes again")
-        self.disk, self._disk_again = "", 0.0
-        self.owners.kept(record)
-        return True
+                log.error("the disk takes no vote: none is given", why=os.strerror(abs(code)))
+            self.disk, self._disk_again = os.strerror(abs(code)), time.monotonic() + DISK_AGAIN
+            self.owners.not_kept(self.now())
+        else:
+            if self.disk:
+                log.info("the disk takes votes again")
+            self.disk, self._disk_again = "", 0.0
+            self.owners.kept(record)
+            for send in then:
+                self._send(send)
+        self.pull()
 
     def _send(self, send: Send) -> None:
         self.membership.send(send.to, written(send.words))
@@ -170,9 +186,13 @@
         """0 where an effect that came here may be carried out: it is on disk then. Else the term known."""
         taken = self.owners.takes(duty, term)
         self.pull()
-        if taken and not self.disk:
-            return 0
+        while taken and self.owners.dirty() and self._writing is not None:
+            self._writing.wait()
+            self.loop.sleep(0.0)  # who wrote goes on first
         known = self.owners.memory.fence.known(duty)
+        # A higher term may have come while the disk was waited for.
+        if taken and not self.owners.dirty() and known <= term:
+            return 0
         log.warning("an owner is refused", duty=duty, owner=owner, term=term, known=known, disk=self.disk)
         return max(known, 1)
 
@@ -181,12 +201,16 @@
         self.pull()
 
     def close(self) -> None:
+        """Nothing is voted or owned any more; what was on its way to the disk is there."""
+        self.membership.more = None
+        while self._writing is not None:
+            self._writing.wait()
         for duty in list(self.at_work):
             self._end(duty)
         if self._timer is not None:
             self.loop.timers.cancel(self._timer)
             self._timer = None
-        self.membership.more = None
+        self._writing = Event(self.loop)  # nothing is decided any more
 
     def state(self) -> dict[str, Any]:
         out = self.owners.state(self.now())
--- a/ledgehitch/owners/decide.py
+++ b/ledgehitch/owners/decide.py
@@ -340,7 +340,7 @@
         for to in there[:most]:
             self._question(now, one, to, "ask", lease.term)
         self._tell(now, one, set(there[:most]))
-        if not self._dirty():
+        if not self.dirty():
             self.kept(self.memory.record())
 
     def _ask_again(self, now: float, one: One) -> None:
@@ -416,7 +416,7 @@
             self._look(now)
         if self._due:
             return self._due.popleft()  # rests on nothing that is not on disk yet
-        if self._dirty():
+        if self.dirty():
             then, self._after = tuple(self._after), []
             return Keep(self.memory.record(), then)
         return self._after.pop(0) if self._after else None
@@ -548,7 +548,8 @@
     def _send(self, to: int, words: Words) -> None:
         self._after.append(Send(to, words))
 
-    def _dirty(self) -> bool:
+    def dirty(self) -> bool:
+        """Whether anything that was voted or taken is not on disk yet."""
         return self._on_disk != self.memory.record()
 
     def _count(self, what: str) -> None:
