A gateway killed in its new life is not restarted a second time by the same plan

Excluded: two owners at once (no breach of fence or term in any script).

The ticket for which a life is ended is on disk before the process runs anew, and told as carried.

--- a/ledgehitch/daemon/admin.py
+++ b/ledgehitch/daemon/admin.py
@@ -45,6 +45,7 @@
     def __init__(self, running: Running, life: Life, started_by: str, changed: Callable[[], None]) -> None:
         """`changed`: called when something was asked of the life, so that it is pulled."""
         self.running, self.life, self.started_by, self.changed = running, life, started_by, changed
+        self.carried = started_by
         self.born = time.monotonic()
         self.members: Callable[[], dict[str, str]] = dict
         self.owning: Owning | None = None  # None: this gateway takes no part in membership
@@ -190,7 +191,7 @@
             counts=Counts(**counts), joins_ms=c.joins.ms(now),
             config=versions.reloads.state() if versions is not None else {}, hosts=self.hosts(),
             members=self.members(), door=self._door(),
-            zone=next(g.zone for g in r.site.gateways if g.name == r.name),
+            zone=next(g.zone for g in r.site.gateways if g.name == r.name), carried=self.carried,
         )  # fmt: skip
 
     def hosts(self) -> dict[str, HostSeen]:
--- a/ledgehitch/daemon/facts.py
+++ b/ledgehitch/daemon/facts.py
@@ -47,6 +47,7 @@
     members: dict[str, str] = {}  # other gateways as this one sees them
     door: dict[str, Any] | None = None
     zone: str = ""
+    carried: str = ""  # the ticket for which a life here was ended last, kept on disk: it may have died since
 
 
 class Fenced(msgspec.Struct, frozen=True, kw_only=True):
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -34,6 +34,7 @@
 from ledgehitch.loop import Child, Endpoint, Event, Loop, TimedOut, endpoint
 from ledgehitch.loop.pump import Pump
 from ledgehitch.members.elsewhere import elsewhere
+from ledgehitch.quality.keep import Keep
 
 TICKET = "LEDGEHITCH_STARTED_BY"  # in the environment: the ticket of the restart that began this life
 LIST_WITHIN = 3.0  # seconds to wait for the list before serving with its last copy
@@ -62,6 +63,8 @@
         self.life = Life(time.monotonic(), max(p.patience for p in site.packages))
         self.stir = Pump(loop, self._pull).stir  # something was told
         self.admin = Admin(self.running, self.life, environment.get(TICKET, ""), self.stir)
+        self.carried = Keep(place.directory / f"{name}.carried", synced=True)
+        self.admin.carried = str(self.carried.read() or "")
         self.on_leave: Callable[[bool], None] = lambda back_soon: None
         self.running.front.elsewhere = self._elsewhere
         self.chance = random.Random(seed + 3)
@@ -94,6 +97,8 @@
         self.running.stop()
         if self.owning is not None:
             self.owning.close()
+        if exit_as.again:
+            self._note_carried()
         if self.membership is not None:
             self.membership.close()
         self.place.let_go()
@@ -101,6 +106,14 @@
         log.info("is over", again=exit_as.again, why=self.life.why)
         return exit_as
 
+    def _note_carried(self) -> None:
+        """Guards against a second restart by the same plan where the new life is killed before it was seen:
+        whoever starts next here finds for which ticket the last life was ended."""
+        try:
+            self.carried.write(self.life.why)
+        except OSError as problem:
+            log.error("not noted that the restart was carried out", why=problem.strerror)
+
     def _members(self, seed: int) -> Membership | None:
         """Where the site gives this gateway a place in membership, and a key to the fleet."""
         here = next(g for g in self.site.gateways if g.name == self.name)
--- a/ledgehitch/fleet/plan.py
+++ b/ledgehitch/fleet/plan.py
@@ -224,7 +224,7 @@
             if now - one.since > self._allowed():
                 why = f"{found.kind}: {found.why}" if found.why else found.kind
                 self._to(now, one, "failed", f"not seen in {self._allowed():g} s, {why}")
-        elif state.started_by == ticket and self.plan.action == "restart":
+        elif ticket in (state.started_by, state.carried) and self.plan.action == "restart":
             one.step, one.boot, one.since = "sent", "", now  # in its new life; it has yet to settle
             self._look(now, one, found)
         elif state.phase != "ready" and state.why == ticket:
@@ -239,7 +239,7 @@
             case "retire":
                 return False
             case "restart":
-                return state.started_by == self.ticket(one.target.name)
+                return self.ticket(one.target.name) in (state.started_by, state.carried)
             case "drain":
                 return state.phase in ("draining", "drained", "ending")
             case "undrain":
@@ -280,7 +280,7 @@
                     runs = str(state.config.get("runs", ""))[:16] or "no config that it names"
                     self._to(now, one, "failed", f"it came back with another config: {runs}")
                     return
-                mine = state.started_by == self.ticket(one.target.name)
+                mine = self.ticket(one.target.name) in (state.started_by, state.carried)
                 word = "" if mine else f"restarted by {state.started_by or 'somebody else'}"
                 self._to(now, one, "done" if mine else "skipped", word)
                 return
--- a/ledgehitch/rehearsal/fleet.py
+++ b/ledgehitch/rehearsal/fleet.py
@@ -48,7 +48,8 @@
 sys.orig_argv[1:] = sys.orig_argv[1:]
 runpy.run_module("ledgehitch", run_name="__main__")
 """
-KEPT = ("members", "owners", "plan", "quality", "door")  # files of a state directory, by how they end
+# Files of a state directory, by how they end.
+KEPT = ("members", "owners", "plan", "carried", "quality", "door")
 
 
 class FleetRig(Stage):
--- a/tests/test_owning.py
+++ b/tests/test_owning.py
@@ -50,6 +50,27 @@
     assert rig.broken(whole=True) == []
 
 
+def test_a_gateway_that_is_killed_in_its_new_life_is_not_restarted_again(tmp_path: Path) -> None:
+    """Found by random scripts (seed 101): who was started anew by somebody else had forgotten the plan."""
+
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        owner = rig.owner("restarts")
+        rig.by_fleet(*PLAN)
+        rig.until(lambda: any(x["ev"] == "step_out" and x.get("started_by") for x in rig.lines()), 60.0)
+        steps = {x["id"]: x["to"] for x in rig.lines() if x["ev"] == "step"}
+        new = next(steps[x["id"]] for x in rig.lines() if x["ev"] == "step_out" and x.get("started_by"))
+        rig.kill(new)
+        if owner != new:
+            rig.kill(owner)  # the next one knows nothing but what gateways say
+        rig.start_all({new, owner})
+        rig.until(lambda: rig.plan() == "ended", 90.0)
+
+    rig = FleetRig(tmp_path, 3)
+    rig.run(script)
+    assert rig.broken(whole=True) == []
+
+
 def test_an_owner_stopped_after_its_check_is_refused_where_its_call_arrives(tmp_path: Path) -> None:
     """Its call has set out and waits on the way, it stands still; the receiver starts anew in between."""
 
