--- a/ledgehitch/rehearsal/play.py
+++ b/ledgehitch/rehearsal/play.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -25,6 +26,7 @@
 from ledgehitch.standins.plan import Step, site_of, steps_of
 
 MOST_GATEWAYS, MOST_HOSTS = 64, 400  # of a day on loopback: each gateway is a process
+PORTS = 10_240, 32_768  # for what a day starts
 READY_WITHIN = 20.0  # seconds for a process to be ready
 log = structlog.get_logger("rehearsal")
 
@@ -62,11 +64,19 @@
 
 
 def free_ports(n: int) -> list[int]:
-    """Ports of loopback that were free just now, all different, for streams and datagrams."""
+    """Ports of loopback that were free just now, all different, for streams and datagrams.
+
+    Guards against a gateway that is down for a moment finding its port taken when it comes back: the system
+    gives ports from 32768 on to whoever connects, so these lie below."""
     held: list[socket.socket] = []
+    chance = random.SystemRandom()
     while len(held) < n:
         stream = socket.socket()
-        stream.bind(("127.0.0.1", 0))
+        try:
+            stream.bind(("127.0.0.1", chance.randrange(*PORTS)))
+        except OSError:
+            stream.close()
+            continue
         datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             datagrams.bind(("127.0.0.1", stream.getsockname()[1]))
