A changed list is settled only when a majority goes by the new one

Cause: memory.py, runs: the former list was let go of when it had no majority any more, and the new one had none yet, since the added gateway could not be heard by the last old one. Excluded: a blocked vote (no promise was running).

It is settled when also a majority of the new list is there, by words of members that vote or will.

--- a/ledgehitch/owners/decide.py
+++ b/ledgehitch/owners/decide.py
@@ -131,7 +131,8 @@
         if not 0 <= sender < len(self.names) or sender == self.me or words.who != self.shorts[sender]:
             self._count("of another numbering of the gateways")
             return
-        self.memory.runs(now, self.names[sender], words.list)
+        if words.kind != "greet" or words.intact:
+            self.memory.runs(now, self.names[sender], words.list)
         if words.kind in ("greet", "greeted"):
             self._greeting(now, sender, words)
             return
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -104,15 +104,17 @@
             self.fence.highest[duty] = max(self.fence.known(duty), term)
 
     def runs(self, now: float, member: str, current: bytes) -> None:
-        """Which list a member goes by, in words of its own. When too few go by the former one alone for a
-        majority of it, no lease can be won or renewed by it any more; the longest that may still run is
-        waited for."""
+        """Which list a member goes by, in words of its own that say that it votes or will. When too few go by
+        the former one alone for a majority of it, no lease can be won or renewed by it any more; the longest
+        that may still run is waited for. Not before a majority of the current one is there: else neither
+        list had an owner until it is."""
         former = self.lists.former
         if not former or member in self.on_new or current != self.lists.digests()[0]:
             return
         self.on_new.add(member)
         left = len(former) - len(self.on_new.intersection(former))
-        if left < majority(len(former)) and self.settles_at > 1e17:
+        enough = len(self.on_new) >= majority(len(self.lists.current))
+        if enough and left < majority(len(former)) and self.settles_at > 1e17:
             self.settles_at = now + self.promise
 
     def settle(self, now: float) -> bool:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -92,6 +92,8 @@
     m.runs(T, "d", m.lists.digests()[0])
     assert not m.settle(T + 99), "no member of the former list but itself goes by the new one"
     m.runs(T, "b", m.lists.digests()[0])
+    assert not m.settle(T + 99), "none has a majority: three of seven are there, and one of three is left"
+    m.runs(T, "e", m.lists.digests()[0])
     assert not m.settle(T + 10.0) and m.settle(T + m.promise) and m.lists == Lists(new)
 
 
--- a/tests/test_owning.py
+++ b/tests/test_owning.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from ledgehitch.proof.owned import judged_owned
@@ -173,6 +174,39 @@
     assert rig.broken() == []
 
 
+def test_a_gateway_is_added_and_a_majority_of_both_lists_is_needed_meanwhile(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> None:
+        whole = rig.site
+        rig.site = msgspec.structs.replace(whole, gateways=whole.gateways[:3])
+        rig.write_site()
+        old = rig.names[:3]
+        rig.start_all(old)
+        rig.owner("restarts")
+        rig.site = whole
+        rig.write_site()
+        rig.start_all(["g3"])
+        for number, name in enumerate(old):
+            rig.kill(name)
+            rig.start_all([name])
+            rig.owner("restarts", within=60.0)
+            settled = [rig.asked(n, "/v1/owners")["settled"] for n in old[: number + 1]]
+            assert number == 2 or not any(settled), "too few go by the new list"
+        rig.until(lambda: all(rig.asked(n, "/v1/owners")["settled"] for n in rig.names), 60.0)
+        rig.until(lambda: rig.asked("g3", "/v1/owners")["votes"], 60.0)
+        # Now it is one of four: three are needed, and it is one of them.
+        first = rig.owner("restarts")
+        rig.kill(next(n for n in old if n != first))
+        rig.kill(first)
+        rig.loop.sleep(3 * rig.lease)
+        assert not any(rig._owns(n, "restarts") for n in rig._alive()), "two of four own nothing"
+        rig.start_all([first])
+        rig.owner("restarts", within=60.0)
+
+    rig = FleetRig(tmp_path, 4)
+    rig.run(script)
+    assert rig.broken() == []
+
+
 def test_the_plan_is_stopped_resumed_and_given_up_from_any_machine(tmp_path: Path) -> None:
     def script(rig: FleetRig) -> None:
         rig.start_all()
