--- a/ledgehitch/config/day.py
+++ b/ledgehitch/config/day.py
@@ -64,6 +64,11 @@
     "peers_lost": Kind("peers", "`size` of the messages between gateways is lost", (0, 1)),
     "list_late": Kind("list", "news of media hosts come `size` s later", (0, 60)),
     "list_lost": Kind("list", "the list service is away"),
+}
+
+
+# Between daemons, as the rig of several processes plays them; days of one process and models have none.
+BETWEEN: dict[str, Kind] = {
     "wires_cut": Kind(
         "daemons",
         "`who` and the others are cut from each other; `extra` 1: it is not heard, 2: it does not hear",
@@ -89,10 +94,14 @@
 
     def strength(self) -> float:
         """`size`, or the middle of what the kind allows."""
-        return self.size if self.size is not None else _middle(KINDS[self.kind].size)
+        return self.size if self.size is not None else _middle(_kind(self.kind).size)
 
     def further(self) -> float:
-        return self.extra if self.extra is not None else _middle(KINDS[self.kind].extra)
+        return self.extra if self.extra is not None else _middle(_kind(self.kind).extra)
+
+
+def _kind(name: str) -> Kind:
+    return KINDS[name] if name in KINDS else BETWEEN[name]
 
 
 def _middle(bounds: tuple[float, float] | None) -> float:
@@ -193,6 +202,8 @@
     for i, fault in enumerate(day.faults):
         at = f"{name}: faults[{i}]"
         kind = KINDS.get(fault.kind)
+        if fault.kind in BETWEEN:
+            raise BadInput(f"{at}.kind: {fault.kind} is played between daemons alone")
         if kind is None:
             raise BadInput(f"{at}.kind: no fault {fault.kind!r}, known are {', '.join(sorted(KINDS))}")
         for field, value, bounds in (("size", fault.size, kind.size), ("extra", fault.extra, kind.extra)):
@@ -202,7 +213,5 @@
                 raise BadInput(f"{at}.{field}: a {fault.kind} has none")
             if not bounds[0] <= value <= bounds[1]:
                 raise BadInput(f"{at}.{field}: {value:g} is not from {bounds[0]:g} to {bounds[1]:g}")
-        if kind.whom == "daemons":
-            raise BadInput(f"{at}.kind: {fault.kind} is played between daemons alone")
         if fault.at >= day.length:
             raise BadInput(f"{at}.at: {fault.at:g} s is after the day's end, {day.length:g} s")
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from benchmarks.owners import Crowd
+from ledgehitch.owners.clock import Clock
 from ledgehitch.owners.decide import Keep, Lost, Owners, Send, Won
 from ledgehitch.owners.explore import CORNERS, PLANTED, explored, walked
 from ledgehitch.owners.facts import DUTIES, STEP, TOP, Lists, majority, rank
@@ -97,6 +98,16 @@
     assert not m.settle(T + 10.0) and m.settle(T + m.promise) and m.lists == Lists(new)
 
 
+def test_a_clock_that_jumps_back_stands_still_or_goes_slow_is_not_gone_by() -> None:
+    clock = Clock(T, 50.0)
+    assert clock.read(T + 1, 51.0) and clock.read(T + 2.01, 52.0)
+    assert clock.read(T + 600, 53.5), "the machine slept: the second clock did not go on"
+    assert not clock.read(T + 599.9, 54.0), "it jumped back"
+    assert not clock.read(T + 600.4, 54.5) and clock.read(T + 601, 55.1), "it went right for a second"
+    assert not clock.read(T + 601, 56.2), "it stood still"
+    assert not clock.read(T + 601.9, 57.2), "it goes slower than the bound allows"
+
+
 def test_duties_spread_over_the_members_and_all_rank_them_alike() -> None:
     names = [f"g{n}" for n in range(12)]
     firsts = {rank(f"duty-{n}", names)[0] for n in range(40)}
--- a/tests/test_owning.py
+++ b/tests/test_owning.py
@@ -7,6 +7,8 @@
 import msgspec
 import pytest
 
+from ledgehitch.config import BadInput, Fault, read_day
+from ledgehitch.config.day import BETWEEN
 from ledgehitch.proof.owned import judged_owned
 from ledgehitch.proof.tape import Line
 from ledgehitch.rehearsal.fleet import FleetRig
@@ -242,12 +244,12 @@
         receiver.nonsense = b'{"last": "tomorrow"}'
         rig.until(lambda: "does not count" in str(rig.asked(owner, "/v1/owners")["duties"]["verdicts"]))
         receiver.nonsense = None
-        rig.still(owner)
+        # As a day script would name it; it ends by itself.
+        rig.do_fault(Fault(kind="daemon_still", at=0.0, len=6 * rig.lease, who="owner of verdicts"))
         rig.owner("verdicts", but=[owner], within=60.0)
         told, term = len(receiver.verdicts), receiver.term
         rig.until(lambda: len(receiver.verdicts) >= told + 2)
-        rig.goes_on(owner)
-        rig.until(lambda: not rig._owns(owner, "verdicts"))
+        rig.until(lambda: owner in rig._alive() and not rig._owns(owner, "verdicts"))
         assert receiver.term >= term
 
     rig = FleetRig(tmp_path, 3, verdicts_every=0.7)
@@ -300,6 +302,15 @@
     assert judged_owned(tape(good), ["g0"], 1, True) == []
 
 
+def test_a_day_of_one_process_has_no_faults_between_daemons(tmp_path: Path) -> None:
+    for kind in BETWEEN:
+        raw = {"name": "d", "length": 9.0, "arrivals": {"rate": 1.0, "mix": [{"package": "recorded"}]},
+               "faults": [{"kind": kind, "at": 1.0, "who": "owner of restarts"}]}  # fmt: skip
+        (tmp_path / "day.json").write_bytes(msgspec.json.encode(raw))
+        with pytest.raises(BadInput, match=rf"faults\[0\].kind: {kind} is played between daemons alone"):
+            read_day(tmp_path / "day.json")
+
+
 def test_ways_are_cut_one_way_and_both_and_healed() -> None:
     cuts = Cuts(random.Random(1))
     cuts.cut(["a"], ["a", "b"], back=False)
