Who is alive is taken by number, and membership says itself whether it lags

What counts as slow was decided there too; it is membership's (Members.lags, alive). The ticket that was carried out last is told from the file alone. Behaviour unchanged.

--- a/ledgehitch/daemon/admin.py
+++ b/ledgehitch/daemon/admin.py
@@ -45,7 +45,7 @@
     def __init__(self, running: Running, life: Life, started_by: str, changed: Callable[[], None]) -> None:
         """`changed`: called when something was asked of the life, so that it is pulled."""
         self.running, self.life, self.started_by, self.changed = running, life, started_by, changed
-        self.carried = started_by
+        self.carried = ""  # for which ticket a life here was ended last
         self.born = time.monotonic()
         self.members: Callable[[], dict[str, str]] = dict
         self.owning: Owning | None = None  # None: this gateway takes no part in membership
--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -18,7 +18,6 @@
 from ledgehitch.loop import Event, Loop, forked
 from ledgehitch.loop.kernel import Task
 from ledgehitch.loop.timers import Timer
-from ledgehitch.members.decide import SLOWEST
 from ledgehitch.owners.clock import Clock
 from ledgehitch.owners.decide import Keep, Lost, Owners, Renewed, Send, Won
 from ledgehitch.owners.facts import DUTIES
@@ -117,10 +116,9 @@
         self._timer = self.loop.call_at(time.monotonic() + min(wait, 3600.0), self.pull)
 
     def _fitness(self) -> None:
-        there = {n for n, name in enumerate(self.membership.names) if self.membership.there(name)}
-        slow = self.membership.members.slow >= SLOWEST // 2
-        why = "drains" if not self.serves() else "slow itself" if slow else ""
-        self.owners.may(there - {self.owners.me}, not why, why)
+        members = self.membership.members
+        why = "drains" if not self.serves() else "slow itself" if members.lags() else ""
+        self.owners.may(members.alive(), not why, why)
 
     def _keep(self, record: dict[str, Any], then: tuple[Send, ...]) -> None:
         """Written, synced, moved into its place; or nothing is said that rests on it. A copy of the process
--- a/ledgehitch/members/decide.py
+++ b/ledgehitch/members/decide.py
@@ -259,6 +259,14 @@
         left = self.roster.left()
         return self.parts.sharing(now, left), self.parts.until(left)
 
+    def lags(self) -> bool:
+        """Whether this gateway finds itself slow: it should take on nothing for others."""
+        return self.slow >= SLOWEST // 2
+
+    def alive(self) -> set[int]:
+        """Others that nobody doubts."""
+        return {n for n, e in self.roster.entries.items() if n != self.me and e.status == "alive"}
+
     def told(self) -> dict[int, Status]:
         return {n: e.status for n, e in sorted(self.roster.entries.items()) if n != self.me}
 
--- a/ledgehitch/quality/keep.py
+++ b/ledgehitch/quality/keep.py
@@ -83,7 +83,6 @@
         except OSError:
             return False
 
-
     def _whole(self) -> list[tuple[int, bytes]]:
         found = []
         for n in (0,) if self.synced else (0, 1):
