One way to post a call and one to trust a gateway, for the tool and for owners

The tool and the owner of restarts each built the client that judges certificates, and the owner's caller repeated the drain call to add its term. fleet/carry.py has both once (Caller.post, trusted); UnderTerm (was Fenced, a name that the record of a fenced step has) adds duty, term and owner in one place. The tool tells 'not the owner' by the header that says so, not by a word in the message. Duties have names in owners/facts.py. Behaviour unchanged.

--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -14,7 +14,7 @@
 
 from ledgehitch.config import BadInput, Site, read_site
 from ledgehitch.daemon.facts import PlanCall, PlanWords
-from ledgehitch.fleet.carry import WITHIN, Caller, Work
+from ledgehitch.fleet.carry import WITHIN, Caller, Work, trusted
 from ledgehitch.fleet.found import Found, Target, counted
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
 from ledgehitch.fleet.owned import Said, cannot_vote, owned
@@ -22,10 +22,8 @@
 from ledgehitch.fleet.plan import Action, Over, Plan, Rolling, Terms, foretold
 from ledgehitch.fleet.show import COLOURS, line_words
 from ledgehitch.gateway.versions import checked
-from ledgehitch.http import Client, ConnectFailed, Interrupted
+from ledgehitch.http import ConnectFailed, Interrupted
 from ledgehitch.http.client import TLS
-from ledgehitch.keys.contexts import context
-from ledgehitch.keys.judge import Refused, shown, taken
 from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Loop, TimedOut
 
@@ -69,17 +67,8 @@
     def caller(self, loop: Loop) -> Caller:
         if self.cert is None:
             return Caller(loop, self.within)
-        keys = Keys(self.cert.parent)
         names = {t.at: t.name for t in self.targets()}
-
-        def judge(address: str, certificate: bytes) -> None:
-            """Guards against an impostor at a gateway's address: it must show that gateway's certificate."""
-            try:
-                taken(shown(certificate), time.time(), ("gateway",), keys.revoked(), names.get(address, ""))
-            except Refused as why:
-                raise ConnectFailed(str(why)) from None
-
-        client = Client(loop, context(keys.ca, self.cert, False), judge)
+        client = trusted(loop, Keys(self.cert.parent), self.cert, names)
         return Caller(loop, self.within, client)
 
     def found(self, only: tuple[str, ...] = ()) -> list[Found]:
@@ -88,17 +77,18 @@
         return found
 
     def asked(self, method: str, path: str, only: tuple[str, ...] = (), body: bytes = b""
-              ) -> list[tuple[str, int, bytes, str]]:  # fmt: skip
-        """Each gateway's name, status (0: no answer), body or why there is none, and the owner it names."""
-        loop, found = Loop(), dict[str, tuple[str, int, bytes, str]]()
+              ) -> list[tuple[str, int, bytes, str | None]]:  # fmt: skip
+        """Each gateway's name, status (0: no answer), body or why there is none, and the owner it names where
+        it says that it is not: empty if it knows none."""
+        loop, found = Loop(), dict[str, tuple[str, int, bytes, str | None]]()
 
         def one(caller: Caller, t: Target) -> None:
             try:
                 with loop.deadline(self.within):
                     answer = caller.client.request(t.at, method, path, None, body)
-                found[t.name] = t.name, answer.status, answer.body, answer.header("owner") or ""
+                found[t.name] = t.name, answer.status, answer.body, answer.header("owner")
             except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
-                found[t.name] = t.name, 0, str(why or "no whole answer in time").encode(), ""
+                found[t.name] = t.name, 0, str(why or "no whole answer in time").encode(), None
 
         def main() -> None:
             caller = self.caller(loop)
@@ -121,11 +111,11 @@
                 told = read_owners(name, status, answer)
                 if told.state is None or not told.state["duties"].get("restarts", {}).get("mine"):
                     continue
-                ((_, status, answer, _),) = self.asked("POST", "/v1/plan", (name,), body)
+                ((_, status, answer, owner),) = self.asked("POST", "/v1/plan", (name,), body)
                 if status == 200:
                     return dict(msgspec.json.decode(answer, type=dict[str, Any]))
                 why = f"{name}: {_detail(answer) or status}"
-                if status not in (0, 503) and "restarts" not in why:
+                if status not in (0, 503) and owner is None:
                     raise BadInput(why)
             if time.monotonic() > until:
                 raise BadInput(f"nobody takes it: {why or 'no gateway says that it owns restarts'}; "
--- a/ledgehitch/daemon/admin.py
+++ b/ledgehitch/daemon/admin.py
@@ -35,6 +35,7 @@
 from ledgehitch.gateway.serve import Running
 from ledgehitch.http import Refused, Request, Response
 from ledgehitch.loop import forked
+from ledgehitch.owners.facts import RESTARTS
 
 MOST = 1000  # viewings in one answer
 MOST_WORDS = 60_000  # bytes of an answer to why: what a pipe holds
@@ -140,8 +141,8 @@
     def _plan(self, call: PlanCall) -> dict[str, Any]:
         """At the owner of `restarts`; elsewhere it says who that is."""
         owning = self._owning()
-        if not owning.owns("restarts") or self.planned is None:
-            owner = owning.owners.told(owning.now())["restarts"]["owner"]
+        if not owning.owns(RESTARTS) or self.planned is None:
+            owner = owning.owners.told(owning.now())[RESTARTS]["owner"]
             raise Refused(409, f"{owner or 'nobody that is known'} owns restarts", [("Owner", owner)])
         return self.planned(call)
 
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -34,6 +34,7 @@
 from ledgehitch.loop import Child, Endpoint, Event, Loop, TimedOut, endpoint
 from ledgehitch.loop.pump import Pump
 from ledgehitch.members.elsewhere import elsewhere
+from ledgehitch.owners.facts import RESTARTS, VERDICTS
 from ledgehitch.quality.keep import Keep
 
 TICKET = "LEDGEHITCH_STARTED_BY"  # in the environment: the ticket of the restart that began this life
@@ -134,9 +135,9 @@
         own.serves = lambda: self.life.phase == "ready"
         self.admin.owning = own
         if restarts is not None:
-            own.work["restarts"] = restarts(self)
+            own.work[RESTARTS] = restarts(self)
         if self.site.owners.verdicts_to and self.running.reports is not None:
-            own.work["verdicts"] = Verdicts(self.loop, self.site, self.name, own, self.running.reports)
+            own.work[VERDICTS] = Verdicts(self.loop, self.site, self.name, own, self.running.reports)
         return own
 
     def _elsewhere(self) -> str:
--- a/ledgehitch/daemon/verdicts.py
+++ b/ledgehitch/daemon/verdicts.py
@@ -17,8 +17,8 @@
 from ledgehitch.gateway.reports import Reports
 from ledgehitch.http import Client, ConnectFailed, Interrupted
 from ledgehitch.loop import Loop, TimedOut
+from ledgehitch.owners.facts import VERDICTS
 
-DUTY = "verdicts"
 WITHIN = 2.0  # seconds for the receiver's answer
 AGAIN = 1.0  # seconds until what was not answered is told again
 log = structlog.get_logger("verdicts")
@@ -55,10 +55,10 @@
 
     def _told(self, term: int, words: dict[str, Any]) -> None:
         """One try. Whoever is not owner any more is ended at the wait that follows."""
-        if self.owning.owns(DUTY) != term:
+        if self.owning.owns(VERDICTS) != term:
             self.loop.sleep(AGAIN)
             return
-        body = msgspec.json.encode({"duty": DUTY, "term": term, "owner": self.name, **words})
+        body = msgspec.json.encode({"duty": VERDICTS, "term": term, "owner": self.name, **words})
         try:
             with self.loop.deadline(WITHIN):
                 answer = self.client.request(self.at, "POST", "/verdicts", None, body)
@@ -68,7 +68,7 @@
             return
         known = answer.header("known-term") or ""
         if answer.status == 409 and known.isdigit() and int(known) > term:
-            self.owning.refused(DUTY, term, int(known), "receiver")
+            self.owning.refused(VERDICTS, term, int(known), "receiver")
             self.loop.sleep(AGAIN)
             return
         last = self._last_in(answer.body) if answer.status == 200 else None
--- a/ledgehitch/fleet/carry.py
+++ b/ledgehitch/fleet/carry.py
@@ -2,14 +2,18 @@
 
 import time
 from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
 from typing import Any, Protocol
 
 import msgspec
 
-from ledgehitch.daemon.facts import Drain, Reload
+from ledgehitch.daemon.facts import Drain, Fenced, Reload
 from ledgehitch.fleet.found import Found, Target, judged, unheard
 from ledgehitch.fleet.plan import Ask, Call, Joins, Over, Rolling, Write
 from ledgehitch.http import Client, ConnectFailed, Interrupted, Response
+from ledgehitch.keys.contexts import context
+from ledgehitch.keys.judge import Refused, shown, taken
+from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Event, Loop, TimedOut
 
 WITHIN = 1.5  # seconds for one gateway's answer
@@ -31,7 +35,7 @@
 
         try:
             with self.loop.deadline(self.within):
-                answer = self._state(target)
+                answer = self.state(target)
         except TimedOut:
             return unheard(target, "silent", f"no whole answer in {self.within:g} s", took())
         except ConnectFailed as why:
@@ -41,7 +45,7 @@
         version = answer.header("admin-version") or ""
         return judged(target, took(), self.within, answer.status, version, answer.body)
 
-    def _state(self, target: Target) -> Response:
+    def state(self, target: Target) -> Response:
         return self.client.request(target.at, "GET", "/v1/state")
 
     def ask_all(self, targets: Sequence[Target]) -> list[Found]:
@@ -61,20 +65,40 @@
 
     def call(self, target: Target, call: Call, within: float) -> tuple[int, str]:
         """The status, 0 without an answer, and what it says."""
+        what: Reload | Drain | None = None
+        path = "drain"
         if call.action == "reload":
-            path, body = "reload", msgspec.json.encode(Reload(call.ticket, call.if_boot))
+            path, what = "reload", Reload(call.ticket, call.if_boot)
         elif call.action == "undrain":
-            path, body = "undrain", b""
+            path = "undrain"
         else:
             then: Any = {"restart": "restart", "retire": "leave"}.get(call.action, "stay")
-            path, body = "drain", msgspec.json.encode(Drain(within, then, call.ticket, call.if_boot))
+            what = Drain(within, then, call.ticket, call.if_boot)
         try:
-            with self.loop.deadline(self.within):
-                answer = self.client.request(target.at, "POST", f"/v1/{path}", None, body)
+            answer = self.post(target, path, what)
         except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
             return 0, str(why)
         return answer.status, answer.body.decode("utf-8", "replace")
 
+    def post(self, target: Target, path: str, what: Reload | Fenced | None) -> Response:
+        body = msgspec.json.encode(what) if what is not None else b""
+        with self.loop.deadline(self.within):
+            return self.client.request(target.at, "POST", f"/v1/{path}", None, body)
+
+
+def trusted(loop: Loop, keys: Keys, certificate: Path, names: Mapping[str, str]) -> Client:
+    """A client that shows this certificate and takes gateways' own alone. `names`: by address, who must
+    answer there."""
+
+    def judge(address: str, shown_der: bytes) -> None:
+        """Guards against an impostor at a gateway's address: it must show that gateway's certificate."""
+        try:
+            taken(shown(shown_der), time.time(), ("gateway",), keys.revoked(), names.get(address, ""))
+        except Refused as why:
+            raise ConnectFailed(str(why)) from None
+
+    return Client(loop, context(keys.ca, certificate, False), judge)
+
 
 class Lines(Protocol):
     """A journal, or what stands in its place."""
--- a/ledgehitch/fleet/onduty.py
+++ b/ledgehitch/fleet/onduty.py
@@ -12,22 +12,18 @@
 import msgspec
 import structlog
 
-from ledgehitch.daemon.facts import Drain, Fence, PlanCall, PlanWords
+from ledgehitch.daemon.facts import Fence, Fenced, PlanCall, PlanWords, Reload
 from ledgehitch.daemon.owning import Owning
 from ledgehitch.daemon.run import Daemon
-from ledgehitch.fleet.carry import Caller, Work
+from ledgehitch.fleet.carry import Caller, Work, trusted
 from ledgehitch.fleet.found import Found, Target, unheard
 from ledgehitch.fleet.plan import Call, Over, Plan, Rolling
 from ledgehitch.fleet.show import line_words
 from ledgehitch.http import Client, ConnectFailed, Interrupted, Refused, Response
 from ledgehitch.http.client import TLS
-from ledgehitch.keys.contexts import context
-from ledgehitch.keys.judge import Refused as NotTaken
-from ledgehitch.keys.judge import shown, taken
 from ledgehitch.loop import Event, Loop, TimedOut
-from ledgehitch.owners.facts import majority
+from ledgehitch.owners.facts import RESTARTS, majority
 
-DUTY = "restarts"
 AGAIN = 0.5  # seconds until those who did not answer are asked again
 FOR_OTHERS = 3.0  # seconds that an operator's word may take to be with a majority
 MOST_LINES = 200  # of what was done, kept for people
@@ -38,7 +34,7 @@
     """The term is over; the task that hears it ends."""
 
 
-class Fenced(Caller):
+class UnderTerm(Caller):
     """Asks and calls under a term: nothing goes out once the lease is over, and a gateway that knows a higher
     term ends it."""
 
@@ -46,19 +42,20 @@
         super().__init__(loop, client=client)
         self.owning, self.term = owning, term
 
-    def post(self, target: Target, path: str, what: Any) -> Response:
-        if self.owning.owns(DUTY) != self.term:
+    def post(self, target: Target, path: str, what: Reload | Fenced | None) -> Response:
+        if self.owning.owns(RESTARTS) != self.term:
             raise NotOwner
-        with self.loop.deadline(self.within):
-            answer = self.client.request(target.at, "POST", f"/v1/{path}", None, msgspec.json.encode(what))
+        assert isinstance(what, Fenced)  # all that the fleet itself does is
+        what = msgspec.structs.replace(what, duty=RESTARTS, term=self.term, owner=self.owning.name)
+        answer = super().post(target, path, what)
         known = answer.header("known-term") or ""
         if answer.status == 409 and known.isdigit() and int(known) > self.term:
-            self.owning.refused(DUTY, self.term, int(known), target.name)
+            self.owning.refused(RESTARTS, self.term, int(known), target.name)
             raise NotOwner
         return answer
 
-    def _state(self, target: Target) -> Response:
-        return self.post(target, "fence", Fence(duty=DUTY, term=self.term, owner=self.owning.name))
+    def state(self, target: Target) -> Response:
+        return self.post(target, "fence", Fence())
 
     def ask(self, target: Target) -> Found:
         try:
@@ -69,15 +66,10 @@
     def call(self, target: Target, call: Call, within: float) -> tuple[int, str]:
         if call.action != "restart":
             return 400, "the fleet carries out restarts alone"
-        what = Drain(within, "restart", call.ticket, call.if_boot, duty=DUTY, term=self.term,
-                     owner=self.owning.name)  # fmt: skip
         try:
-            answer = self.post(target, "drain", what)
+            return super().call(target, call, within)
         except NotOwner:
             return 0, "no owner any more"
-        except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
-            return 0, str(why)
-        return answer.status, answer.body.decode("utf-8", "replace")
 
 
 class Restarts:
@@ -109,7 +101,7 @@
     def run(self, term: int) -> None:
         self.term, self.words, self.known, self.rolling, self.lines = term, None, False, None, []
         self._changing, self._version = None, 0
-        caller = Fenced(self.loop, self.client, self.owning, term)
+        caller = UnderTerm(self.loop, self.client, self.owning, term)
         try:
             self._learn(caller)
             while True:
@@ -121,7 +113,7 @@
         except NotOwner:
             log.info("gives up, another may own it", term=term)
 
-    def _learn(self, caller: Fenced) -> None:
+    def _learn(self, caller: UnderTerm) -> None:
         """The latest plan that a majority knows of, left there again under this term: a former owner's word
         that comes later is refused by each of them."""
         heard: dict[str, PlanWords | None] = {}
@@ -137,9 +129,9 @@
             self._leave(caller, lambda _: latest)
         self.known = True
 
-    def _hear(self, caller: Fenced, target: Target, heard: dict[str, PlanWords | None]) -> None:
+    def _hear(self, caller: UnderTerm, target: Target, heard: dict[str, PlanWords | None]) -> None:
         try:
-            if caller._state(target).status != 200:
+            if caller.state(target).status != 200:
                 return
             with self.loop.deadline(caller.within):
                 answer = self.client.request(target.at, "GET", f"/v1/plans?owner={self.name}")
@@ -148,7 +140,7 @@
         except (TimedOut, ConnectFailed, Interrupted, ValueError) as why:
             log.debug("not heard", gateway=target.name, why=str(why))
 
-    def _leave(self, caller: Fenced, change: Callable[[PlanWords | None], PlanWords]) -> None:
+    def _leave(self, caller: UnderTerm, change: Callable[[PlanWords | None], PlanWords]) -> None:
         """With a majority, on their disks, before anything is done on it; tried until it is. One change at a
         time, each with a version of its own: one that was cut off may lie with some."""
         while self._changing is not None:
@@ -160,10 +152,9 @@
             self._changing = None
             done.set()
 
-    def _spread(self, caller: Fenced, words: PlanWords) -> None:
+    def _spread(self, caller: UnderTerm, words: PlanWords) -> None:
         self._version = max(self._version, words.version) + 1
-        new = msgspec.structs.replace(words, duty=DUTY, term=self.term, owner=self.name,
-                                      version=self._version)  # fmt: skip
+        new = msgspec.structs.replace(words, version=self._version)
         left: set[str] = set()
 
         def one(target: Target) -> None:
@@ -180,7 +171,7 @@
                 task.wait()
             if len(left) >= majority(len(self.targets)):
                 break
-            if self.owning.owns(DUTY) != self.term:
+            if self.owning.owns(RESTARTS) != self.term:
                 raise NotOwner
             self.loop.sleep(AGAIN)
         self.words = new
@@ -191,7 +182,7 @@
         except NotOwner:
             return  # who waits for it looks at the lease itself
 
-    def _carry(self, caller: Fenced) -> None:
+    def _carry(self, caller: UnderTerm) -> None:
         words = self.words
         assert words is not None
         plan = msgspec.convert(words.plan, Plan)
@@ -207,7 +198,7 @@
         if not isinstance(result, Over):
             task.cancel()  # an operator's word: what is under way comes back by itself
             return
-        if self.owning.owns(DUTY) != self.term:
+        if self.owning.owns(RESTARTS) != self.term:
             raise NotOwner
         word: Any = "ended" if result.ended else "stopped"
         self._leave(caller, lambda now: msgspec.structs.replace(now or words, word=word, why=result.why))
@@ -223,7 +214,7 @@
         """Answered once it lies with a majority; raises `Refused`."""
         if not self.known:
             raise Refused(503, "the owner does not know the plan yet: come again", [("Retry-After", "1")])
-        caller, held = Fenced(self.loop, self.client, self.owning, self.term), self.words
+        caller, held = UnderTerm(self.loop, self.client, self.owning, self.term), self.words
         open_plan = held is not None and held.word in ("go", "stopped")
         if call.do == "begin":
             try:
@@ -268,7 +259,7 @@
 class _Lines:
     """In the journal's place: what must outlive the owner lies with the gateways, or can be learned there."""
 
-    def __init__(self, work: Restarts, caller: Fenced) -> None:
+    def __init__(self, work: Restarts, caller: UnderTerm) -> None:
         self.work, self.caller = work, caller
 
     def append(self, line: Mapping[str, Any]) -> None:
@@ -296,18 +287,9 @@
         at = g.admin_via or (TLS + g.admin_at.removeprefix(TLS) if g.admin_at else "")
         targets.append(Target(g.name, at or f"unix:{directory / g.name}.admin", g.zone, g.rack))
     client = Client(daemon.loop)
-    if daemon.keys is not None:
-        keys, names = daemon.keys, {t.at: t.name for t in targets}
-
-        def judge(address: str, certificate: bytes) -> None:
-            """Guards against an impostor at a gateway's address."""
-            try:
-                taken(shown(certificate), time.time(), ("gateway",), keys.revoked(), names.get(address, ""))
-            except NotTaken as why:
-                raise ConnectFailed(str(why)) from None
-
-        tls = context(keys.ca, keys.directory / f"{daemon.name}.pem", False)
-        client = Client(daemon.loop, tls, judge)
+    if (keys := daemon.keys) is not None:
+        names = {t.at: t.name for t in targets}
+        client = trusted(daemon.loop, keys, keys.directory / f"{daemon.name}.pem", names)
     assert daemon.admin.owning is not None
     work = Restarts(daemon.loop, daemon.name, targets, daemon.admin.owning, client)
     daemon.admin.planned = work.planned
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -6,10 +6,10 @@
 from blake3 import blake3
 
 # Numbered on the wire by their place: a new one comes last, none is taken out.
-DUTIES = ("restarts", "verdicts")
+DUTIES = RESTARTS, VERDICTS = "restarts", "verdicts"
 STANDSTILL = {
-    "restarts": "plans wait where they are; who was told to restart comes back by itself",
-    "verdicts": "no verdict of the fleet is handed on; each gateway still tells its own",
+    RESTARTS: "plans wait where they are; who was told to restart comes back by itself",
+    VERDICTS: "no verdict of the fleet is handed on; each gateway still tells its own",
 }
 LEASE = 10.0  # from the asking; `docs/owners.md` says why
 RATES = 0.01  # by which the rates of two gateways' clocks may differ at most, one of the other
