What an operator's word makes of the fleet's plan is decided apart from carrying it out

fleet/onduty.py decided which words on a plan are the latest and what begin, stop, resume and give up lead to, between its calls; fleet/held.py has it now, free of I/O, with a test of its own. The order of words stood in four places (PlanWords.order). Lines kept for people that nobody read are gone. Behaviour unchanged.

--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -16,6 +16,7 @@
 from ledgehitch.daemon.facts import PlanCall, PlanWords
 from ledgehitch.fleet.carry import WITHIN, Caller, Work, trusted
 from ledgehitch.fleet.found import Found, Target, counted
+from ledgehitch.fleet.held import id_of, latest
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
 from ledgehitch.fleet.owned import Said, cannot_vote, owned
 from ledgehitch.fleet.owned import read as read_owners
@@ -311,19 +312,19 @@
                 held.append(msgspec.convert(words, PlanWords))
         except (msgspec.MsgspecError, KeyError):
             silent.append(name)
-    latest = max(held, key=lambda w: (w.term, w.version), default=None)
+    last = latest(held)
     doing = next((f.doing for f in owned(work.said()) if f.duty == "restarts"), "")
-    with_it = [w for w in held if latest is not None and (w.term, w.version) == (latest.term, latest.version)]
-    out = {"plan": msgspec.to_builtins(latest) if latest else None, "doing": doing, "silent": silent,
+    with_it = [w for w in held if last is not None and w.order() == last.order()]
+    out = {"plan": msgspec.to_builtins(last) if last else None, "doing": doing, "silent": silent,
            "held_by": len(with_it), "of": len(answers)}  # fmt: skip
     if as_json:
         click.echo(json.dumps(out))
-    elif latest is None:
+    elif last is None:
         click.echo("no plan" + (f"; silent: {', '.join(silent)}" if silent else ""))
     else:
-        why = f", {latest.why}" if latest.why else ""
+        why = f", {last.why}" if last.why else ""
         there = f"with {len(with_it)} of {len(answers)} gateways"
-        click.echo(f"{latest.plan['id']}: {latest.word}{why}; {there}")
+        click.echo(f"{id_of(last)}: {last.word}{why}; {there}")
         click.echo(doing or "no owner is known now: it stands still")
     sys.exit(0 if len(silent) * 2 < len(answers) else 1)
 
--- a/ledgehitch/daemon/facts.py
+++ b/ledgehitch/daemon/facts.py
@@ -73,6 +73,10 @@
     why: str = ""
     share: float | None = None  # of viewings turned away before the first step
 
+    def order(self) -> tuple[int, int]:
+        """The higher is the later word."""
+        return self.term, self.version
+
 
 class PlanCall(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """POST /v1/plan: what an operator wants of the plan that the fleet carries out."""
--- a/ledgehitch/daemon/plans.py
+++ b/ledgehitch/daemon/plans.py
@@ -33,7 +33,7 @@
     def taken(self, new: PlanWords) -> bool:
         """Whether this is later than what is held, and on disk now. Raises OSError where the disk does not
         take it."""
-        if self.held is not None and (new.term, new.version) < (self.held.term, self.held.version):
+        if self.held is not None and new.order() < self.held.order():
             return False
         self.keep.write({"version": VERSION, "plan": msgspec.to_builtins(new)})
         self.held, self.why = new, ""
--- a/ledgehitch/fleet/onduty.py
+++ b/ledgehitch/fleet/onduty.py
@@ -17,6 +17,7 @@
 from ledgehitch.daemon.run import Daemon
 from ledgehitch.fleet.carry import Caller, Work, trusted
 from ledgehitch.fleet.found import Found, Target, unheard
+from ledgehitch.fleet.held import NotNow, after, id_of, latest
 from ledgehitch.fleet.plan import Call, Over, Plan, Rolling
 from ledgehitch.fleet.show import line_words
 from ledgehitch.http import Client, ConnectFailed, Interrupted, Refused, Response
@@ -26,7 +27,6 @@
 
 AGAIN = 0.5  # seconds until those who did not answer are asked again
 FOR_OTHERS = 3.0  # seconds that an operator's word may take to be with a majority
-MOST_LINES = 200  # of what was done, kept for people
 log = structlog.get_logger("restarts")
 
 
@@ -80,7 +80,6 @@
         self.words: PlanWords | None = None  # as it lies with a majority
         self.known = False  # whether a majority has told what it knows
         self.rolling: Rolling | None = None
-        self.lines: list[dict[str, Any]] = []
         self.news = Event(loop)
         self._changing: Event | None = None
         self._version = 0
@@ -92,14 +91,14 @@
         if words is None:
             return "no plan"
         if self.rolling is None or words.word != "go":
-            return f"{_id(words)}: {words.word}" + (f", {words.why}" if words.why else "")
+            return f"{id_of(words)}: {words.word}" + (f", {words.why}" if words.why else "")
         told = ", ".join(f"{n} {step}" for step, n in sorted(self.rolling.told().items()))
-        return f"{_id(words)}: {told}"
+        return f"{id_of(words)}: {told}"
 
     # ---- a term --------------------------------------------------------------------------------------------
 
     def run(self, term: int) -> None:
-        self.term, self.words, self.known, self.rolling, self.lines = term, None, False, None, []
+        self.term, self.words, self.known, self.rolling = term, None, False, None
         self._changing, self._version = None, 0
         caller = UnderTerm(self.loop, self.client, self.owning, term)
         try:
@@ -123,10 +122,9 @@
                     self._hear(caller, target, heard)
             if len(heard) < majority(len(self.targets)):
                 self.loop.sleep(AGAIN)
-        latest = max((w for w in heard.values() if w is not None), key=lambda w: (w.term, w.version),
-                     default=None)  # fmt: skip
-        if latest is not None:
-            self._leave(caller, lambda _: latest)
+        last = latest(heard.values())
+        if last is not None:
+            self._leave(caller, lambda _: last)
         self.known = True
 
     def _hear(self, caller: UnderTerm, target: Target, heard: dict[str, PlanWords | None]) -> None:
@@ -189,15 +187,21 @@
         before = [] if words.share is None else [{"ev": "baseline", "share": words.share}]
         self.rolling = Rolling(time.monotonic(), plan, before, learnt=True)
         work = Work(self.loop, caller, _Lines(self, caller), self.rolling, self._tell)
-        task = self.loop.spawn(work.run, name="plan")
-        over = Event(self.loop)
-        self.loop.spawn(lambda: over.set(_result(task)), name="plan ends")
-        news = self.news
-        self.loop.spawn(lambda: over.set(news.wait()), name="plan heard of")
-        result = over.wait()
-        if not isinstance(result, Over):
+        ends: list[Over] = []
+        news = self.news  # one that is cancelled later must not wake what comes after
+
+        def carry() -> None:
+            try:
+                ends.append(work.run())
+            finally:
+                news.set()
+
+        task = self.loop.spawn(carry, name="plan")
+        news.wait()
+        if not ends:
             task.cancel()  # an operator's word: what is under way comes back by itself
             return
+        result = ends[0]
         if self.owning.owns(RESTARTS) != self.term:
             raise NotOwner
         word: Any = "ended" if result.ended else "stopped"
@@ -205,7 +209,6 @@
         log.info("the plan", id=plan.id, word=word, why=result.why)
 
     def _tell(self, line: Mapping[str, Any]) -> None:
-        self.lines = [*self.lines, dict(line)][-MOST_LINES:]
         log.info("step", what=line_words(line), term=self.term)
 
     # ---- an operator's word --------------------------------------------------------------------------------
@@ -214,35 +217,14 @@
         """Answered once it lies with a majority; raises `Refused`."""
         if not self.known:
             raise Refused(503, "the owner does not know the plan yet: come again", [("Retry-After", "1")])
-        caller, held = UnderTerm(self.loop, self.client, self.owning, self.term), self.words
-        open_plan = held is not None and held.word in ("go", "stopped")
-        if call.do == "begin":
-            try:
-                plan = msgspec.convert(call.plan, Plan)
-            except msgspec.ValidationError as wrong:
-                raise Refused(400, f"the plan does not read: {wrong}") from None
-            if plan.action != "restart" or not plan.targets:
-                raise Refused(400, "the fleet carries out restarts, of one gateway at least")
-            known = {t.name: t for t in self.targets}
-            strange = [t.name for t in plan.targets if t.name not in known]
-            if strange:
-                raise Refused(400, f"no gateway {strange[0]!r} in the site that the owner runs")
-            if held is not None and _id(held) == plan.id:
-                return {"word": held.word, "id": plan.id}  # said twice: the answer had been lost
-            if open_plan:
-                assert held is not None
-                raise Refused(409, f"{_id(held)} is not at its end: resume it or give it up first")
-            # Where others call a gateway is the owner's to know, not the tool's machine's.
-            plan = msgspec.structs.replace(plan, targets=[known[t.name] for t in plan.targets])
-            version = held.version if held is not None else 0
-            new = PlanWords(version, "go", msgspec.to_builtins(plan))
-        else:
-            if held is None or not open_plan:
-                raise Refused(409, "no plan is under way")
-            word: Any = {"stop": "stopped", "resume": "go", "give up": "given up"}[call.do]
-            if held.word == word:
-                return {"word": word, "id": _id(held)}
-            new = msgspec.structs.replace(held, word=word, why="an operator" if word == "stopped" else "")
+        held = self.words
+        try:
+            new = after(held, call, {t.name: t for t in self.targets})
+        except NotNow as why:
+            raise Refused(why.status, why.why) from None
+        if held is not None and new is held:
+            return {"word": held.word, "id": id_of(held)}
+        caller = UnderTerm(self.loop, self.client, self.owning, self.term)
         try:
             with self.loop.deadline(FOR_OTHERS):
                 self._leave(caller, lambda _: new)
@@ -253,7 +235,7 @@
                           [("Retry-After", "1")]) from None  # fmt: skip
         self.news.set()
         assert self.words is not None
-        return {"word": self.words.word, "id": _id(self.words)}
+        return {"word": self.words.word, "id": id_of(self.words)}
 
 
 class _Lines:
@@ -268,17 +250,6 @@
             self.work._leave(self.caller, lambda now: msgspec.structs.replace(now or words, share=share))
 
 
-def _result(task: Any) -> Any:
-    try:
-        return task.wait()
-    except Exception as problem:  # noqa: BLE001
-        return problem
-
-
-def _id(words: PlanWords) -> str:
-    return str(words.plan.get("id", "?")) if isinstance(words.plan, dict) else "?"
-
-
 def restarts_of(daemon: Daemon) -> Restarts:
     """The work at one daemon; gateways are called where the site says, or in the same state directory."""
     site, directory = daemon.site, daemon.place.directory
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,7 +23,7 @@
 from benchmarks.fuzz import Fed
 from ledgehitch.config import BadInput
 from ledgehitch.daemon.admin import Admin
-from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, PlanWords, Role, State
+from ledgehitch.daemon.facts import VERSION, Counts, HostSeen, PlanCall, PlanWords, Role, State
 from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Prove, Say, Then
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.place import Place, holder
@@ -32,6 +32,7 @@
 from ledgehitch.daemon.why import told
 from ledgehitch.fleet.carry import Caller
 from ledgehitch.fleet.found import Found, Target, judged
+from ledgehitch.fleet.held import NotNow, after, id_of, latest
 from ledgehitch.fleet.journal import Journal, head_of, lines_of, plan_of, unfinished
 from ledgehitch.fleet.owned import Said, cannot_vote, owned
 from ledgehitch.fleet.owned import read as read_owners
@@ -555,6 +556,35 @@
     assert read_owners("g0", 409, b"").why == "it answers 409"
 
 
+def test_what_an_operators_word_makes_of_the_plan_that_is_held() -> None:
+    known = {t.name: msgspec.structs.replace(t, at=f"unix:via/{t.name}") for t in TARGETS}
+    raw = msgspec.to_builtins(Plan("p", "restart", TARGETS[:2]))
+
+    def said(held: PlanWords | None, do: Any, plan: Any = None) -> Any:
+        try:
+            return after(held, PlanCall(do, plan), known)
+        except NotNow as why:
+            return why.status, why.why
+
+    for do in ("stop", "resume", "give up"):
+        assert said(None, do) == (409, "no plan is under way")
+    begun = said(None, "begin", raw)
+    assert (begun.version, begun.word, id_of(begun)) == (0, "go", "p")
+    assert [t["at"] for t in begun.plan["targets"]] == ["unix:via/g0", "unix:via/g1"], "the owner's ways"
+    assert said(begun, "begin", raw) is begun and said(begun, "resume") is begun
+    assert said(begun, "begin", {**raw, "id": "q"})[0] == 409
+    stopped = said(begun, "stop")
+    assert (stopped.word, stopped.why) == ("stopped", "an operator") and said(stopped, "resume").word == "go"
+    over = said(stopped, "give up")
+    assert over.word == "given up" and said(over, "resume")[0] == 409
+    assert said(msgspec.structs.replace(over, version=7), "begin", {**raw, "id": "q"}).version == 7
+    for wrong in ({**raw, "action": "drain"}, {**raw, "targets": []}, {"id": 3}, None,
+                  {**raw, "targets": [{"name": "g77", "at": "x"}]}):  # fmt: skip
+        assert said(None, "begin", wrong)[0] == 400
+    later = [msgspec.structs.replace(begun, term=t, version=v) for t, v in ((2, 9), (3, 1), (3, 0))]
+    assert latest([None, *later]) == later[1] and latest([None]) is None
+
+
 def test_a_plan_that_was_left_is_kept_and_an_older_or_strange_one_is_not(tmp_path: Path) -> None:
     plans = Plans(tmp_path / "g0.plan")
     words = PlanWords(duty="restarts", term=4, owner="g1", version=2, word="go", plan={"id": "p"})
