One search through interleavings, for membership's promises and for owners'

owners/explore.py had written members/explore.py's search again: breadth first, walks by chance, the way unrolled. ledgehitch/interleavings.py holds it once; each explore.py keeps its world and its steps.

--- a/ledgehitch/members/explore.py
+++ b/ledgehitch/members/explore.py
@@ -5,12 +5,11 @@
 gateways run.
 """
 
-import random
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import ClassVar, NamedTuple
 
+from ledgehitch.interleavings import Explored, gone_through, walked_through
 from ledgehitch.members.parts import Left, Parts, agreed
 from ledgehitch.members.roster import Entry, News, Roster
 
@@ -42,6 +41,7 @@
     rosters: list[Roster | None]  # None: it does not run
     parts: list[Parts | None]
     wire: tuple[Message, ...]
+    breach: ClassVar[str] = "parts come to more than the whole"
 
     def key(self) -> tuple[object, ...]:
         running = tuple(
@@ -200,71 +200,13 @@
             yield f"arrives, and is doubled: {m.kind} {m.sender} to {m.to}", new
 
 
-@dataclass
-class Explored:
-    states: int = 0
-    steps: int = 0
-    unsafe: tuple[str, ...] | None = None  # the steps that led there
-    whole: bool = True  # nothing was left out but what the bounds leave out
-
-
 def explored(most: int, corner: Corner = ALL, spoilt: str = "") -> Explored:
-    """Breadth first, so that what is found first is found by the fewest steps. `spoilt`: a fault planted."""
-    first = begun(spoilt)
-    seen = {hash(first.key())}
-    queue: deque[tuple[World, tuple[object, ...]]] = deque([(first, ())])
-    result = Explored(1)
-    while queue:
-        world, way = queue.popleft()
-        for word, new in steps(world, corner, spoilt):
-            result.steps += 1
-            key = hash(new.key())
-            if key in seen:
-                continue
-            seen.add(key)
-            result.states += 1
-            there = (way, word)
-            if not new.safe():
-                result.unsafe = _unrolled(there)
-                return result
-            if result.states >= most:
-                result.whole = False
-                return result
-            queue.append((new, there))
-    return result
-
-
-def _unrolled(way: tuple[object, ...]) -> tuple[str, ...]:
-    words: list[str] = []
-    while way:
-        way, word = way  # type: ignore[assignment]
-        words.append(str(word))
-    return tuple(reversed(words))
+    """`spoilt`: a fault planted."""
+    return gone_through(begun(spoilt), lambda world: steps(world, corner, spoilt), most)
 
 
 def walked(seed: int, walks: int, depth: int, corner: Corner = ALL, spoilt: str = "") -> Explored:
-    """Walks by chance, deeper than all interleavings can be gone through; what goes on is chosen by kind
-    first, so that rare steps are not drowned by the many ways in which messages cross."""
-    chance, result = random.Random(seed), Explored(whole=False)
-    seen: set[int] = set()
-    for _ in range(walks):
-        world, way = begun(spoilt), list[str]()
-        for _ in range(depth):
-            kinds: dict[str, list[tuple[str, World]]] = {}
-            for word, new in steps(world, corner, spoilt):
-                kinds.setdefault(_kind(word), []).append((word, new))
-            if not kinds:
-                break
-            word, world = chance.choice(kinds[chance.choice(sorted(kinds))])
-            way.append(word)
-            result.steps += 1
-            seen.add(hash(world.key()))
-            if not world.safe():
-                result.states, result.unsafe = len(seen), tuple(way)
-                return result
-    result.states = len(seen)
-    return result
-
-
-def _kind(word: str) -> str:
-    return word if word == "time passes" else word.partition(":")[0].lstrip("0123456789 ").partition(" ")[0]
+    def there(world: World) -> Iterator[tuple[str, World]]:
+        return steps(world, corner, spoilt)
+
+    return walked_through(lambda: begun(spoilt), there, seed, walks, depth)
--- a/ledgehitch/owners/explore.py
+++ b/ledgehitch/owners/explore.py
@@ -9,12 +9,11 @@
 at one true moment.
 """
 
-import random
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from ledgehitch.interleavings import Explored, gone_through, walked_through
 from ledgehitch.owners.facts import Lists
 from ledgehitch.owners.memory import Memory
 from ledgehitch.owners.votes import Fence, Lease, Voter
@@ -376,15 +375,6 @@
         yield f"{me} acts", new
 
 
-@dataclass
-class Explored:
-    states: int = 0
-    steps: int = 0
-    unsafe: tuple[str, ...] | None = None  # the steps that led there
-    breach: str = ""
-    whole: bool = True  # nothing was left out but what the bounds leave out
-
-
 def led(world: World, way: tuple[str, ...]) -> World:
     """The world after these steps, each named by how its word begins; raises where one cannot be taken."""
     for word in way:
@@ -393,62 +383,9 @@
 
 
 def explored(most: int, corner: Corner, spoilt: str = "", way: tuple[str, ...] = ()) -> Explored:
-    """Breadth first, so that what is found first is found by the fewest steps. `spoilt`: a fault planted.
-    `way`: steps taken before."""
-    first = led(begun(corner, spoilt), way)
-    seen = {hash(first.key())}
-    queue: deque[tuple[World, tuple[Any, ...]]] = deque([(first, ())])
-    result = Explored(1)
-    while queue:
-        world, way = queue.popleft()
-        for word, new in steps(world):
-            result.steps += 1
-            key = hash(new.key())
-            if key in seen:
-                continue
-            seen.add(key)
-            result.states += 1
-            if not new.safe():
-                result.unsafe, result.breach = _unrolled((way, word)), new.breach
-                return result
-            if result.states >= most:
-                result.whole = False
-                return result
-            queue.append((new, (way, word)))
-    return result
-
-
-def _unrolled(way: tuple[Any, ...]) -> tuple[str, ...]:
-    words: list[str] = []
-    while way:
-        way, word = way
-        words.append(str(word))
-    return tuple(reversed(words))
+    """`spoilt`: a fault planted. `way`: steps taken before."""
+    return gone_through(led(begun(corner, spoilt), way), steps, most)
 
 
 def walked(seed: int, walks: int, depth: int, corner: Corner, spoilt: str = "") -> Explored:
-    """Walks by chance, deeper than all interleavings can be gone through; what goes on is chosen by kind
-    first, so that rare steps are not drowned by the many ways in which messages cross."""
-    chance, result = random.Random(seed), Explored(whole=False)
-    seen: set[int] = set()
-    for _ in range(walks):
-        world, way = begun(corner, spoilt), list[str]()
-        for _ in range(depth):
-            kinds: dict[str, list[tuple[str, World]]] = {}
-            for word, new in steps(world):
-                kinds.setdefault(_kind(word), []).append((word, new))
-            if not kinds:
-                break
-            word, world = chance.choice(kinds[chance.choice(sorted(kinds))])
-            way.append(word)
-            result.steps += 1
-            seen.add(hash(world.key()))
-            if not world.safe():
-                result.states, result.unsafe, result.breach = len(seen), tuple(way), world.breach
-                return result
-    result.states = len(seen)
-    return result
-
-
-def _kind(word: str) -> str:
-    return word if word == "time passes" else word.partition(":")[0].lstrip("0123456789 ").partition(" ")[0]
+    return walked_through(lambda: begun(corner, spoilt), steps, seed, walks, depth)
