The rig starts a gateway once where two faults overlap; the fence's check goes in one pass

The check of fences looked at all steps for each step; it takes them in the order in which they were answered now. The rig closes its receiver.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -217,11 +217,10 @@
             if number % 5 == 0:
                 rig.loop.sleep(lease * 1.1)  # until who came back may vote
                 owner = rig.owner("restarts", within=90.0)
-                at = time.monotonic()
                 assert rig.fleet("drain", owner)[0] == 0
                 rig.owner("restarts", but=[owner], within=90.0)
                 drains.append(rig.won_after(owner))
-                assert at and rig.fleet("undrain", owner)[0] == 0
+                assert rig.fleet("undrain", owner)[0] == 0
 
     with tempfile.TemporaryDirectory() as directory:
         rig = FleetRig(Path(directory), 5, lease=lease)
--- a/ledgehitch/proof/owned.py
+++ b/ledgehitch/proof/owned.py
@@ -8,6 +8,7 @@
     verdict   owner, term, window, status, verdict
 """
 
+from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -60,18 +61,19 @@
     """At one receiver no effect is taken under a term once one under a higher term was taken."""
     out = []
     highest: dict[tuple[str, str], Step] = {}
+    taken = deque(sorted((s for s in steps if s.duty and s.taken), key=lambda s: s.over))
     for step in sorted((s for s in steps if s.duty), key=lambda s: s.given):
         # What was answered before this one was handed over is surely earlier.
-        for other in steps:
-            if (other.duty, other.to) == (step.duty, step.to) and other.taken and other.over <= step.given:
-                best = highest.get((step.duty, step.to))
-                if best is None or other.term > best.term:
-                    highest[step.duty, step.to] = other
-        best = highest.get((step.duty, step.to))
-        if step.taken and best is not None and best.term > step.term:
+        while taken and taken[0].over <= step.given:
+            other = taken.popleft()
+            best = highest.setdefault((other.duty, other.to), other)
+            if other.term > best.term:
+                highest[other.duty, other.to] = other
+        before = highest.get((step.duty, step.to))
+        if step.taken and before is not None and before.term > step.term:
             out.append(Broken("terms fence", f"{step.to} took a step of {step.owner} under term {step.term} "
-                              f"after one under term {best.term}", (best.over, step.given),
-                              (best.line.at, step.line.at)))  # fmt: skip
+                              f"after one under term {before.term}", (before.over, step.given),
+                              (before.line.at, step.line.at)))  # fmt: skip
     return out
 
 
@@ -122,9 +124,9 @@
                 out.append(Broken("never more at once", f"{names} were away together, {most} may be",
                                   tuple(s.over for s in away.values()),
                                   tuple(s.line.at for s in away.values())))  # fmt: skip
-        elif step.to in away and step.taken and step.told.get("phase") == "ready":  # noqa: SIM102
-            if step.given > away[step.to].over:  # what was asked before may have been answered late
-                del away[step.to]
+        elif (step.taken and step.told.get("phase") == "ready" and step.to in away
+              and step.given > away[step.to].over):  # what was asked before may be answered late  # fmt: skip
+            del away[step.to]
     return out
 
 
--- a/ledgehitch/rehearsal/fleet.py
+++ b/ledgehitch/rehearsal/fleet.py
@@ -45,7 +45,6 @@
 real, real_ns, by = time.time, time.time_ns, float(sys.argv[1])
 time.time, time.time_ns = (lambda: real() + by), (lambda: real_ns() + int(by * 1e9))
 sys.argv = ["ledgehitch", *sys.argv[2:]]
-sys.orig_argv[1:] = sys.orig_argv[1:]
 runpy.run_module("ledgehitch", run_name="__main__")
 """
 # Files of a state directory, by how they end.
@@ -107,8 +106,10 @@
             try:
                 return script(self)
             finally:
-                self.exits = self.end()
+                self.end()
                 self.wires.close()
+                if self.receiver is not None:
+                    self.receiver.close()
                 self._states.cleanup()
 
         return self.loop.run(main)
@@ -347,10 +348,16 @@
         elif fault.kind == "daemon_killed":
             for name in met:
                 self.kill(name)
-                self._after(fault.len, lambda n=name: self.loop.spawn(self.start_gateway, n, name=n))  # type: ignore[misc]
+                self._after(fault.len, lambda n=name: self.loop.spawn(self._start_again, n, name=n))  # type: ignore[misc]
         else:
             raise BadInput(f"{fault.kind} is no fault between daemons")
 
+    def _start_again(self, name: str) -> None:
+        """Guards against two faults that overlap starting one gateway twice: the first would be forgotten,
+        and be left at work at the end."""
+        if self.children[name].process.poll() is not None:
+            self.start_gateway(name)
+
     def _after(self, seconds: float, call: Callable[[], Any]) -> None:
         self.loop.call_at(time.monotonic() + seconds, call)
 
--- a/ledgehitch/standins/cuts.py
+++ b/ledgehitch/standins/cuts.py
@@ -8,8 +8,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-MOST_TIMES = 3  # copies of one message at most
-
 
 @dataclass(frozen=True)
 class Bad:
@@ -51,4 +49,4 @@
         if self.chance.random() < bad.loss:
             return []
         times = 1 + (self.chance.random() < bad.doubled)
-        return [self.chance.uniform(0.0, bad.late) for _ in range(min(times, MOST_TIMES))]
+        return [self.chance.uniform(0.0, bad.late) for _ in range(times)]
--- a/ledgehitch/standins/receiver.py
+++ b/ledgehitch/standins/receiver.py
@@ -18,7 +18,6 @@
     def __init__(self, loop: Loop, at: Endpoint, tape: Tape) -> None:
         self.tape, self.term, self.last = tape, 0, -1
         self.verdicts: dict[int, Any] = {}
-        self.refused = 0
         self.nonsense: bytes | None = None  # what it answers instead, where it is to be broken
         self.server = Server(loop, at, self._handle)
 
@@ -32,7 +31,6 @@
             return Response(200, [], self.nonsense)
         said = {"owner": body.get("owner"), "term": term, "window": window}
         if term < self.term:
-            self.refused += 1
             self.tape.write("verdict", **said, status=409)
             raise Refused(409, f"term {self.term} is known", [("Known-Term", str(self.term))])
         self.term = term
--- a/tests/test_owning.py
+++ b/tests/test_owning.py
@@ -119,10 +119,8 @@
         rig.until(lambda: "2 of 5 answered" in rig.fleet("owners")[1])
         code, said = rig.fleet("owners")
         assert code == 1 and said.count(": silent") == 3, said
-        before = len(rig.wires.waiting), sum(x["ev"] == "step_out" and x["status"] == 200 and
-                                             x.get("phase") == "draining" for x in rig.lines())  # fmt: skip
         rig.loop.sleep(2 * rig.lease)
-        assert not any(rig._owns(n, "restarts") for n in rig._alive()), before
+        assert not any(rig._owns(n, "restarts") for n in rig._alive())
         rig.start_all(dead[:1])
         rig.owner("restarts")
         rig.start_all(dead[1:])
@@ -311,6 +309,20 @@
             read_day(tmp_path / "day.json")
 
 
+def test_two_kills_that_overlap_start_a_gateway_once(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        first = rig.children["g0"].pid
+        for _ in range(2):
+            rig.do_fault(Fault(kind="daemon_killed", at=0.0, len=0.3, who="g0"))
+        rig.until(lambda: rig.asked("g0", "/v1/state") is not None)
+        second = rig.children["g0"].pid
+        rig.until(lambda: rig.lives["g0"] >= 2 and not rig.loop.failed)
+        assert second != first and rig.lives["g0"] == 2 and rig.children["g0"].pid == second
+
+    FleetRig(tmp_path, 1).run(script)
+
+
 def test_ways_are_cut_one_way_and_both_and_healed() -> None:
     cuts = Cuts(random.Random(1))
     cuts.cut(["a"], ["a", "b"], back=False)
