Budgets of the fleet: own parts and loans, a ledger explored in all interleavings

One mechanism for limits of the whole fleet, decided free of I/O, clock and chance; nothing uses it yet. The lender counts from its answer, longer by the bound on clocks, and all loans to a life that may be the one in force; a new lender renews what borrowers say they hold until it has heard all or waited loans out.

--- /dev/null
+++ b/ledgehitch/budgets/lender.py
@@ -0,0 +1,99 @@
+"""The lender: the owner of the duty `budgets` under one term. Free of I/O, clock and chance.
+
+A new one does not know what a former one's loans still hold. Until the longest of them has ended it renews to
+each borrower no more than that borrower says it holds: that was counted by the former one, whose loans were
+within the pool together. Nobody who spoke to this one takes a loan of a former term any more: where all have,
+it knows what is held, and waits for nothing but what lives that are over may have left under way.
+"""
+
+from collections.abc import Sequence
+
+from ledgehitch.budgets.facts import LOAN, WHOLE, Budget
+from ledgehitch.budgets.ledger import Ledger, Loan, divided
+from ledgehitch.budgets.words import Words
+from ledgehitch.owners.facts import RATES
+
+AGAIN = 0.25  # seconds between two divisions
+NOISE = 0.1  # of a loan by which a new division must differ somewhere before any loan is moved
+GRAINS = 200  # of an equal share's parts: below this a difference is noise, too
+
+
+class Lender:
+    def __init__(self, now: float, term: int, budgets: Sequence[Budget], own: int, stated: int, digest: bytes,
+                 loan: float = LOAN, bound: float = RATES) -> None:  # fmt: skip
+        """`now`: when the duty was won. `own`: parts that each of `stated` gateways has without a loan.
+        `loan`: seconds, `bound`: by which two clocks' rates may differ; left out, those of all gateways."""
+        self.term, self.own, self.digest, self.loan = term, own, digest, loan
+        self.counted = loan * (1.0 + bound)  # how long what a borrower calls `loan` lasts here
+        self.budgets, self.stated = tuple(budgets), stated
+        pool = max(0, WHOLE - own * stated)
+        self.ledger = Ledger(budgets, pool)
+        # What a former lender answered was asked before its lease ended, so before this one was won.
+        self.waits = [now + self.counted + b.lag for b in self.budgets]
+        self.silent = set(range(stated))  # who has not spoken under this term
+        self.wanted: dict[int, tuple[float, tuple[int, ...]]] = {}
+        self.targets: list[dict[int, int]] = [{} for _ in self.budgets]
+        self.counts: dict[str, int] = {}
+        self._number = 0
+        self._divided_at = -1e18
+
+    def wants(self, now: float, member: int, words: Words) -> Words | None:
+        """A borrower's word; gives what may be answered now, and not later: the caller looks at its lease."""
+        if words.digest != self.digest or len(words.loans) != len(self.budgets):
+            return self._none("other budgets, or another version of the site")
+        if words.term != self.term:
+            return self._none("asked under another term")
+        if not 0 <= member < self.stated:
+            return self._none("a gateway that is not stated")
+        binds = now + self.counted
+        if not self.ledger.said(now, member, words.life, words.sequence, words.number, words.held, binds):
+            return self._none("doubled or overtaken")
+        self.silent.discard(member)
+        if not self.silent:
+            self.waits = [min(w, now + b.lag) for w, b in zip(self.waits, self.budgets, strict=True)]
+        fresh = member not in self.wanted
+        self.wanted[member] = now, words.wanted
+        if fresh or now - self._divided_at >= AGAIN:
+            self._divide(now)
+        loans = []
+        for i in range(len(self.budgets)):
+            parts = min(self.targets[i].get(member, 0), self.ledger.free(now, member, words.life, i))
+            loans.append(min(parts, words.loans[i]) if now < self.waits[i] else parts)
+        self._number += 1
+        loan = Loan(self._number, tuple(loans), now + self.counted)
+        if not self.ledger.lent(now, member, words.life, loan):
+            return self._none("too many loans that may be in force")
+        return Words("lent", self.digest, self.term, words.life, words.sequence, self._number, self.loan,
+                     loan.parts)  # fmt: skip
+
+    def _divide(self, now: float) -> None:
+        self._divided_at = now
+        # Who has not asked for a loan's length has none, and is not there to be given one.
+        self.wanted = {m: w for m, w in sorted(self.wanted.items()) if now - w[0] < self.loan}
+        for i, budget in enumerate(self.budgets):
+            wanted = {m: w[i] for m, (_, w) in self.wanted.items()}
+            new = divided(self.ledger.pool, self.own, wanted, budget.grain)
+            if self._moved(self.targets[i], new):
+                self.targets[i] = new
+
+    def _moved(self, old: dict[int, int], new: dict[int, int]) -> bool:
+        """Guards against flutter: loans that chance alone would move stay where they are."""
+        if old.keys() != new.keys():
+            return True
+        least = self.ledger.pool // (GRAINS * max(1, self.stated))
+        return any(abs(new[m] - parts) > max(NOISE * parts, least) for m, parts in old.items())
+
+    def told(self, now: float) -> list[dict[str, object]]:
+        """For people: each budget's pool, what counts as lent by member, and what is wanted."""
+        out: list[dict[str, object]] = []
+        for i, budget in enumerate(self.budgets):
+            self.ledger.free(now, -1, 0, i)
+            lent = {m: t[i] for m, t in sorted(self.ledger.taken.items()) if t[i]}
+            wanted = {m: w[i] for m, (_, w) in sorted(self.wanted.items())}
+            out.append({"budget": budget.name, "pool": self.ledger.pool, "lent": lent, "wanted": wanted,
+                        "waits": round(max(0.0, self.waits[i] - now), 3)})  # fmt: skip
+        return out
+
+    def _none(self, why: str) -> Words | None:
+        self.counts[why] = self.counts.get(why, 0) + 1
+        return None
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,270 @@
+"""Budgets of the fleet: loans in all interleavings, division, a lender and borrowers, what comes spoilt."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ledgehitch.budgets.borrower import Borrower
+from ledgehitch.budgets.explore import CORNERS, PLANTED, explored, walked
+from ledgehitch.budgets.facts import LOAN, PERIOD, WHOLE, Budget, budgets_of, digest_of, own_parts
+from ledgehitch.budgets.ledger import MOST_OUT, divided, filled
+from ledgehitch.budgets.lender import Lender
+from ledgehitch.budgets.words import BadWords, Words, read, written
+
+T = 1000.0
+RATE, COUNT = Budget("offers.live", "rate"), Budget("set_ups", "count", 3.0, WHOLE // 20)
+DIGEST = b"same"
+
+
+@pytest.mark.parametrize("name", CORNERS)
+def test_no_interleaving_has_more_than_the_whole_in_force(name: str) -> None:
+    found = explored(3000, CORNERS[name])
+    assert found.states == 3000 and found.unsafe is None, found.breach
+    deeper = walked(5, 30, 40, CORNERS[name])
+    assert deeper.states > 300 and deeper.unsafe is None, deeper.breach
+
+
+@pytest.mark.parametrize("fault", PLANTED)
+def test_each_planted_fault_is_found_and_the_same_way_is_safe_without_it(fault: str) -> None:
+    corner, way = PLANTED[fault]
+    found = explored(20_000, CORNERS[corner], fault, way)
+    assert found.unsafe is not None and found.breach.endswith("of the whole are in force")
+    assert explored(min(found.states, 2000), CORNERS[corner], "", way).unsafe is None
+
+
+# ---- how it is divided -------------------------------------------------------------------------------------
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.integers(0, WHOLE), st.dictionaries(st.integers(0, 40), st.integers(0, WHOLE), max_size=12),
+       st.integers(0, WHOLE // 50), st.sampled_from([1, WHOLE // 20, WHOLE // 3]))  # fmt: skip
+def test_what_is_divided_is_the_pool_and_nobody_who_asks_is_starved(
+    pool: int, wanted: dict[int, int], own: int, grain: int
+) -> None:
+    loans = divided(pool, own, wanted, grain)
+    assert loans.keys() == wanted.keys() and sum(loans.values()) <= pool
+    assert all(parts >= 0 for parts in loans.values())
+    level = filled(pool, {m: max(0, w - own) for m, w in wanted.items()})
+    assert sum(level.values()) <= pool
+    for member, parts in level.items():
+        short = parts < max(0, wanted[member] - own)
+        assert not short or all(parts >= other - len(level) for other in level.values()), "one level for all"
+        assert grain > 1 or loans[member] >= parts
+    if grain == 1 and wanted:
+        assert sum(loans.values()) > pool - len(wanted), "what nobody needs is lent, too"
+
+
+def test_one_that_asks_a_thousand_times_its_use_takes_nothing_from_those_who_need_less() -> None:
+    wanted = dict.fromkeys(range(9), WHOLE // 20) | {9: WHOLE}
+    loans = divided(WHOLE, 0, wanted)
+    assert all(loans[m] == WHOLE // 20 for m in range(9)) and loans[9] == WHOLE - 9 * (WHOLE // 20)
+
+
+def test_where_things_are_counted_loan_and_own_part_are_whole_ones() -> None:
+    own, grain = own_parts(0.1, 7), WHOLE // 20
+    loans = divided(WHOLE - 7 * own, own, {0: WHOLE, 1: WHOLE, 2: 3 * grain}, grain)
+    whole = {m: (own + parts) / grain for m, parts in loans.items()}
+    assert whole[2] == 3 and all(n == int(n) for n in whole.values()) and sum(whole.values()) >= 18
+
+
+# ---- one lender and its borrowers --------------------------------------------------------------------------
+
+
+class Few:
+    """Borrowers and one lender that hear each other at once."""
+
+    def __init__(self, n: int = 3, own_part: float = 0.1, unit: Budget = RATE) -> None:
+        self.own = own_parts(own_part, n)
+        self.unit, self.n, self.term = unit, n, 0
+        self.borrowers = [Borrower([unit], self.own, life + 1, DIGEST) for life in range(n)]
+        self.lender = self.won(T - 100.0)
+
+    def won(self, now: float) -> Lender:
+        self.term += 1
+        self.lender = Lender(now, self.term, [self.unit], self.own, self.n, DIGEST)
+        return self.lender
+
+    def ask(self, now: float, me: int, wanted: float, used: float = 0.0) -> Words | None:
+        b = self.borrowers[me]
+        b._ask_at = -1e18
+        name = self.unit.name
+        words = b.asks(now, self.term, {name: int(used * WHOLE)}, {name: int(wanted * WHOLE)})
+        assert words is not None
+        return self.lender.wants(now, me, read(written(words)))
+
+    def turn(self, now: float, wanted: dict[int, float]) -> None:
+        for me, want in wanted.items():
+            answer = self.ask(now, me, want)
+            if answer is not None:
+                self.borrowers[me].lent(now, read(written(answer)))
+
+    def parts(self, now: float) -> list[float]:
+        return [b.part(now, self.unit.name) / WHOLE for b in self.borrowers]
+
+
+def test_loans_follow_need_end_by_themselves_and_leave_the_own_part() -> None:
+    few = Few()
+    for tick in range(3):
+        few.turn(T + tick, {0: 1.0, 1: 0.0, 2: 0.0})
+    parts = few.parts(T + 2)
+    assert parts[0] == pytest.approx(1 / 30 + 0.9, abs=0.01) and sum(parts) <= 1
+    for tick in range(3, 8):
+        few.turn(T + tick, {0: 0.0, 1: 0.5, 2: 0.5})
+    parts = few.parts(T + 7)
+    assert min(parts[1:]) >= 0.45 and sum(parts) <= 1
+    assert few.parts(T + 7 + LOAN) == [pytest.approx(1 / 30, abs=1e-8)] * 3
+    assert few.borrowers[1].part(T + 6, "offers.live") == few.own, "a clock that jumped back ends it"
+
+
+def test_a_new_lender_renews_what_is_held_and_divides_anew_once_nothing_else_can_be_in_force() -> None:
+    few = Few()
+    for tick in range(3):
+        few.turn(T + tick, {0: 1.0, 1: 0.2, 2: 0.0})
+    held = few.parts(T + 2)
+    few.won(T + 2.5)
+    for tick in range(3, 7):
+        few.turn(T + tick, {0: 0.0, 1: 1.0})  # 2 is silent: what it holds is not known
+        assert few.parts(T + tick)[1] == pytest.approx(held[1]), "no more than it said it holds, and no less"
+    few.turn(T + 7.6, {0: 0.0, 1: 1.0})
+    few.turn(T + 8.0, {0: 0.0})
+    few.turn(T + 8.4, {1: 1.0})
+    assert few.parts(T + 8.4)[1] > 0.9
+    few.won(T + 9.0)
+    few.turn(T + 9.1, {1: 1.0, 0: 0.0})
+    few.turn(T + 9.5, {2: 0.2})
+    assert few.lender.waits == [T + 9.5], "all have spoken: it knows what is held"
+
+
+def test_what_is_still_out_counts_as_taken_though_the_loan_is_smaller() -> None:
+    few = Few(2, unit=COUNT)
+    few.turn(T, {0: 1.0, 1: 0.1})
+    few.turn(T + 1, {0: 1.0, 1: 0.1})
+    used = few.borrowers[0].part(T + 1, "set_ups") / WHOLE
+    assert used >= 0.8
+    for tick in range(2, 5):
+        few.turn(T + tick, {1: 1.0})
+        few.ask(T + tick, 0, 0.0, used)
+        assert used + few.parts(T + tick)[1] <= 1.0 + 1e-9, "the ten that are out are not lent again"
+    few.turn(T + 5, {0: 0.0})
+    few.turn(T + 6, {0: 0.0, 1: 1.0})
+    assert few.parts(T + 6)[1] >= 0.8
+
+
+def test_answers_that_are_late_doubled_overtaken_or_for_another_change_nothing() -> None:
+    few = Few()
+    first, second = few.ask(T, 0, 1.0), few.ask(T + 0.5, 0, 0.3)
+    assert first is not None and second is not None
+    b = few.borrowers[0]
+    for more in ({"life": 9}, {"digest": b"else"}, {"term": 0}, {"loans": (1, 1)}, {"sequence": 77}):
+        assert not b.lent(T + 0.6, second._replace(**more))
+    assert b.lent(T + 0.6, second) and b.until == T + 0.5 + LOAN
+    assert not b.lent(T + 0.6, second) and not b.lent(T + 0.6, first)
+    third = few.ask(T + 1, 0, 0.3)
+    assert third is not None and not b.lent(T + 1 + LOAN, third._replace(seconds=900.0))
+    assert sum(b.counts.values()) == 8
+    b.clock(False)
+    assert b.part(T + 1.2, "offers.live") == few.own
+
+
+def test_a_lender_answers_nothing_to_who_is_of_another_term_version_or_number() -> None:
+    few = Few()
+    words = few.borrowers[0].asks(T, 1, {}, {"offers.live": WHOLE})
+    assert words is not None
+    for other in (words._replace(term=2), words._replace(digest=b"else"), words._replace(loans=(), held=())):
+        assert few.lender.wants(T, 0, other) is None
+    assert few.lender.wants(T, 3, words) is None
+    assert few.lender.wants(T, 0, words) is not None and few.lender.wants(T, 0, words) is None, "doubled"
+    for number in range(2, 40):
+        few.lender.wants(T, 0, words._replace(sequence=number))
+    assert len(few.lender.ledger.takers[0][1].loans) == MOST_OUT
+    for life in range(2, 9):
+        few.lender.wants(T, 0, words._replace(life=life))
+    assert len(few.lender.ledger.takers[0]) <= 4 and few.lender.ledger.sums[0] <= few.lender.ledger.pool
+
+
+def test_who_needs_much_more_than_it_has_asks_soon_and_others_once_a_period() -> None:
+    b = Borrower([RATE], own_parts(0.1, 3), 1, DIGEST)
+    assert b.asks(T, 1, {}, {}) and not b.asks(T + PERIOD - 0.01, 1, {}, {}) and b.asks(T + PERIOD, 1, {}, {})
+    assert not b.asks(T + PERIOD + 0.1, 1, {}, {"offers.live": WHOLE})
+    assert b.asks(T + PERIOD + 0.3, 1, {}, {"offers.live": WHOLE})
+    assert not b.asks(T + 9, 0, {}, {}), "of a former term"
+    assert b.asks(T + 9, 2, {}, {"offers.live": 77 * WHOLE}).wanted == (WHOLE,)  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_many_in_virtual_time_with_lenders_that_come_and_go_are_never_over_the_whole(seed: int) -> None:
+    """Messages are lost, late and doubled; members die and come back; the lender changes at any moment."""
+    chance = random.Random(seed)
+    unit = COUNT if seed % 2 else RATE
+    few = Few(6, unit=unit)
+    wire: list[tuple[float, int, Words]] = []
+    out, lingers = [0] * 6, list[tuple[int, float]]()
+    since = [0.0] * 6
+    lease = T + 3.0
+    for step in range(1500):
+        now = T + step * 0.05
+        if now >= lease or chance.random() < 0.004:
+            few.won(now)
+            lease = now + chance.uniform(1.0, 12.0)
+        for me, b in enumerate(few.borrowers):
+            words = b.asks(now, few.term, {unit.name: few.own + out[me]},
+                           {unit.name: chance.choice([0, WHOLE // 5, WHOLE])})  # fmt: skip
+            for _ in range(chance.choice([0, 1, 1, 1, 2]) if words is not None else 0):
+                wire.append((now + chance.random(), me, words))  # type: ignore[arg-type]
+            if unit.unit == "count":
+                mine = max(0, b.part(now, unit.name) - few.own)
+                if out[me] and (now - since[me] >= unit.lag or chance.random() < 0.1):
+                    out[me] = 0
+                elif not out[me] and chance.random() < 0.3:
+                    out[me], since[me] = mine, now
+            if chance.random() < 0.005:  # it is killed, what it had out goes on for a while
+                lingers.append((out[me], since[me] + unit.lag))
+                out[me] = 0
+                few.borrowers[me] = Borrower([unit], few.own, 100 + step, DIGEST)
+        for item in [x for x in wire if x[0] <= now]:
+            wire.remove(item)
+            _, me, words = item
+            if words.kind == "want":
+                answer = few.lender.wants(now, me, words)
+                for _ in range(chance.choice([0, 1, 1, 2]) if answer is not None else 0):
+                    wire.append((now + chance.random(), me, answer))  # type: ignore[arg-type]
+            else:
+                few.borrowers[me].lent(now, words)
+        lingers = [x for x in lingers if x[1] > now]
+        used = sum(max(b.part(now, unit.name), few.own + out[me]) for me, b in enumerate(few.borrowers))
+        assert used + sum(parts for parts, _ in lingers) <= WHOLE
+
+
+# ---- words -------------------------------------------------------------------------------------------------
+
+
+@settings(max_examples=300, derandomize=True)
+@given(st.binary(max_size=120))
+def test_words_of_any_bytes_are_read_whole_or_refused(data: bytes) -> None:
+    try:
+        words = read(data)
+    except BadWords:
+        return
+    assert written(words) == data
+
+
+def test_words_above_the_whole_or_cut_off_are_refused() -> None:
+    want = Words("want", DIGEST, 3, 4, 5, 6, 0.0, (7, 8), (9, 10), (11, WHOLE))
+    data = written(want)
+    assert read(data) == want
+    assert read(written(want._replace(kind="lent", held=(), wanted=()))).loans == (7, 8)
+    for cut in range(len(data)):
+        with pytest.raises(BadWords):
+            read(data[:cut])
+    with pytest.raises(BadWords, match="whole"):
+        read(written(want._replace(wanted=(11, WHOLE + 1))))
+
+
+def test_budgets_are_of_the_sites_limits_and_versions_that_differ_do_not_lend() -> None:
+    budgets = budgets_of({"live": 5.0, "event": 3.0}, 20, 4.0)
+    assert [b.name for b in budgets] == ["offers.event", "offers.live", "set_ups"]
+    assert budgets[2].grain == WHOLE // 20 and budgets[2].lag == 4.0 and budgets_of({}, 0.0, 4.0) == ()
+    versions = [(budgets, 0.1, "ab"), (budgets, 0.2, "ab"), (budgets, 0.1, "abc"), (budgets[:2], 0.1, "ab")]
+    assert len({digest_of(*version) for version in versions}) == 4
