--- a/ledgehitch/budgets/lender.py
+++ b/ledgehitch/budgets/lender.py
@@ -37,6 +37,10 @@
         self._number = 0
         self._divided_at = -1e18
 
+    def of(self, budgets: Sequence[Budget]) -> None:
+        """The same budgets, of other wholes: what is one whole thing has changed."""
+        self.budgets = self.ledger.budgets = tuple(budgets)
+
     def wants(self, now: float, member: int, words: Words) -> Words | None:
         """A borrower's word; gives what may be answered now, and not later: the caller looks at its lease."""
         if words.digest != self.digest or len(words.loans) != len(self.budgets):
--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -21,6 +21,8 @@
 from ledgehitch.fleet.owned import Said, cannot_vote, owned
 from ledgehitch.fleet.owned import read as read_owners
 from ledgehitch.fleet.plan import Action, Over, Plan, Rolling, Terms, foretold
+from ledgehitch.fleet.shared import Told, divided, remarks
+from ledgehitch.fleet.shared import read as read_budgets
 from ledgehitch.fleet.show import COLOURS, line_words
 from ledgehitch.gateway.versions import checked
 from ledgehitch.http import ConnectFailed, Interrupted
@@ -291,6 +293,37 @@
     sys.exit(0 if found and all(f.kind == "owned" for f in found) else 1)
 
 
+@fleet.command()
+@click.option("--json", "as_json", is_flag=True)
+@click.option("--by-gateway", is_flag=True, help="what each gateway has, too")
+@click.pass_obj
+def budgets(work: Fleet, as_json: bool, by_gateway: bool) -> None:
+    """How the limits of the whole fleet are divided: own parts, loans, what is used and what is wanted. Exit
+    code 1 where a gateway has its own part alone, is silent, or sums do not add up."""
+    told, silent = dict[str, Told](), list[tuple[str, str]]()
+    for name, status, body, _ in work.asked("GET", "/v1/budgets"):
+        one = read_budgets(body) if status == 200 else _detail(body) or f"it answers {status}"
+        if isinstance(one, str):
+            silent.append((name, one))
+        else:
+            told[name] = one
+    found, lines = divided(told), remarks(told, silent)
+    if as_json:
+        click.echo(msgspec.json.encode({"budgets": found, "gateways": told, "silent": silent}).decode())
+    else:
+        table = Table("budget", "unit", "own parts", "lent", "used", "wanted", "unmet", "free", box=None)
+        for f in found:
+            shares = (f"{x:.3f}" for x in (f.own, f.lent, f.used, f.wanted, f.unmet))
+            free = "-" if f.free is None else f"{f.free:.3f}"
+            table.add_row(f.budget, f.unit, *shares, free + (f", waits {f.waits:.1f} s" if f.waits else ""))
+            for name, each in sorted(f.by.items()) if by_gateway else ():
+                table.add_row(f"  {name}", "", f"{each[0]:.3f}", f"{each[1]:.3f}", "", f"{each[2]:.3f}")
+        Console(highlight=False, width=None if sys.stdout.isatty() else 160).print(table)
+        for line in [*lines, *(f"{f.budget}: DOES NOT ADD UP: {f.wrong}" for f in found if f.wrong)]:
+            click.echo(line)
+    sys.exit(1 if silent or any(t.alone for t in told.values()) or any(f.wrong for f in found) else 0)
+
+
 @fleet.group("plan")
 def fleet_plan() -> None:
     """The restart that the fleet itself carries out (`fleet restart --by-fleet`), from any machine."""
--- a/ledgehitch/config/compiled.py
+++ b/ledgehitch/config/compiled.py
@@ -124,6 +124,7 @@
         "peer_key_file": data["peer_key_file"],
         "door": data["door"],
         "owners": data["owners"],
+        "budgets": data["budgets"],
     }
 
 
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -126,6 +126,13 @@
     verdicts_every: Annotated[float, msgspec.Meta(ge=0.5)] = 60.0
 
 
+class BudgetsRecord(Record, kw_only=True, frozen=True):
+    """How the limits of the whole fleet (`door.package_rates`, `door.set_ups`) are divided among gateways
+    that take part in membership."""
+
+    own_part: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1  # of the whole that is not lent: 1/n to each
+
+
 class Site(Record, kw_only=True, frozen=True):
     name: Name
     ladder: Annotated[list[Rung], msgspec.Meta(min_length=1, max_length=32)]
@@ -139,6 +146,12 @@
     peer_key_file: str = ""
     door: DoorRecord = DoorRecord()
     owners: OwnersRecord = OwnersRecord()
+    budgets: BudgetsRecord = BudgetsRecord()
+
+
+def lends(site: Site) -> bool:
+    """Whether limits of the fleet are lent among its gateways: all of them can hear one another."""
+    return bool(site.peer_key_file) and all(g.members_at for g in site.gateways)
 
 
 def read_site(path: Path) -> Site:
--- a/ledgehitch/daemon/admin.py
+++ b/ledgehitch/daemon/admin.py
@@ -1,6 +1,7 @@
 """The admin call: what a gateway is and does, and what operators may have it do. HTTP/1.1, version 1.
 
-GET  /v1/state, /v1/viewings, /v1/hosts, /v1/limits, /v1/why/ID, /v1/owners, /v1/plans   for who may look
+GET  /v1/state, /v1/viewings, /v1/hosts, /v1/limits, /v1/why/ID, /v1/owners, /v1/budgets, /v1/plans
+                                                                                   for who may look
 POST /v1/drain, /v1/undrain, /v1/reload, /v1/plan                                  for who may operate
 POST /v1/fence, /v1/plans, and /v1/drain with a term           for the owner of a duty: another gateway
 """
@@ -13,6 +14,7 @@
 import msgspec
 
 from ledgehitch import __version__
+from ledgehitch.daemon.budgeting import Budgeting
 from ledgehitch.daemon.facts import (
     VERSION,
     Counts,
@@ -51,6 +53,7 @@
         self.members: Callable[[], dict[str, str]] = dict
         self.owning: Owning | None = None  # None: this gateway takes no part in membership
         self.plans: Plans | None = None
+        self.budgeting: Budgeting | None = None
         # What becomes of an operator's word on the fleet's plan, at the owner: raises `Refused`.
         self.planned: Callable[[PlanCall], dict[str, Any]] | None = None
 
@@ -74,6 +77,8 @@
                 return self._operates(role, self._reload, self._read(request, Reload))
             case "GET", ["v1", "owners"]:
                 return self._told(self._owning().state())
+            case "GET", ["v1", "budgets"]:
+                return self._told(self._budgeting().state())
             case "GET", ["v1", "plans"]:
                 return self._told(self._plans().told())
             case "POST", ["v1", "fence"]:
@@ -84,7 +89,7 @@
                 if role != "operate":
                     raise Refused(403, "this certificate may look, not operate")
                 return self._told(self._plan(self._read(request, PlanCall)))
-            case _, ["v1", "owners" | "plans" | "plan" | "fence"]:
+            case _, ["v1", "owners" | "budgets" | "plans" | "plan" | "fence"]:
                 raise Refused(405, f"{request.method} is not done here")
             case _, ["v1", "state" | "hosts" | "limits" | "viewings" | "drain" | "undrain" | "reload"]:
                 raise Refused(405, f"{request.method} is not done here")
@@ -105,6 +110,12 @@
             raise Refused(409, "this gateway has no part in membership: see members_at, peer_key_file")
         return self.owning
 
+    def _budgeting(self) -> Budgeting:
+        self._owning()
+        if self.budgeting is None:
+            raise Refused(409, "this gateway has no door: see door.on in the site")
+        return self.budgeting
+
     def _plans(self) -> Plans:
         self._owning()
         assert self.plans is not None
--- a/ledgehitch/daemon/membership.py
+++ b/ledgehitch/daemon/membership.py
@@ -1,4 +1,4 @@
-"""Carries out membership: datagrams in and out, what outlives a crash on disk, the part told to the door."""
+"""Carries out membership: datagrams in and out, and the number of this life on disk."""
 
 import random
 import time
@@ -10,11 +10,10 @@
 from blake3 import blake3
 
 from ledgehitch.config import Site
-from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.gateway.peers import Peers, Refusal
 from ledgehitch.loop import Datagrams, Loop, endpoint
 from ledgehitch.loop.timers import Timer
-from ledgehitch.members.decide import Became, KeepFloors, Members, Send
+from ledgehitch.members.decide import Became, Members, Send
 from ledgehitch.members.words import BadWords, read, written
 from ledgehitch.owners.words import FIRST
 from ledgehitch.quality.keep import Keep
@@ -24,43 +23,29 @@
 
 
 class Membership:
-    def __init__(self, loop: Loop, site: Site, name: str, ring: Sequence[bytes], directory: Path, seed: int,
-                 doorman: Doorman | None) -> None:  # fmt: skip
-        self.loop, self.site, self.doorman = loop, site, doorman
+    def __init__(self, loop: Loop, site: Site, name: str, ring: Sequence[bytes], directory: Path, seed: int
+                 ) -> None:  # fmt: skip
+        self.loop, self.site = loop, site
         self.names = [g.name for g in site.gateways]
         me = self.names.index(name)
         self.keep = Keep(directory / f"{name}.members")
         held: dict[str, Any] = self.keep.read() or {}
         self.life = max(int(held.get("life", 0)) + 1, 1)
-        self.floors: dict[int, int] = {int(n): int(i) for n, i in held.get("floors", [])}
-        # Guards against a lost state file: one that does not know whether it had left counts as returning.
-        self.has_left = bool(held.get("has_left", not held and self._others_may_know(directory, name)))
-        self._write()
+        self.keep.write({"life": self.life})
         secrets = [blake3(key, derive_key_context=CONTEXT).digest() for key in ring]
         self.frames = Peers(secrets, me, time.time_ns())
         now = time.monotonic()
-        self.members = Members(now, me, len(self.names), self.life, random.Random(seed), self.has_left,
-                               self.floors)  # fmt: skip
+        self.members = Members(now, me, len(self.names), self.life, random.Random(seed))
         here = site.gateways[me]
         self.socket = Datagrams(loop, endpoint(here.members_at))
         self.at = {i: endpoint(g.members_via or g.members_at) for i, g in enumerate(site.gateways)
                    if i != me and (g.members_via or g.members_at)}  # fmt: skip
-        self._leaving = False
         self.bad: dict[str, int] = {}
         self.more: Callable[[int, bytes], None] | None = None  # words that are not membership's own
         self._timer: Timer | None = None
         self._hearing = loop.spawn(self._hear, name="members")
         self._pull()
 
-    @staticmethod
-    def _others_may_know(directory: Path, name: str) -> bool:
-        """Whether this gateway has lived here before though nothing of its membership is left."""
-        return any(directory.glob(f"{name}.passes.*")) and not any(directory.glob(f"{name}.members.*"))
-
-    def _write(self) -> None:
-        floors = sorted(self.floors.items())
-        self.keep.write({"life": self.life, "has_left": self.has_left, "floors": floors})
-
     def _hear(self) -> None:
         while True:
             data, _ = self.socket.receive()
@@ -86,15 +71,6 @@
                     self.send(to, written(words))
                 case Became(member, status):
                     log.info("a member", gateway=self.names[member], status=status)
-                case KeepFloors(floors):
-                    self.floors = dict(floors)
-                    self._write()
-        sharing, until = self.members.sharing(now)
-        if sharing and self.has_left and not self._leaving:
-            self.has_left = False  # it has waited and takes its part again
-            self._write()
-        if self.doorman is not None:
-            self.doorman.shared(sharing, until)
         if self._timer is not None:
             self.loop.timers.cancel(self._timer)
         self._timer = self.loop.call_at(max(self.members.wake_at(), now + 0.005), self._pull)
@@ -104,11 +80,7 @@
             self.socket.send(self.frames.frame(time.time(), to, body), self.at[to])
 
     def leave(self, back_soon: bool) -> None:
-        """Told to others as the process goes; for good, it is on disk first."""
-        self._leaving = True
-        if not back_soon:
-            self.has_left = True
-            self._write()
+        """Told to others as the process goes."""
         self.members.leaves(time.monotonic(), not back_soon)
         self._pull()
 
--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -13,6 +13,7 @@
 import msgspec
 import structlog
 
+from ledgehitch.budgets.words import FIRST as OF_BUDGETS
 from ledgehitch.config import Site
 from ledgehitch.daemon.membership import Membership
 from ledgehitch.loop import Event, Loop, forked
@@ -43,7 +44,8 @@
         self.file = File(directory / f"{name}.owners", private=True, synced=True)
         self.clock = Clock(self._boottime(), time.monotonic())
         now, names = self._boottime(), tuple(membership.names)
-        memory = Memory(now, name, names, DUTIES, site.owners.lease, self._held(), secrets.randbits(32))
+        memory = Memory(now, name, names, DUTIES, site.owners.lease, self._held(), secrets.randbits(32),
+                        own_part=site.budgets.own_part)  # fmt: skip
         self.owners = Owners(now, names.index(name), names, memory, random.Random(seed))
         self.work: dict[str, Work] = {}
         self.at_work: dict[str, Task] = {}
@@ -54,6 +56,7 @@
         self._disk_again = 0.0
         self._writing: Event | None = None  # set when what is on its way to the disk is there, or is not
         self.serves: Callable[[], bool] = lambda: False  # whether this gateway takes viewings now
+        self.more: Callable[[int, bytes], None] | None = None  # words of borrowers and lenders
         membership.more = self._heard
         self.pull()
 
@@ -82,6 +85,10 @@
         return now
 
     def _heard(self, sender: int, body: bytes) -> None:
+        if body[0] >= OF_BUDGETS:
+            if self.more is not None:
+                self.more(sender, body)
+            return
         try:
             self.owners.heard(self.now(), sender, read(body))
         except BadWords as why:
--- a/ledgehitch/daemon/run.py
+++ b/ledgehitch/daemon/run.py
@@ -13,7 +13,9 @@
 import structlog
 
 from ledgehitch.config import Site
+from ledgehitch.config.site import lends
 from ledgehitch.daemon.admin import Admin
+from ledgehitch.daemon.budgeting import Budgeting
 from ledgehitch.daemon.life import Admit, EndAll, Exit, Leave, Life, Prove, Say
 from ledgehitch.daemon.logfile import LogFile
 from ledgehitch.daemon.membership import Membership
@@ -34,7 +36,7 @@
 from ledgehitch.loop import Child, Endpoint, Event, Loop, TimedOut, endpoint
 from ledgehitch.loop.pump import Pump
 from ledgehitch.members.elsewhere import elsewhere
-from ledgehitch.owners.facts import RESTARTS, VERDICTS
+from ledgehitch.owners.facts import BUDGETS, RESTARTS, VERDICTS
 from ledgehitch.quality.keep import Keep
 
 TICKET = "LEDGEHITCH_STARTED_BY"  # in the environment: the ticket of the restart that began this life
@@ -72,6 +74,7 @@
         self.over = Event(loop)
         self.home = loop.current
         self.membership = self._members(seed)
+        self.budgeting: Budgeting | None = None
         self.owning = self._owns(seed, restarts)
 
     def run(self) -> Exit:
@@ -96,6 +99,8 @@
         for admin in admins:
             admin.close()
         self.running.stop()
+        if self.budgeting is not None:
+            self.budgeting.close()
         if self.owning is not None:
             self.owning.close()
         if exit_as.again:
@@ -121,8 +126,7 @@
         ring = peer_ring(self.site)
         if not here.members_at or not ring:
             return None
-        doorman = self.running.carrier.doorman
-        some = Membership(self.loop, self.site, self.name, ring, self.place.directory, seed + 4, doorman)
+        some = Membership(self.loop, self.site, self.name, ring, self.place.directory, seed + 4)
         self.admin.members, self.on_leave = some.told, some.leave
         return some
 
@@ -136,6 +140,11 @@
         self.admin.owning = own
         if restarts is not None:
             own.work[RESTARTS] = restarts(self)
+        doorman = self.running.carrier.doorman
+        if doorman is not None and lends(self.site):
+            self.budgeting = Budgeting(self.loop, self.site, own, self.membership, doorman, seed + 6)
+            self.admin.budgeting = own.work[BUDGETS] = self.budgeting
+            self.running.limited = self.budgeting.placed
         if self.site.owners.verdicts_to and self.running.reports is not None:
             own.work[VERDICTS] = Verdicts(self.loop, self.site, self.name, own, self.running.reports)
         return own
--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -15,7 +15,7 @@
 from ledgehitch.door.limits import LEAST, NEW, OLD, Adapted, Pace
 from ledgehitch.door.part import Part
 from ledgehitch.door.queue import FairQueue, Waiting
-from ledgehitch.door.rates import ClientRates, PackageRates
+from ledgehitch.door.rates import ClientRates, PackageRates, budget_of
 from ledgehitch.door.returns import Places, Tickets
 
 NEEDED = 0.35  # seconds before its patience's end by which a viewing must be let in
@@ -23,6 +23,9 @@
 WAITS = 0.6  # part of the join target that one waits here at most: who joins later is worth little
 STEP = 1.0  # seconds between two looks at whether the least valuable are turned away at once
 CALM = 5  # looks in which nobody was pressed until they are let in again
+ROOM = 1.25  # times what was asked lately that is wanted of the fleet's limits: asking swings
+SET_UPS = "set_ups"  # what the limit on set-ups at once is called among the budgets of the fleet
+ROUNDING = 1e-6  # of one set-up, by which parts of the whole may fall short of a whole one
 PRESSED = 3  # of a value that found no turn in such a time, from which those worth less make room
 
 
@@ -67,20 +70,23 @@
         gateways: int = 1,
     ) -> None:
         """`values`, `targets`: of each package, its value and its join target in seconds. `gateways`: how
-        many share the fleet's limits, as the site states it."""
+        many share the fleet's limits, as the site states it; each has an equal part until `shared` says
+        else."""
         self.chance, self.values, self.targets = chance, values, targets
         self.may_advise, self.longest_advice = may_advise, longest_advice
         self.limit: Limit = limit if limit is not None else Adapted()
         self.queue = FairQueue(chance.randbytes(32))
         self.heavy, self.pace, self.places = Heavy(), Pace(), Places()
         self.tickets = Tickets(chance.randrange(1 << 16), chance.randbytes(32))
-        self.part, self.by_client, self.by_package = Part(gateways), ClientRates(), PackageRates()
+        self.part, self.by_client, self.by_package = Part(1.0 / gateways), ClientRates(), PackageRates()
         self.takes = 0.0  # seconds of a set-up, lately
         self.set_ups = 0.0  # of the fleet at once; 0: only the adapted limit counts
         self.out: dict[int, tuple[float, str]] = {}  # let in and not settled: since when, package
         self.levels = sorted(set(values.values())) or [1.0]
         self.ahead = 0.0
         self.level = 0  # packages worth less than `levels[level]` are turned away at once
+        self._asked: dict[str, Pace] = {}  # how often a package with a rate is asked for
+        self._most = 0  # that were in or waiting at once since they were told
         self.counts = {"let_in": 0, "turned_away": 0, "over_rate": 0, "returned": 0}
         self._due: deque[Decision] = deque()
         self._looked_at, self._calm = now, 0
@@ -93,8 +99,24 @@
         reached by letting nobody in until they are under it."""
         self.by_client.changed(client_rate, client_burst)
         self.by_package.changed(package_rates)
+        self._asked = {p: self._asked.get(p, Pace()) for p in package_rates}
         self.set_ups = set_ups
 
+    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float) -> None:
+        """This gateway's part of the fleet's limits: what it has of its own, what is lent up to `until`."""
+        self.by_package.gather(now, self.part)
+        self.part.told(own, lent, until)
+
+    def needs(self, now: float) -> tuple[dict[str, float], dict[str, float]]:
+        """Of the whole of each of the fleet's limits, what is in use here and what could be."""
+        used, wanted = self.uses(), dict[str, float]()
+        for package, a_second in self.by_package.a_second.items():
+            wanted[budget_of(package)] = ROOM * self._asked[package].at(now) / a_second
+        if self.set_ups:
+            most, self._most = self._most, len(self.out) + len(self.queue)
+            wanted[SET_UPS] = min(ROOM * most + 1.0, self.limit.limit) / self.set_ups
+        return used, wanted
+
     # ---- what happens --------------------------------------------------------------------------------------
 
     def asked(
@@ -105,6 +127,8 @@
         which tickets go, is ahead of `now`; nothing else goes by it, so it may step."""
         self.heavy.asked(now, name)
         self.ahead = ahead
+        if package in self._asked:
+            self._asked[package].let_in(now)
         value = self.values.get(package, self.levels[0])
         until = patience - min(max(NEEDED, SURELY * self.takes), 0.5 * max(0.0, patience - now))
         returns = bool(ticket) and self.tickets.good(now + ahead, ticket, name)
@@ -116,14 +140,15 @@
             self._over(one, "over its rate", wait)
             return
         if self.by_package.a_second and not returns:
-            wait = self.by_package.wait(now, package, self.part.share(now))
+            wait = self.by_package.wait(now, package, self.part)
             if wait > 0:
-                self._over(one, "the package is over its rate", wait)
+                self._over(one, f"over the fleet's budget {budget_of(package)}", wait)
                 return
         if value < self.levels[self.level] and not returns:
             self._turn(now, one, "brown-out")
             return
         out = self.queue.put(now, one, first=returns)
+        self._most = max(self._most, len(self.out) + len(self.queue))
         if out is not None:
             self._turn(now, out, "the queue is full")
 
@@ -144,6 +169,10 @@
         """A tune-in of one that was let in was not answered in its time."""
         self.limit.pressed(now)
 
+    def uses(self) -> dict[str, float]:
+        """Of the whole of each limit on what is held, what is held here now."""
+        return {SET_UPS: len(self.out) / self.set_ups} if self.set_ups else {}
+
     # ---- what is decided -----------------------------------------------------------------------------------
 
     def decide(self, now: float) -> Decision | None:
@@ -173,7 +202,8 @@
         """Of all limits on set-ups at once, the one place where they meet."""
         room = self.limit.room(len(self.out))
         if self.set_ups:
-            room = min(room, int(self.set_ups * self.part.share(now)) - len(self.out))
+            mine = int(self.set_ups * self.part.share(now, SET_UPS) + ROUNDING)
+            room = min(room, mine - len(self.out))
         return room
 
     def _over(self, one: Waiting, why: str, wait: float) -> None:
@@ -224,7 +254,9 @@
 
     def state(self, now: float) -> dict[str, Any]:
         return {
-            "limit": round(self.limit.limit, 1), "share": round(self.part.share(now), 4),
+            "limit": round(self.limit.limit, 1),
+            "share": {b: round(self.part.share(now, b), 4) for b in
+                      [*map(budget_of, self.by_package.a_second), *([SET_UPS] if self.set_ups else [])]},
             "out": len(self.out), "waiting": len(self.queue),
             "level": self.level, "let_in_a_second": round(self.pace.at(now), 1), **self.counts,
             "tickets_refused": dict(self.tickets.refused),
--- a/ledgehitch/door/part.py
+++ b/ledgehitch/door/part.py
@@ -1,27 +1,27 @@
 """This gateway's part of what the fleet may do together. Free of I/O and clock.
 
-Limits hold in sum though nobody is asked: without news a gateway takes the part that the stated number of
-gateways gives. A larger part is only ever lent, for a time; a smaller one counts at once.
+An own part needs nobody; what is lent beside it, by budget, ends by itself. Limits hold in sum though nobody
+is asked.
 """
 
+from collections.abc import Mapping
+
 
 class Part:
-    def __init__(self, stated: int) -> None:
-        """`stated`: gateways of the site."""
-        self.stated = max(1, stated)
-        self.sharing = self.stated  # as last told
-        self.until = 0.0  # end of the loan of a part that is larger than the stated number gives
+    def __init__(self, own: float) -> None:
+        """`own`: of each whole, 0 to 1."""
+        self.own = own
+        self.lent: dict[str, float] = {}
+        self.until = -1e18  # end of what is lent
+
+    def told(self, own: float, lent: Mapping[str, float], until: float) -> None:
+        self.own, self.lent, self.until = own, dict(lent), until
 
-    def told(self, sharing: int, until: float) -> None:
-        """So many gateways share; that they are fewer than stated may be counted on up to `until`. 0: this
-        one takes no part yet."""
-        self.sharing, self.until = max(0, sharing), until
+    def share(self, now: float, budget: str) -> float:
+        """Of the whole of a budget, now."""
+        return self.own + (self.lent.get(budget, 0.0) if now < self.until else 0.0)
 
-    def share(self, now: float) -> float:
-        """Of each limit of the fleet. Guards against a lost peer's part being taken by those who only do not
-        hear it: where the loan is not renewed, the stated number counts again."""
-        if not self.sharing:
-            return 0.0
-        if self.sharing < self.stated and now >= self.until:
-            return 1.0 / self.stated
-        return 1.0 / self.sharing
+    def gathered(self, first: float, last: float, budget: str) -> float:
+        """The share times the seconds in which it was in force."""
+        lent_for = max(0.0, min(last, self.until) - first)
+        return self.own * max(0.0, last - first) + self.lent.get(budget, 0.0) * lent_for
--- a/ledgehitch/door/rates.py
+++ b/ledgehitch/door/rates.py
@@ -1,14 +1,23 @@
 """How often a client and a package may ask: rates in fixed memory. Free of I/O, clock and chance.
 
-Each rate is kept as the time at which all that was asked for would be paid off (the generic cell rate
-algorithm): one number, and the wait it gives is exact.
+A client's rate is kept as the time at which all that was asked for would be paid off (the generic cell rate
+algorithm): one number, and the wait it gives is exact. A package's is kept as what was gathered and not
+spent, since this gateway's part of it changes.
 """
 
 from array import array
 from collections.abc import Mapping
 
+from ledgehitch.door.part import Part
+
 ROWS, COLUMNS = 4, 16384  # of the clients' table: half a megabyte
 FOREVER = 1e18
+ROUNDING = 1e-9
+
+
+def budget_of(package: str) -> str:
+    """What the offers of a package are called among the budgets of the fleet."""
+    return f"offers.{package}"
 
 
 class ClientRates:
@@ -45,26 +54,38 @@
 
 
 class PackageRates:
-    """So many offers a second for each package, this gateway's part of what the fleet is given."""
+    """So many offers a second for each package, this gateway's part of what the fleet is given.
+
+    Over any time gateways together let in no more than the rate gives, half a second's worth, and one for
+    each gateway. A part that moves takes nothing with it that was gathered already, and a life begins with
+    nothing: else a part that goes around would bring its burst again each time."""
 
     BURST = 0.5  # seconds' worth that may come at once
 
     def __init__(self) -> None:
         self.a_second: dict[str, float] = {}  # of the fleet
-        self._paid_at: dict[str, float] = {}
+        self._left: dict[str, tuple[float, float]] = {}  # gathered and not spent, and when that was so
 
     def changed(self, a_second: Mapping[str, float]) -> None:
         self.a_second = dict(a_second)
-        self._paid_at = {package: at for package, at in self._paid_at.items() if package in a_second}
-
-    def wait(self, now: float, package: str, share: float) -> float:
-        """As `ClientRates.wait`; `share`: this gateway's part of the fleet's rate."""
-        rate = self.a_second.get(package, 0.0) * share
-        if rate <= 0:
-            return FOREVER if package in self.a_second else 0.0
-        paid = self._paid_at.get(package, -FOREVER)
-        wait = paid - now - max(0.0, self.BURST - 1.0 / rate)
-        if wait > 0:
-            return wait
-        self._paid_at[package] = max(paid, now) + 1.0 / rate
-        return 0.0
+        self._left = {package: left for package, left in self._left.items() if package in a_second}
+
+    def gather(self, now: float, part: Part) -> None:
+        """Up to now by the part that was in force; before it changes."""
+        for package, a_second in self.a_second.items():
+            left, at = self._left.get(package, (0.0, now))
+            left += a_second * part.gathered(at, now, budget_of(package))
+            most = max(1.0, a_second * part.share(now, budget_of(package)) * self.BURST)
+            self._left[package] = min(left, most), max(at, now)
+
+    def wait(self, now: float, package: str, part: Part) -> float:
+        """As `ClientRates.wait`; `part`: this gateway's of the fleet's rate."""
+        if package not in self.a_second:
+            return 0.0
+        self.gather(now, part)
+        left, at = self._left[package]
+        if left >= 1.0 - ROUNDING:
+            self._left[package] = max(0.0, left - 1.0), at
+            return 0.0
+        rate = self.a_second[package] * part.share(now, budget_of(package))
+        return (1.0 - left) / rate if rate > 0 else FOREVER
--- a/ledgehitch/gateway/carry.py
+++ b/ledgehitch/gateway/carry.py
@@ -186,7 +186,7 @@
 
     def _let_in(self, now: float, doorman: Doorman) -> None:
         """Those whom the door lets in are the module's from here on; the others have their answer."""
-        while (decision := doorman.door.decide(now)) is not None:
+        while (decision := doorman.decide(now)) is not None:
             vw = decision.conn
             offer = self._at_door.pop(vw, None)
             if offer is None:
--- a/ledgehitch/gateway/doorman.py
+++ b/ledgehitch/gateway/doorman.py
@@ -5,7 +5,7 @@
 
 import secrets
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
 
 import msgspec
@@ -38,6 +38,8 @@
 
     def __init__(self, door: SomeDoor, keep: Keep | None = None, order: Sequence[By] = ORDER) -> None:
         self.door, self.keep, self.order = door, keep, order
+        # Looks whether what is lent is still in force; called before anybody is let in.
+        self.look: Callable[[float], None] | None = None
         self.secret = secrets.token_bytes(32)  # names clients, in this life and the next
         self._kept_at = time.monotonic()
         if keep is not None:
@@ -71,16 +73,29 @@
         if isinstance(self.door, Door):
             self.door.limited(client_rate, client_burst, package_rates, set_ups)
 
-    def shared(self, sharing: int, until: float) -> None:
-        """By how many the fleet's limits are divided, and up to when a part larger than stated is lent."""
+    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float) -> None:
+        """This gateway's part of the fleet's limits, and up to when what is lent of it is in force."""
         if isinstance(self.door, Door):
-            self.door.part.told(sharing, until)
+            self.door.shared(now, own, lent, until)
+
+    def needs(self, now: float) -> tuple[dict[str, float], dict[str, float]]:
+        return self.door.needs(now) if isinstance(self.door, Door) else ({}, {})
 
     # ---- viewings ------------------------------------------------------------------------------------------
 
     def asked(self, now: float, vw: int, name: bytes, package: str, patience: float, ticket: str) -> None:
+        if self.look is not None:
+            self.look(now)
         self.door.asked(now, vw, name, package, patience, ticket, time.time() - now)
 
+    def uses(self) -> dict[str, float]:
+        return self.door.uses() if isinstance(self.door, Door) else {}
+
+    def decide(self, now: float) -> Decision | None:
+        if self.look is not None:
+            self.look(now)
+        return self.door.decide(now)
+
     def gone(self, now: float, vw: int) -> None:
         self.door.gone(now, vw)
 
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -18,7 +18,7 @@
 from ledgehitch import __version__
 from ledgehitch.brain import Gateway
 from ledgehitch.config import Site, facts_of
-from ledgehitch.config.site import rack_name
+from ledgehitch.config.site import lends, rack_name
 from ledgehitch.door.decide import Door
 from ledgehitch.door.names import ORDER
 from ledgehitch.gate import Gate
@@ -62,6 +62,7 @@
         self.peers = Peers(ring, me, time.time_ns()) if ring and terms.may_tell else None
         brain = Gateway(seed, time.monotonic(), ladder, packages, fleet, terms)
         self.versions: Versions | None = None
+        self.limited: Callable[[Site], None] = lambda site: None  # called where the site's limits are new
         self.recorder = Recorder(record) if record is not None else None
         peer_socket = Datagrams(loop, endpoint(here.peer_at)) if self.peers and here.peer_at else None
         others = {i: endpoint(g.peer_via or g.peer_at) for i, g in enumerate(site.gateways)
@@ -83,6 +84,8 @@
             door = Door(time.monotonic(), chance, values, targets, terms.may_advise, terms.longest_advice,
                         gateways=terms.gateways)  # fmt: skip
             kept_door = Keep(state_dir / f"{name}.door", private=True) if state_dir is not None else None
+            if lends(site):  # nobody's part is larger than what needs nobody, until a daemon borrows
+                door.shared(time.monotonic(), site.budgets.own_part / len(site.gateways), {}, 0.0)
             self.carrier.doorman = Doorman(door, kept_door, site.door.order or ORDER)
             self._limit(site)
         front.tokens = Tokens(name, state_dir)
@@ -157,6 +160,7 @@
         d, doorman = site.door, self.carrier.doorman
         if doorman is not None:
             doorman.limited(d.client_rate, d.client_burst, d.package_rates, d.set_ups)
+            self.limited(site)
             self.carrier.stir()
 
     def drain(self, draining: bool) -> None:
--- a/ledgehitch/members/decide.py
+++ b/ledgehitch/members/decide.py
@@ -10,9 +10,8 @@
 from collections import deque
 from dataclasses import dataclass
 
-from ledgehitch.members.parts import Parts
 from ledgehitch.members.roster import News, Roster, Status
-from ledgehitch.members.words import MOST_NEWS, Words, digest_of
+from ledgehitch.members.words import MOST_NEWS, Words
 
 PERIOD = 1.0  # seconds between two questions
 DIRECT = 0.3  # of a period for the answer, before it is asked again and others are asked to ask
@@ -23,6 +22,7 @@
 AWAY = 60.0  # seconds in which one that said it is back soon is expected back
 SLOWEST = 8  # by how much one that is slow itself may stretch its periods
 AGAIN_DEAD = 5  # periods after which one that is held for dead is asked again: a parted fleet grows together
+REMEMBERED = 60.0  # seconds that a question of our own is
 ASKED_FOR = 5.0  # seconds that a question for another is remembered
 
 
@@ -42,14 +42,7 @@
     status: Status
 
 
-@dataclass(frozen=True)
-class KeepFloors:
-    """These must be on disk before what is decided next is sent."""
-
-    floors: tuple[tuple[int, int], ...]
-
-
-Decision = Send | Became | KeepFloors
+Decision = Send | Became
 
 
 class Members:
@@ -60,13 +53,10 @@
         members: int,
         life: int,
         chance: random.Random,
-        comes_back: bool = False,
-        floors: dict[int, int] | None = None,
     ) -> None:
-        """`members`: gateways that the site states. `comes_back`: this one had left for good before."""
+        """`members`: gateways that the site states."""
         self.me, self.stated, self.chance = me, members, chance
-        self.roster = Roster(now, me, members, life, floors)
-        self.parts = Parts(me, members, 1.5 * members * PERIOD + 5.0, comes_back)
+        self.roster = Roster(now, me, members, life)
         self.slow = 0  # health of our own: each question that nobody answers counts one up
         self.counts = {"asked": 0, "answered": 0, "refuted": 0, "doubts": 0, "deaths": 0}
         self._spread: dict[int, int] = {}  # how often the news on a member was passed on
@@ -89,36 +79,24 @@
         if sender not in self.roster.entries or sender == self.me:
             return
         before = self.roster.incarnation
-        if words.kind == "join":
-            own = next((n.incarnation for n in words.news if n.member == sender), 0)
-            if self.roster.promised(sender, own):
-                self._due.append(KeepFloors(tuple(sorted(self.roster.floors.items()))))
         self._noted(now, self.roster.heard(now, words.news))
         self.counts["refuted"] += self.roster.incarnation > before
         match words.kind:
             case "ask":
                 self._send(sender, "answer", words.sequence)
-            case "join":
-                self._send(sender, "promise", words.sequence)
             case "ask for":
                 if words.about in self.roster.entries and words.about != self.me:
                     number = self._question(now, words.about)
                     self._for[number] = sender, words.sequence, now
-            case "answer" | "promise":
+            case "answer":
                 self._answered(now, sender, words)
 
     def _answered(self, now: float, sender: int, words: Words) -> None:
         asked = self._out.pop(words.sequence, None)
         if asked is None:
             return
-        whom, at = asked
+        whom, _ = asked
         self.counts["answered"] += 1
-        if whom == sender:
-            # What it knows counts from when it was asked: the answer may have been long on its way.
-            same = words.digest == digest_of(self.roster.left())
-            self.parts.answered(sender, at, self.roster.left() if same else ((-1, 0),))
-            if words.kind == "promise":
-                self.parts.promise(now, sender)
         waiting = self._for.pop(words.sequence, None)
         if waiting is not None:
             self._send(waiting[0], "answer", waiting[1], about=whom)
@@ -168,7 +146,7 @@
         """The question or its answer may have been lost: it is asked again, and by others too."""
         number, whom, since, tries = probe
         self._probe = number, whom, since, tries + 1
-        self._send(whom, "join" if self.parts.returning else "ask", number)
+        self._send(whom, "ask", number)
         if tries == 0:
             helpers = [n for n in self.roster.there() if n != whom and self.roster.status(n) == "alive"]
             for helper in self.chance.sample(helpers, min(HELPERS, len(helpers))):
@@ -183,7 +161,7 @@
             if self.roster.status(whom) == "alive":
                 self.counts["doubts"] += 1
                 self._noted(now, self.roster.doubt(now, whom, "suspect"))
-        self._out = {k: v for k, v in self._out.items() if now - v[1] < self.parts.loan}
+        self._out = {k: v for k, v in self._out.items() if now - v[1] < REMEMBERED}
         self._for = {k: v for k, v in self._for.items() if now - v[2] < ASKED_FOR}
         whom = self._turn()
         if whom >= 0:
@@ -217,12 +195,11 @@
 
     def _question(self, now: float, whom: int) -> int:
         number = self._question_number(now, whom)
-        self._send(whom, "join" if self.parts.returning else "ask", number)
+        self._send(whom, "ask", number)
         return number
 
     def _send(self, to: int, kind: str, sequence: int, about: int = 0) -> None:
-        left = digest_of(self.roster.left())
-        self._due.append(Send(to, Words(kind, sequence, about, left, self._picked(to))))  # type: ignore[arg-type]
+        self._due.append(Send(to, Words(kind, sequence, about, self._picked(to))))  # type: ignore[arg-type]
 
     def _picked(self, to: int) -> tuple[News, ...]:
         """Own news, what the receiver should know of itself, then what was passed on least."""
@@ -254,11 +231,6 @@
 
     # ---- what is known -------------------------------------------------------------------------------------
 
-    def sharing(self, now: float) -> tuple[int, float]:
-        """By how many limits of the fleet are divided (0: this one takes no part yet), and up to when."""
-        left = self.roster.left()
-        return self.parts.sharing(now, left), self.parts.until(left)
-
     def lags(self) -> bool:
         """Whether this gateway finds itself slow: it should take on nothing for others."""
         return self.slow >= SLOWEST // 2
--- a/ledgehitch/members/roster.py
+++ b/ledgehitch/members/roster.py
@@ -28,15 +28,11 @@
 
 
 class Roster:
-    def __init__(
-        self, now: float, me: int, members: int, life: int, floors: dict[int, int] | None = None
-    ) -> None:
-        """`members`: gateways of the site, numbered from 0. `life`: rises with each start. `floors`: of who
-        came back after it had left: what is said of it below that incarnation is void for good."""
+    def __init__(self, now: float, me: int, members: int, life: int) -> None:
+        """`members`: gateways of the site, numbered from 0. `life`: rises with each start."""
         self.me, self.incarnation = me, life * LIFE
         self.entries = {n: Entry(since=now) for n in range(members)}
         self.entries[me].incarnation = self.incarnation
-        self.floors: dict[int, int] = dict(floors or {})
         self.news: list[News] = [News(me, self.incarnation, "alive")]  # to be passed on, taken by the caller
 
     def status(self, member: int) -> Status:
@@ -50,8 +46,8 @@
                 self._refute(now, incarnation, status)
                 continue
             entry = self.entries.get(member)
-            if entry is None or incarnation < self.floors.get(member, 0):
-                continue  # of another version of the site, or of before it came back
+            if entry is None:
+                continue  # of another version of the site
             if (incarnation, GRAVITY[status]) > (entry.incarnation, GRAVITY[entry.status]):
                 entry.incarnation, entry.status, entry.since = incarnation, status, now
                 changed.append(News(member, incarnation, status))
@@ -76,18 +72,6 @@
         self.entries[self.me].status, self.entries[self.me].since = status, now
         self.news.append(News(self.me, self.incarnation, status))
 
-    def promised(self, member: int, incarnation: int) -> bool:
-        """A member that had left is back: nothing older is believed any more. Whether this is new, and must
-        be on disk before it is answered."""
-        if incarnation <= self.floors.get(member, 0):
-            return False
-        self.floors[member] = incarnation
-        return True
-
-    def left(self) -> tuple[tuple[int, int], ...]:
-        """Who has left, and at which incarnation."""
-        return tuple((n, e.incarnation) for n, e in sorted(self.entries.items()) if e.status == "left")
-
     def there(self) -> list[int]:
         """Others that are not known to be gone."""
         return [n for n, e in self.entries.items() if n != self.me and e.status in ("alive", "suspect")]
--- a/ledgehitch/members/words.py
+++ b/ledgehitch/members/words.py
@@ -1,20 +1,17 @@
 """What members say to one another, as bytes of bounded size. Free of I/O; authenticity is the frame's.
 
-kind u8, sequence u32, about u16, leavers' digest 8 bytes, count u8, then count times
+kind u8, sequence u32, about u16, 8 bytes that former programs went by, count u8, then count times
 member u16, incarnation u48, status u8
 """
 
 import struct
 from typing import Literal, NamedTuple
 
-from blake3 import blake3
-
-from ledgehitch.members.parts import Left
 from ledgehitch.members.roster import STATUSES, News
 
-Kind = Literal["ask", "answer", "ask for", "join", "promise"]
-KINDS: tuple[Kind, ...] = ("ask", "answer", "ask for", "join", "promise")
-HEAD = struct.Struct(">BIH8sB")
+Kind = Literal["ask", "answer", "ask for"]
+KINDS: tuple[Kind, ...] = ("ask", "answer", "ask for")
+HEAD = struct.Struct(">BIH8xB")
 ITEM = struct.Struct(">HHIB")
 MOST_NEWS = 110  # of one message: about a kilobyte, so that refutations keep up with doubts under loss
 
@@ -25,7 +22,6 @@
     kind: Kind
     sequence: int
     about: int
-    digest: bytes
     news: tuple[News, ...]
 
 
@@ -33,16 +29,9 @@
     """What came is none of these; the text says why."""
 
 
-def digest_of(left: Left) -> bytes:
-    """Two members that know of the same leavers say the same eight bytes."""
-    return blake3(b"".join(ITEM.pack(n, i >> 32, i & 0xFFFFFFFF, 0) for n, i in left)).digest(8)
-
-
 def written(words: Words) -> bytes:
     some = words.news[:MOST_NEWS]
-    head = HEAD.pack(
-        KINDS.index(words.kind), words.sequence & 0xFFFFFFFF, words.about, words.digest, len(some)
-    )
+    head = HEAD.pack(KINDS.index(words.kind), words.sequence & 0xFFFFFFFF, words.about, len(some))
     return head + b"".join(
         ITEM.pack(n, i >> 32 & 0xFFFF, i & 0xFFFFFFFF, STATUSES.index(s)) for n, i, s in some
     )
@@ -52,7 +41,7 @@
     """Raises `BadWords`."""
     if len(data) < HEAD.size:
         raise BadWords("short")
-    kind, sequence, about, digest, count = HEAD.unpack_from(data)
+    kind, sequence, about, count = HEAD.unpack_from(data)
     if kind >= len(KINDS):
         raise BadWords("kind")
     if count > MOST_NEWS or len(data) != HEAD.size + count * ITEM.size:
@@ -62,4 +51,4 @@
         if status >= len(STATUSES):
             raise BadWords("status")
         news.append(News(member, high << 32 | low, STATUSES[status]))
-    return Words(KINDS[kind], sequence, about, digest, tuple(news))
+    return Words(KINDS[kind], sequence, about, tuple(news))
--- a/ledgehitch/owners/decide.py
+++ b/ledgehitch/owners/decide.py
@@ -474,8 +474,20 @@
             one.stand_at = now + self._place(one) + self.won_within * (1 + self.chance.random())
 
     def _may_stand(self, now: float) -> bool:
-        unsettled = self._joining and any(self._formers.values())
-        return self.fit and self.clock_good and self.memory.votes(now) and not unsettled
+        return self.fit and self.clock_good and self.memory.votes(now) and self.joined(now)
+
+    def joined(self, now: float) -> bool:
+        """Whether others count this one: not while it knows of nobody's terms, nor, where it came without a
+        file, while any that it heard still goes by the list before."""
+        return self.memory.votes(now) and not (self._joining and any(self._formers.values()))
+
+    def owner_of(self, now: float, duty: str) -> tuple[int, int]:
+        """Who owns a duty as far as this one knows, and its term; nobody, and the highest term known."""
+        one = self.duties[duty]
+        if mine := self.owns(now, duty):
+            return self.me, mine
+        member, term, until = one.known
+        return (member, term) if now < until else (NOBODY, term)
 
     def _free_at(self, one: One) -> float:
         voter = self.memory.voters[one.name]
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -6,10 +6,11 @@
 from blake3 import blake3
 
 # Numbered on the wire by their place: a new one comes last, none is taken out.
-DUTIES = RESTARTS, VERDICTS = "restarts", "verdicts"
+DUTIES = RESTARTS, VERDICTS, BUDGETS = "restarts", "verdicts", "budgets"
 STANDSTILL = {
     RESTARTS: "plans wait where they are; who was told to restart comes back by itself",
     VERDICTS: "no verdict of the fleet is handed on; each gateway still tells its own",
+    BUDGETS: "each gateway has its own part of the fleet's limits alone, nothing is lent",
 }
 LEASE = 10.0  # from the asking; `docs/owners.md` says why
 RATES = 0.01  # by which the rates of two gateways' clocks may differ at most, one of the other
@@ -28,10 +29,11 @@
     return stated // 2 + 1
 
 
-def digest_of(names: Sequence[str], lease: float) -> bytes:
-    """Four bytes that two versions of a site share where they state the same gateways in the same order, and
-    leases of the same length."""
-    return blake3("\n".join([*names, f"{lease:.3f}"]).encode()).digest(4) if names else NO_LIST
+def digest_of(names: Sequence[str], lease: float, own_part: float = 0.0) -> bytes:
+    """Four bytes that two versions of a site share where they state the same gateways in the same order,
+    leases of the same length, and the same own part of the fleet's budgets."""
+    words = [*names, f"{lease:.3f}", f"{own_part:.6f}"]
+    return blake3("\n".join(words).encode()).digest(4) if names else NO_LIST
 
 
 def short(name: str) -> bytes:
@@ -53,6 +55,8 @@
     former: tuple[str, ...] = ()
     lease: float = LEASE
     former_lease: float = LEASE
+    own_part: float = 0.0  # of the fleet's budgets
+    former_own_part: float = 0.0
 
     def shortest(self) -> float:
         """What an owner counts on: voters of either list bind themselves for at least so long."""
@@ -66,7 +70,13 @@
         return (self.current, self.former) if self.former else (self.current,)
 
     def digests(self) -> tuple[bytes, bytes]:
-        return digest_of(self.current, self.lease), digest_of(self.former, self.former_lease)
+        return (digest_of(self.current, self.lease, self.own_part),
+                digest_of(self.former, self.former_lease, self.former_own_part))  # fmt: skip
+
+    def own_share(self) -> float:
+        """Of each of the fleet's budgets, what a gateway has though it hears nothing: the least of both."""
+        parts = [self.own_part / len(self.current)]
+        return min([*parts, self.former_own_part / len(self.former)] if self.former else parts)
 
     def covered_by(self, current: bytes, former: bytes) -> bool:
         """Whether one who goes by these needs a majority of each list that counts here: else it gets no vote,
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -15,9 +15,10 @@
 
 class Memory:
     def __init__(self, now: float, me: str, stated: tuple[str, ...], duties: tuple[str, ...], lease: float,
-                 held: Any, nonce: int, promise: float = 0.0) -> None:  # fmt: skip
+                 held: Any, nonce: int, promise: float = 0.0, own_part: float = 0.0) -> None:  # fmt: skip
         """`held`: what the file gave, None where it is not whole. `nonce`: of this life, drawn anew.
-        `promise`: seconds that a vote binds; left out, what the bound on clocks asks for."""
+        `promise`: seconds that a vote binds; left out, what the bound on clocks asks for. `own_part`: of the
+        fleet's budgets; a change of it goes as a change of the list does."""
         self.me, self.nonce = me, nonce
         self.intact = isinstance(held, dict) and held.get("version") == VERSION
         votes: dict[str, Any] = held["votes"] if self.intact else {}
@@ -26,7 +27,7 @@
         self.lives: dict[str, tuple[int, int]] = {}
         if self.intact:
             self.lives = {n: (int(a), int(b)) for n, (a, b) in held["lives"].items() if n in stated}
-        self.lists = _lists(stated, lease, held if self.intact else {})
+        self.lists = _lists(stated, lease, own_part, held if self.intact else {})
         # A promise of the last life may have been longer than those of now.
         before = float(held["lease"]) if self.intact else 0.0
         self.promise = promise or promise_of(max(self.lists.longest(), before))
@@ -48,6 +49,7 @@
             "fence": dict(self.fence.highest), "lives": {n: list(pair) for n, pair in self.lives.items()},
             "current": list(self.lists.current), "former": list(self.lists.former),
             "lease": self.lists.lease, "former_lease": self.lists.former_lease,
+            "own_part": self.lists.own_part, "former_own_part": self.lists.former_own_part,
         }  # fmt: skip
 
     def terms(self) -> tuple[int, ...]:
@@ -121,18 +123,23 @@
         """Whether the former list is let go of by this."""
         if now < self.settles_at:
             return False
-        self.lists = Lists(self.lists.current, (), self.lists.lease, self.lists.lease)
+        now_on = self.lists
+        self.lists = Lists(now_on.current, (), now_on.lease, now_on.lease, now_on.own_part, now_on.own_part)
         self.settles_at = 1e18
         return True
 
 
-def _lists(stated: tuple[str, ...], lease: float, held: dict[str, Any]) -> Lists:
+def _lists(stated: tuple[str, ...], lease: float, own_part: float, held: dict[str, Any]) -> Lists:
     """One change of the list at a time: a third version waits behind one that is not settled."""
+    new = Lists(stated, (), lease, lease, own_part, own_part)
     if not held.get("current"):
-        return Lists(stated, (), lease, lease)
-    old = Lists(tuple(held["current"]), tuple(held["former"]), held["lease"], held["former_lease"])
-    if (old.current, old.lease) == (stated, lease):
+        return new
+    # A file of a program that knew no own part: the part that it went by is not known, so it changes.
+    own, former_own = held.get("own_part", 1.0), held.get("former_own_part", 1.0)
+    old = Lists(tuple(held["current"]), tuple(held["former"]), held["lease"], held["former_lease"], own,
+                former_own)  # fmt: skip
+    if (old.current, old.lease, old.own_part) == (stated, lease, own_part):
         return old
-    if old.former and (old.former, old.former_lease) != (stated, lease):
+    if old.former and (old.former, old.former_lease, old.former_own_part) != (stated, lease, own_part):
         return old
-    return Lists(stated, old.current, lease, old.lease)
+    return Lists(stated, old.current, lease, old.lease, own_part, own)
--- a/ledgehitch/rehearsal/fleet.py
+++ b/ledgehitch/rehearsal/fleet.py
@@ -29,9 +29,11 @@
 
 import msgspec
 
-from ledgehitch.config import BadInput, Day, Fault
+from ledgehitch.budgets.facts import WHOLE, own_parts
+from ledgehitch.config import BadInput, Day, Fault, Site
 from ledgehitch.http import ConnectFailed, Interrupted
 from ledgehitch.loop import Child, Loop, TimedOut, endpoint
+from ledgehitch.proof.budgeted import Wholes, judged_budgets
 from ledgehitch.proof.check import Breach, figures_of, judged_tape
 from ledgehitch.proof.owned import Broken, judged_owned
 from ledgehitch.proof.tape import lines_of
@@ -54,10 +56,11 @@
 class FleetRig(Stage):
     def __init__(self, directory: Path, gateways: int = 5, halls: int = 1, lease: float = 1.5, seed: int = 1,
                  hosts: int = 3, rate: float = 5.0, length: float = 600.0, verdicts_every: float = 0.0,
-                 **more: Any) -> None:  # fmt: skip
+                 watch: float = 20.0, **more: Any) -> None:  # fmt: skip
         """`verdicts_every`: seconds of a window; 0: no receiver. `more`: parts of the site."""
         raw = {
-            "name": "fleet", "length": length, "arrivals": {"rate": rate, "mix": [{"package": "recorded"}]},
+            "name": "fleet", "length": length,
+            "arrivals": {"rate": rate, "mix": [{"package": "recorded", "watch": watch}]},
             "shape": {"gateways": gateways, "hosts": hosts, "titles": 5, "zones": halls},
             "site": {part: msgspec.Raw(msgspec.json.encode(value)) for part, value in
                      {"owners": {"lease": lease}, **more}.items()},
@@ -158,6 +161,16 @@
             self.tape.write("gateway", gateway=name, how="goes_on")
             self.children[name].signal(signal.SIGCONT)
 
+    def reload(self, site: Site) -> None:
+        """A new version of the site file, which all that run have read when this returns."""
+        self.site = site
+        self.write_site()
+        before = {n: self.asked(n, "/v1/state")["config"]["told"] for n in self._alive()}
+        for name in before:
+            self.children[name].signal(signal.SIGHUP)
+        self.until(lambda: all(told and told["config"]["told"] != before[n] for n in before
+                               for told in [self.asked(n, "/v1/state")]))  # fmt: skip
+
     # ---- what they hold ------------------------------------------------------------------------------------
 
     def saved(self, name: str) -> Path:
@@ -321,6 +334,20 @@
     def broken(self, whole: bool = False, most: int = 1) -> list[Broken]:
         return judged_owned(self.lines(), self.names, most, whole)
 
+    def over_budget(self, site: Site | None = None) -> list[Broken]:
+        """`site`: whose limits hold, where they were changed by a reload: the largest that was in force."""
+        site = site or self.site
+        n = len(site.gateways)
+        wholes = Wholes(site.door.package_rates, site.door.set_ups, n, max(p.patience for p in site.packages),
+                        own_parts(site.budgets.own_part, n), WHOLE)  # fmt: skip
+        return judged_budgets(self.lines(), wholes)
+
+    def let_in(self, since: float, until: float = float("inf"), by: Iterable[str] = ()) -> int:
+        """First tune-ins that media hosts saw in a time of the tape's clock, of these gateways or of all."""
+        some = set(by or self.names)
+        return sum(x["ev"] == "setup" and since <= x["t"] < until and x["key"].endswith(".0")
+                   and x["gateway"] in some for x in self.lines())  # fmt: skip
+
     def rules_broken(self) -> list[Breach]:
         return judged_tape(self.tapes, figures_of(self.site))[0]
 
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,182 @@
+"""Budgets as several processes of the program, faults between them; judged from what crossed the sockets."""
+
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from ledgehitch.budgets.facts import LOAN, WHOLE
+from ledgehitch.proof.budgeted import Wholes, judged_budgets
+from ledgehitch.proof.tape import Line
+from ledgehitch.rehearsal.fleet import FleetRig
+
+RATE = 20.0
+DOOR = {"on": True, "package_rates": {"recorded": RATE}, "set_ups": 30.0}
+
+
+def lending(directory: Path, gateways: int, **more: Any) -> FleetRig:
+    """Viewers ask for three times what the fleet may let in, and watch so shortly that hosts have room."""
+    return FleetRig(directory, gateways, hosts=9, rate=3 * RATE, watch=0.3, door=DOOR, **more)
+
+
+def part(rig: FleetRig, name: str, budget: str = "offers.recorded") -> float:
+    told = rig.asked(name, "/v1/budgets")
+    return (told["budgets"][budget]["own"] + told["budgets"][budget]["loan"]) / WHOLE if told else 0.0
+
+
+def used(rig: FleetRig, seconds: float = 4.0) -> float:
+    """Of the whole rate, what was let in over the last seconds, by what media hosts saw."""
+    now = time.monotonic()
+    return rig.let_in(now - seconds, now) / seconds / RATE
+
+
+def alone(rig: FleetRig, name: str) -> bool:
+    told = rig.asked(name, "/v1/budgets")
+    return bool(told and told["alone"]) and part(rig, name) <= 0.1 / len(rig.names) + 1e-6
+
+
+def test_what_the_dead_had_goes_to_those_who_live_and_comes_back_with_them(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        rig.owner("budgets")
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.93, 60.0)
+        dead = rig.names[:3]
+        for name in dead:
+            rig.kill(name)
+        rig.until(lambda: sum(part(rig, n) for n in rig.names[3:]) >= 0.95, 60.0)
+        rig.until(lambda: used(rig) >= 0.9, 60.0)
+        rig.start_all(dead)
+        rig.until(lambda: min(part(rig, n) for n in rig.names) > 0.05, 60.0)
+        # A fourth is missing: own parts alone, said so, until it is back.
+        for name in rig.names[3:]:
+            rig.kill(name)
+        rig.until(lambda: all(alone(rig, n) for n in dead), 60.0)
+        code, said = rig.fleet("budgets")
+        assert code == 1 and "own parts alone: nobody is known to lend" in said, said
+        rig.start_all(rig.names[3:])
+        rig.until(lambda: min(part(rig, n) for n in rig.names) > 0.05, 60.0)
+        code, said = rig.fleet("budgets")
+        assert code == 0 and "offers.recorded" in said and "lends" in said, said
+
+    rig = lending(tmp_path, 7)
+    rig.run(script)
+    assert rig.over_budget() == [] and any(x["ev"] == "lent" for x in rig.lines())
+
+
+def test_lenders_die_wait_and_wake_up_late_and_a_borrower_stands_still_past_its_loan(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        first = rig.owner("budgets")
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.9, 60.0)
+        rig.wires.lent_late = 0.3  # answers are under way when their lender stops
+        rig.still(first)
+        second = rig.owner("budgets", but=[first], within=60.0)
+        rig.until(lambda: "renews" in rig.asked(second, "/v1/owners")["duties"]["budgets"]["doing"])
+        rig.kill(second)
+        third = rig.owner("budgets", but=[first, second], within=60.0)
+        still = next(n for n in rig.names if n not in (first, second, third) and part(rig, n) > 0.03)
+        rig.still(still)
+        rig.loop.sleep(LOAN)  # its loan is over when it goes on, and requests wait in its sockets
+        rig.goes_on(first)
+        rig.goes_on(still)
+        rig.start_all([second])
+        rig.until(lambda: min(part(rig, n) for n in rig.names) > 0.05, 60.0)
+        rig.until(lambda: used(rig) >= 0.9, 60.0)
+
+    rig = lending(tmp_path, 5)
+    rig.run(script)
+    assert rig.over_budget() == []
+
+
+def test_a_fleet_that_is_cut_and_healed_ten_times_is_never_over_its_budgets(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        rig.owner("budgets")
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.9, 60.0)
+        for turn in range(10):
+            there, back = ((True, True), (True, False), (False, True))[turn % 3]
+            rig.cut("hall z0", there=there, back=back)
+            rig.loop.sleep(0.3 + 0.3 * turn)
+            rig.heal()
+            rig.loop.sleep(0.5)
+        # 3 of 6 are cut off for good: nobody lends, on either side.
+        rig.cut("hall z0")
+        rig.until(lambda: all(alone(rig, n) for n in rig.names), 60.0)
+        rig.heal()
+        rig.until(lambda: min(part(rig, n) for n in rig.names) > 0.05, 60.0)
+
+    rig = lending(tmp_path, 6, halls=2)
+    rig.run(script)
+    assert rig.over_budget() == []
+
+
+def test_a_limit_that_is_halved_by_a_reload_counts_at_once(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> Any:
+        rig.start_all()
+        rig.owner("budgets")
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.9, 60.0)
+        whole = rig.site
+        half = msgspec.structs.replace(whole.door, package_rates={"recorded": RATE / 2}, set_ups=15.0)
+        rig.reload(msgspec.structs.replace(whole, door=half))
+        since = time.monotonic()
+        rig.until(lambda: rig.let_in(since) >= 60, 60.0)
+        assert judged_budgets(rig.lines(), Wholes({"recorded": RATE / 2}, 15.0, 3), since) == []
+        return whole
+
+    rig = lending(tmp_path, 3)
+    assert rig.over_budget(rig.run(script)) == []
+
+
+# ---- the checker is seen to fail ---------------------------------------------------------------------------
+
+
+Told = list[tuple[float, str, dict[str, Any]]]
+
+
+def tape(lines: Told) -> list[Line]:
+    out = []
+    for number, (t, ev, more) in enumerate(sorted(lines, key=lambda x: x[0])):
+        line = Line({"t": t, "ev": ev, **more})
+        line.at = f"x:{number}"
+        out.append(line)
+    return out
+
+
+def setup(number: int, t: float, over: float) -> Told:
+    key = f"g{number % 3}.b.{number}.0"
+    begun = {"id": number, "host": "h0", "key": key, "gateway": f"g{number % 3}", "package": "recorded",
+             "title": "t", "rung": 0}  # fmt: skip
+    return [(t, "setup", begun), (over, "setup_out", {"id": number, "status": 201})]
+
+
+def lent(who: str, t: float, number: int, share: float, life: int = 1) -> Told:
+    """Asked, answered a little later, and said to be taken."""
+    ask = {"who": who, "to": "g9", "term": 1, "life": life}
+    return [(t, "want", {**ask, "sequence": number, "number": 0}),
+            (t + 0.1, "lent", {"who": "g9", "to": who, "term": 1, "life": life, "sequence": number,
+                               "number": number, "seconds": 5.0, "loans": [int(share * WHOLE)]}),
+            (t + 1.0, "want", {**ask, "sequence": number + 50, "number": number})]  # fmt: skip
+
+
+WHOLES = Wholes({"recorded": 10.0}, 4.0, 3, 3.0, WHOLE // 30)
+PLANTED: dict[str, Told] = {
+    "rates are kept": [x for n in range(60) for x in setup(n, n / 20, n / 20 + 0.01)],
+    "set-ups at once are kept": [x for n in range(5) for x in setup(n, n / 5, 9.0)],
+    "parts are within the whole": [*lent("g0", 1.0, 1, 0.6), *lent("g1", 2.0, 2, 0.4)],
+}
+
+
+@pytest.mark.parametrize("promise", PLANTED)
+def test_each_check_is_seen_to_fail_on_a_planted_tape(promise: str) -> None:
+    assert [b.promise for b in judged_budgets(tape(PLANTED[promise]), WHOLES)] == [promise]
+    good = [x for n in range(60) for x in setup(n, n / 9, n / 9 + 0.3)]
+    good += [*lent("g0", 1.0, 1, 0.6), *lent("g1", 6.1, 2, 0.4), *lent("g2", 12.0, 3, 0.9)]
+    good += [(13.5, "gateway", {"gateway": "g2", "how": "killed"}), *lent("g2", 13.6, 1, 0.9, life=2)]
+    good += [(20.0, "want", {"who": "g1", "to": "g9", "term": 2, "life": 1, "sequence": 9, "number": 7})]
+    assert judged_budgets(tape(good), WHOLES) == []
