--- a/ledgehitch/budgets/borrower.py
+++ b/ledgehitch/budgets/borrower.py
@@ -7,19 +7,19 @@
 
 from collections.abc import Mapping, Sequence
 
-from ledgehitch.budgets.facts import LOAN, PERIOD, SOON, WHOLE, Budget
+from ledgehitch.budgets.facts import ASKS, SOON, WHOLE, Budget
 from ledgehitch.budgets.words import Words
 
 MOST_ASKED = 16  # questions remembered: what is answered later than this has ended anyway
-JUMPED = 1.25  # times its part that is wanted, from which it asks again soon
+JUMPED = 1.25  # times its part, and what it wanted before, from which it asks again soon
+AT_ONCE = 6  # questions that come soon after a jump: others must give back first, and say so
 
 
 class Borrower:
-    def __init__(self, budgets: Sequence[Budget], own: int, life: int, digest: bytes, loan: float = LOAN
-                 ) -> None:  # fmt: skip
+    def __init__(self, budgets: Sequence[Budget], own: int, life: int, digest: bytes, loan: float) -> None:
         """`own`: parts that need nobody. `life`: a number of this life, drawn anew. `loan`: seconds at
         most."""
-        self.loan = loan
+        self.loan, self.period = loan, loan / ASKS
         self.budgets, self.own, self.life, self.digest = tuple(budgets), own, life, digest
         self.number_of = {b.name: i for i, b in enumerate(self.budgets)}
         self.term = self.number = 0
@@ -30,6 +30,7 @@
         self._sequence = 0
         self._asked: dict[int, float] = {}
         self._ask_at, self._seen = -1e18, -1e18
+        self._soon = 0
 
     def part(self, now: float, budget: str) -> int:
         """Parts of a budget in force now; looked at before every spending."""
@@ -52,16 +53,22 @@
         """What to say to the lender of this term, where it is time to. `used`, `wanted`: parts of the whole
         by budget; what is missing counts as none."""
         mine = tuple(min(WHOLE, max(0, wanted.get(b.name, 0))) for b in self.budgets)
-        jumped = any(w > JUMPED * max(self.own + loan, 1) and w > JUMPED * before
-                     for w, loan, before in zip(mine, self.loans, self.wanted, strict=True))  # fmt: skip
-        if now < self._ask_at - (PERIOD - SOON) * jumped and now >= self._ask_at - PERIOD:
+        parts = [self.own + (loan if now < self.until else 0) for loan in self.loans]
+        more = [w > JUMPED * max(part, 1) for w, part in zip(mine, parts, strict=True)]
+        if any(m and w > JUMPED * before for m, w, before in zip(more, mine, self.wanted, strict=True)):
+            self._soon = AT_ONCE
+        fell = any(JUMPED * JUMPED * w < before for w, before in zip(mine, self.wanted, strict=True))
+        soon = self._soon > 0 and any(more)
+        early = self.period * (1.0 - SOON) if soon or fell else 0.0
+        if self._ask_at - self.period <= now < self._ask_at - early:
             return None
+        self._soon -= soon
         if term < self.term:
             self._count("a lender of a former term")
             return None
         if term > self.term:
             self.term, self.number = term, 0
-        self.wanted, self._ask_at = mine, now + PERIOD
+        self.wanted, self._ask_at = mine, now + self.period
         held, lent = list[int](), self.holds(now)
         for i, budget in enumerate(self.budgets):
             beyond = max(0, min(WHOLE, used.get(budget.name, 0)) - self.own) if budget.unit != "rate" else 0
@@ -88,6 +95,8 @@
         until = asked_at + min(words.seconds, self.loan)
         if not asked_at <= now < until:
             return self._count("a loan that came after its end")
+        if any(new < old for new, old in zip(words.loans, self.loans, strict=True)):
+            self._ask_at = min(self._ask_at, now)  # what it gave back is lent again once it has said so
         self.number, self.loans, self.until = words.number, words.loans, until
         return True
 
--- a/ledgehitch/budgets/facts.py
+++ b/ledgehitch/budgets/facts.py
@@ -7,9 +7,9 @@
 
 WHOLE = 1_000_000_000  # parts of every budget, whatever its unit: a share goes on when the whole is changed
 OWN_PART = 0.1  # of the whole that is not lent; `docs/budgets.md` has the table it was chosen by
-LOAN = 5.0  # seconds, from when the borrower asked
-PERIOD = 1.5  # seconds between two questions of a borrower
-SOON = 0.25  # the same where its need has jumped
+OF_LEASE = 1.25  # of a lease that a loan lasts, from when the borrower asked
+ASKS = 8  # questions of a borrower in a loan's time
+SOON = 1 / 6  # of the time between two of them, after which it asks again where its need has jumped
 MOST_BUDGETS = 64
 SET_UPS = "set_ups"
 
@@ -40,6 +40,12 @@
     return tuple(out[:MOST_BUDGETS])
 
 
+def loan_of(lease: float) -> float:
+    """Seconds. Long enough that most owners that die are replaced before what they lent ends (a lease from
+    their last renewal, and an election), short enough that what dead borrowers had is lent again soon."""
+    return OF_LEASE * lease
+
+
 def own_parts(own_part: float, stated: int) -> int:
     """What each stated gateway has though it hears nothing. `own_part`: of the whole, 0 to 1."""
     return int(own_part * WHOLE) // max(1, stated)
--- a/ledgehitch/budgets/lender.py
+++ b/ledgehitch/budgets/lender.py
@@ -8,28 +8,30 @@
 
 from collections.abc import Sequence
 
-from ledgehitch.budgets.facts import LOAN, WHOLE, Budget
+from ledgehitch.budgets.facts import WHOLE, Budget
 from ledgehitch.budgets.ledger import Ledger, Loan, divided
 from ledgehitch.budgets.words import Words
 from ledgehitch.owners.facts import RATES
 
-AGAIN = 0.25  # seconds between two divisions
+AGAIN = 0.03  # of a loan between two divisions
 NOISE = 0.1  # of a loan by which a new division must differ somewhere before any loan is moved
 GRAINS = 200  # of an equal share's parts: below this a difference is noise, too
 
 
 class Lender:
     def __init__(self, now: float, term: int, budgets: Sequence[Budget], own: int, stated: int, digest: bytes,
-                 loan: float = LOAN, bound: float = RATES) -> None:  # fmt: skip
+                 loan: float, former: float = 0.0, bound: float = RATES) -> None:  # fmt: skip
         """`now`: when the duty was won. `own`: parts that each of `stated` gateways has without a loan.
-        `loan`: seconds, `bound`: by which two clocks' rates may differ; left out, those of all gateways."""
+        `loan`: seconds; `former`: of a former lender's loans, where these were longer. `bound`: by which two
+        clocks' rates may differ."""
         self.term, self.own, self.digest, self.loan = term, own, digest, loan
         self.counted = loan * (1.0 + bound)  # how long what a borrower calls `loan` lasts here
         self.budgets, self.stated = tuple(budgets), stated
         pool = max(0, WHOLE - own * stated)
         self.ledger = Ledger(budgets, pool)
         # What a former lender answered was asked before its lease ended, so before this one was won.
-        self.waits = [now + self.counted + b.lag for b in self.budgets]
+        longest = max(loan, former) * (1.0 + bound)
+        self.waits = [now + longest + b.lag for b in self.budgets]
         self.silent = set(range(stated))  # who has not spoken under this term
         self.wanted: dict[int, tuple[float, tuple[int, ...]]] = {}
         self.targets: list[dict[int, int]] = [{} for _ in self.budgets]
@@ -57,7 +59,7 @@
             self.waits = [min(w, now + b.lag) for w, b in zip(self.waits, self.budgets, strict=True)]
         fresh = member not in self.wanted
         self.wanted[member] = now, words.wanted
-        if fresh or now - self._divided_at >= AGAIN:
+        if fresh or now - self._divided_at >= AGAIN * self.loan:
             self._divide(now)
         loans = []
         for i in range(len(self.budgets)):
--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -10,7 +10,7 @@
 import structlog
 
 from ledgehitch.budgets.borrower import Borrower
-from ledgehitch.budgets.facts import LOAN, SOON, WHOLE, Budget, budgets_of, digest_of, own_parts
+from ledgehitch.budgets.facts import ASKS, WHOLE, Budget, budgets_of, digest_of, loan_of, own_parts
 from ledgehitch.budgets.lender import Lender
 from ledgehitch.budgets.words import BadWords, Words, read, written
 from ledgehitch.config import Site
@@ -21,7 +21,7 @@
 from ledgehitch.owners.facts import BUDGETS, promise_of
 from ledgehitch.owners.words import NOBODY
 
-LOOK = 0.1  # seconds between two looks at whether it is time to ask
+LOOKS = 10  # at whether it is time to ask, in the time between two questions
 log = structlog.get_logger("budgets")
 
 
@@ -31,8 +31,9 @@
         self.loop, self.owning, self.membership, self.doorman = loop, owning, membership, doorman
         self.names, self.chance = tuple(membership.names), random.Random(seed)
         self.patience = max(p.patience for p in site.packages)
+        self.loan = loan_of(site.owners.lease)
         self.lender: Lender | None = None
-        self.borrower, self.digest = Borrower((), 0, 0, b""), b""
+        self.borrower, self.digest = Borrower((), 0, 0, b"", self.loan), b""
         self.bad: dict[str, int] = {}
         self.trouble = ""  # why it has its own part alone
         self._joined_at: float | None = None
@@ -55,7 +56,7 @@
             return
         self.digest = digest
         self.lender = None
-        self.borrower = Borrower(budgets, 0, secrets.randbits(32), self.digest)
+        self.borrower = Borrower(budgets, 0, secrets.randbits(32), self.digest, self.loan)
 
     # ---- the part of this gateway --------------------------------------------------------------------------
 
@@ -68,8 +69,8 @@
             return 0
         if self._joined_at is None:
             sure = owners.memory.intact or owners.memory.begun  # it, or nobody, had a part before
-            self._joined_at = now - 2 * LOAN if sure else now
-        if now < self._joined_at + promise_of(LOAN):
+            self._joined_at = -1e18 if sure else now
+        if now < self._joined_at + promise_of(loan_of(owners.memory.lists.any_lease())):
             return 0
         return int(owners.memory.lists.own_share() * WHOLE)
 
@@ -88,7 +89,7 @@
         while True:
             self._look(time.monotonic())
             self._once()
-            self.loop.sleep(LOOK * self.chance.uniform(0.9, 1.1))
+            self.loop.sleep(self.loan / ASKS / LOOKS * self.chance.uniform(0.9, 1.1))
 
     def _once(self) -> None:
         now, b, owners = self.owning.now(), self.borrower, self.owning.owners
@@ -144,9 +145,11 @@
             stale = self.lender is None or self.lender.term != term or self.lender.digest != self.digest
             if stale and not owners.memory.lists.former:
                 own = own_parts(owners.memory.lists.own_part, len(self.names))
-                self.lender = Lender(self.owning.now(), term, self.budgets, own, len(self.names), self.digest)
+                former = loan_of(owners.memory.lists.any_lease())
+                self.lender = Lender(self.owning.now(), term, self.budgets, own, len(self.names), self.digest,
+                                     self.loan, former)  # fmt: skip
                 log.info("lends", term=term, pool=self.lender.ledger.pool / WHOLE)
-            self.loop.sleep(SOON)
+            self.loop.sleep(self.loan / ASKS / LOOKS)
 
     def doing(self) -> str:
         if self.lender is None:
--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -12,7 +12,7 @@
 from typing import Any, Protocol
 
 from ledgehitch.door.heavy import Heavy
-from ledgehitch.door.limits import LEAST, NEW, OLD, Adapted, Pace
+from ledgehitch.door.limits import LEAST, NEW, OLD, Adapted, Asked, Pace
 from ledgehitch.door.part import Part
 from ledgehitch.door.queue import FairQueue, Waiting
 from ledgehitch.door.rates import ClientRates, PackageRates, budget_of
@@ -23,7 +23,7 @@
 WAITS = 0.6  # part of the join target that one waits here at most: who joins later is worth little
 STEP = 1.0  # seconds between two looks at whether the least valuable are turned away at once
 CALM = 5  # looks in which nobody was pressed until they are let in again
-ROOM = 1.25  # times what was asked lately that is wanted of the fleet's limits: asking swings
+ROOM = 1.25  # times the set-ups at once of lately that are wanted of the fleet's limit: they swing
 SET_UPS = "set_ups"  # what the limit on set-ups at once is called among the budgets of the fleet
 ROUNDING = 1e-6  # of one set-up, by which parts of the whole may fall short of a whole one
 PRESSED = 3  # of a value that found no turn in such a time, from which those worth less make room
@@ -85,7 +85,7 @@
         self.levels = sorted(set(values.values())) or [1.0]
         self.ahead = 0.0
         self.level = 0  # packages worth less than `levels[level]` are turned away at once
-        self._asked: dict[str, Pace] = {}  # how often a package with a rate is asked for
+        self._asked: dict[str, Asked] = {}  # how often a package with a rate is asked for
         self._most = 0  # that were in or waiting at once since they were told
         self.counts = {"let_in": 0, "turned_away": 0, "over_rate": 0, "returned": 0}
         self._due: deque[Decision] = deque()
@@ -99,7 +99,7 @@
         reached by letting nobody in until they are under it."""
         self.by_client.changed(client_rate, client_burst)
         self.by_package.changed(package_rates)
-        self._asked = {p: self._asked.get(p, Pace()) for p in package_rates}
+        self._asked = {p: self._asked.get(p, Asked()) for p in package_rates}
         self.set_ups = set_ups
 
     def shared(self, now: float, own: float, lent: Mapping[str, float], until: float) -> None:
@@ -111,7 +111,7 @@
         """Of the whole of each of the fleet's limits, what is in use here and what could be."""
         used, wanted = self.uses(), dict[str, float]()
         for package, a_second in self.by_package.a_second.items():
-            wanted[budget_of(package)] = ROOM * self._asked[package].at(now) / a_second
+            wanted[budget_of(package)] = self._asked[package].at(now) / a_second
         if self.set_ups:
             most, self._most = self._most, len(self.out) + len(self.queue)
             wanted[SET_UPS] = min(ROOM * most + 1.0, self.limit.limit) / self.set_ups
@@ -128,7 +128,7 @@
         self.heavy.asked(now, name)
         self.ahead = ahead
         if package in self._asked:
-            self._asked[package].let_in(now)
+            self._asked[package].asked(now)
         value = self.values.get(package, self.levels[0])
         until = patience - min(max(NEEDED, SURELY * self.takes), 0.5 * max(0.0, patience - now))
         returns = bool(ticket) and self.tickets.good(now + ahead, ticket, name)
--- a/ledgehitch/door/limits.py
+++ b/ledgehitch/door/limits.py
@@ -99,3 +99,39 @@
             if now - self._since > 60.0:  # nothing came for long: what was measured says nothing now
                 self.a_second, self._before, self._since = 0.0, 0.0, now
         return self.a_second
+
+
+class Asked:
+    """Offers asked for a second, measured: (3·new + 8·old) / 11 for each two seconds, so that chance moves it
+    little; a rise or fall that chance does not explain counts at once."""
+
+    STEP, NEW, OLD = 2.0, 3.0, 8.0
+    SURE, FEW = 3.0, 3.0  # standard deviations, and offers beside them, by which chance may differ
+    SOONEST = 0.25  # seconds of a step after which it is looked at
+
+    def __init__(self) -> None:
+        self.a_second = 0.0
+        self._since: float | None = None
+        self._count = 0
+
+    def asked(self, now: float) -> None:
+        self.at(now)
+        self._count += 1
+
+    def at(self, now: float) -> float:
+        if self._since is None or not 0 <= now - self._since < 60.0:
+            self._since, self._count, self.a_second = now, 0, 0.0
+        while now - self._since >= self.STEP:
+            new, old = self._count / self.STEP, self.a_second
+            usual = (self.NEW * new + self.OLD * old) / (self.NEW + self.OLD)
+            self.a_second = usual if self._by_chance(self.STEP) else new
+            self._count, self._since = 0, self._since + self.STEP
+        gone = now - self._since
+        if gone >= self.SOONEST and not self._by_chance(gone):
+            return self._count / gone
+        return self.a_second
+
+    def _by_chance(self, seconds: float) -> bool:
+        """Whether what was counted in so many seconds may be what was known before."""
+        usual = self.a_second * seconds
+        return bool(abs(self._count - usual) <= self.SURE * usual**0.5 + self.FEW)
--- a/ledgehitch/door/rates.py
+++ b/ledgehitch/door/rates.py
@@ -56,11 +56,12 @@
 class PackageRates:
     """So many offers a second for each package, this gateway's part of what the fleet is given.
 
-    Over any time gateways together let in no more than the rate gives, half a second's worth, and one for
-    each gateway. A part that moves takes nothing with it that was gathered already, and a life begins with
+    Over any time gateways together let in no more than the rate gives, a second's worth, and one for each
+    gateway. A part that moves takes nothing with it that was gathered already, and a life begins with
     nothing: else a part that goes around would bring its burst again each time."""
 
-    BURST = 0.5  # seconds' worth that may come at once
+    # Seconds' worth that may come at once: with less, what chance swings costs where many hold little.
+    BURST = 1.0
 
     def __init__(self) -> None:
         self.a_second: dict[str, float] = {}  # of the fleet
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -62,6 +62,10 @@
         """What an owner counts on: voters of either list bind themselves for at least so long."""
         return min(self.lease, self.former_lease) if self.former else self.lease
 
+    def any_lease(self) -> float:
+        """The longest that anybody may have counted on by this list or the one before, settled or not."""
+        return max(self.lease, self.former_lease)
+
     def longest(self) -> float:
         """What a voter binds itself for."""
         return max(self.lease, self.former_lease) if self.former else self.lease
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -124,7 +124,8 @@
         if now < self.settles_at:
             return False
         now_on = self.lists
-        self.lists = Lists(now_on.current, (), now_on.lease, now_on.lease, now_on.own_part, now_on.own_part)
+        # How long leases were before is kept: what was lent under them may outlast the change.
+        self.lists = now_on._replace(former=(), former_own_part=now_on.own_part)
         self.settles_at = 1e18
         return True
 
