Loans go on while the list of gateways changes; the dead are declared gone by a word in the site

While a change of gateways, lease or own part was not settled nobody lent: a rollout that adds a gateway would have left the fleet at its own parts, a tenth, for as long as it takes. The owner's majority is one of both versions then, so nobody else lends by either: it lends what is left beside the larger own part of both, to gateways of both, and these ask by the version before where their own finds no lender. gateways.NAME.gone: an operator vouches that it does not run; its vote is not waited for, its number stays taken. Found with processes (one added, three of five lost, two declared gone): a newcomer never stood or had a part in its first life, since it asked nobody again once all had answered during the change (decide.py, _greet); a lender whose list settled began its numbers anew within its term, so that borrowers took nothing more from it. Found by reading: a newcomer that was restarted during the change had a file and counted itself in.

--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -65,7 +65,7 @@
         super().start(n, disk)
         if n not in self.borrowers:
             life = self.chance.getrandbits(32)
-            self.borrowers[n] = Borrower([UNIT], self.own, life, self.digest, loan_of(self.lease))
+            self.borrowers[n] = Borrower([UNIT], self.own, life, [self.digest], loan_of(self.lease))
             self.parts[n] = Part(1.0 / self.n if self.static else self.own / WHOLE)
             self.rates_of[n], self.asked[n] = PackageRates(), Asked()
             self.rates_of[n].changed({PACKAGE: self.a_second})
@@ -100,7 +100,9 @@
         owner, term = one.owner_of(self.now, BUDGETS)
         if owner == n and (n not in self.lenders or self.lenders[n].term != term):
             loan = loan_of(self.lease)
-            self.lenders[n] = Lender(self.now, term, [UNIT], self.own, self.n, self.digest, loan)
+            pool = WHOLE - self.n * self.own
+            self.lenders[n] = Lender(self.now, term, [UNIT], self.own, pool, range(self.n), [self.digest],
+                                     loan)  # fmt: skip
         if owner == NOBODY:
             return
         wanted = min(WHOLE, int(self.asked[n].at(self.now) / self.a_second * WHOLE))
--- a/ledgehitch/budgets/borrower.py
+++ b/ledgehitch/budgets/borrower.py
@@ -12,15 +12,18 @@
 
 MOST_ASKED = 16  # questions remembered: what is answered later than this has ended anyway
 JUMPED = 1.25  # times its part, and what it wanted before, from which it asks again soon
+UNANSWERED = 2  # questions by one version of the site before it asks by the other
 AT_ONCE = 6  # questions that come soon after a jump: others must give back first, and say so
 
 
 class Borrower:
-    def __init__(self, budgets: Sequence[Budget], own: int, life: int, digest: bytes, loan: float) -> None:
-        """`own`: parts that need nobody. `life`: a number of this life, drawn anew. `loan`: seconds at
-        most."""
+    def __init__(self, budgets: Sequence[Budget], own: int, life: int, digests: Sequence[bytes], loan: float
+                 ) -> None:  # fmt: skip
+        """`own`: parts that need nobody. `life`: a number of this life, drawn anew. `digests`: of its version
+        of the site, and of the one before while a change is not settled: a lender that goes by that one
+        counts it, too. `loan`: seconds at most."""
         self.loan, self.period = loan, loan / ASKS
-        self.budgets, self.own, self.life, self.digest = tuple(budgets), own, life, digest
+        self.budgets, self.own, self.life, self.digests = tuple(budgets), own, life, tuple(digests)
         self.number_of = {b.name: i for i, b in enumerate(self.budgets)}
         self.term = self.number = 0
         self.loans: tuple[int, ...] = (0,) * len(self.budgets)
@@ -30,7 +33,7 @@
         self._sequence = 0
         self._asked: dict[int, float] = {}
         self._ask_at, self._seen = -1e18, -1e18
-        self._soon = 0
+        self._soon = self._silent = 0
 
     def part(self, now: float, budget: str) -> int:
         """Parts of a budget in force now; looked at before every spending."""
@@ -63,6 +66,9 @@
         if self._ask_at - self.period <= now < self._ask_at - early:
             return None
         self._soon -= soon
+        # Who gets no answer by its own version asks by the one before.
+        digest = self.digests[self._silent // UNANSWERED % len(self.digests)]
+        self._silent += 1
         if term < self.term:
             self._count("a lender of a former term")
             return None
@@ -78,12 +84,12 @@
         if len(self._asked) > MOST_ASKED:
             self._asked.pop(next(iter(self._asked)))
         loans = self.loans if lent else (0,) * len(self.budgets)
-        return Words("want", self.digest, term, self.life, self._sequence, self.number, 0.0, loans,
+        return Words("want", digest, term, self.life, self._sequence, self.number, 0.0, loans,
                      tuple(held), mine)  # fmt: skip
 
     def lent(self, now: float, words: Words) -> bool:
         """An answer of a lender; whether it is in force from now on."""
-        if words.digest != self.digest or len(words.loans) != len(self.budgets):
+        if words.digest not in self.digests or len(words.loans) != len(self.budgets):
             return self._count("a loan of other budgets")
         if words.life != self.life:
             return self._count("a loan for another life")
@@ -97,6 +103,7 @@
             return self._count("a loan that came after its end")
         if any(new < old for new, old in zip(words.loans, self.loans, strict=True)):
             self._ask_at = min(self._ask_at, now)  # what it gave back is lent again once it has said so
+        self._silent = self.digests.index(words.digest) * UNANSWERED
         self.number, self.loans, self.until = words.number, words.loans, until
         return True
 
--- a/ledgehitch/budgets/explore.py
+++ b/ledgehitch/budgets/explore.py
@@ -150,7 +150,7 @@
     def start(self, me: int) -> None:
         self.lives[me] += 1
         self.asked[me] = 0
-        self.borrowers[me] = Borrower([self.corner.unit], self.own, self.lives[me], DIGEST, LOAN)
+        self.borrowers[me] = Borrower([self.corner.unit], self.own, self.lives[me], [DIGEST], LOAN)
 
     def crash(self, me: int) -> None:
         parts, since = self.out[me]
@@ -166,7 +166,8 @@
         c = self.corner
         self.owner, self.term, self.lease = me, self.term + 1, self.now + c.lease
         bound = FAST - 1.0 if max(c.rates) > 1.0 and self.spoilt != "no allowance for clocks" else 0.0
-        lender = Lender(self.clock(me), self.term, [c.unit], self.own, 3, DIGEST, LOAN, bound=bound)
+        lender = Lender(self.clock(me), self.term, [c.unit], self.own, WHOLE - 3 * self.own, range(3),
+                        [DIGEST], LOAN, bound=bound)  # fmt: skip
         if self.spoilt == "a new owner lends at once":
             lender.waits = [self.clock(me)]
         if self.spoilt == "the own part is lent as well":
--- a/ledgehitch/budgets/lender.py
+++ b/ledgehitch/budgets/lender.py
@@ -6,9 +6,9 @@
 it knows what is held, and waits for nothing but what lives that are over may have left under way.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
-from ledgehitch.budgets.facts import WHOLE, Budget
+from ledgehitch.budgets.facts import Budget
 from ledgehitch.budgets.ledger import Ledger, Loan, divided
 from ledgehitch.budgets.words import Words
 from ledgehitch.owners.facts import RATES
@@ -19,37 +19,42 @@
 
 
 class Lender:
-    def __init__(self, now: float, term: int, budgets: Sequence[Budget], own: int, stated: int, digest: bytes,
-                 loan: float, former: float = 0.0, bound: float = RATES) -> None:  # fmt: skip
-        """`now`: when the duty was won. `own`: parts that each of `stated` gateways has without a loan.
+    def __init__(self, now: float, term: int, budgets: Sequence[Budget], own: int, pool: int,
+                 members: Iterable[int], digests: Sequence[bytes], loan: float, former: float = 0.0,
+                 bound: float = RATES) -> None:  # fmt: skip
+        """`now`: when the duty was won. `own`: parts that each of the `members` that count has without a
+        loan; `pool`: what may be lent. `digests`: of the versions of the site that borrowers may go by.
         `loan`: seconds; `former`: of a former lender's loans, where these were longer. `bound`: by which two
         clocks' rates may differ."""
-        self.term, self.own, self.digest, self.loan = term, own, digest, loan
+        self.term, self.own, self.digests, self.loan = term, own, tuple(digests), loan
         self.counted = loan * (1.0 + bound)  # how long what a borrower calls `loan` lasts here
-        self.budgets, self.stated = tuple(budgets), stated
-        pool = max(0, WHOLE - own * stated)
+        self.budgets, self.members = tuple(budgets), frozenset(members)
         self.ledger = Ledger(budgets, pool)
         # What a former lender answered was asked before its lease ended, so before this one was won.
         longest = max(loan, former) * (1.0 + bound)
         self.waits = [now + longest + b.lag for b in self.budgets]
-        self.silent = set(range(stated))  # who has not spoken under this term
+        self.silent = set(self.members)  # who has not spoken under this term
         self.wanted: dict[int, tuple[float, tuple[int, ...]]] = {}
         self.targets: list[dict[int, int]] = [{} for _ in self.budgets]
         self.counts: dict[str, int] = {}
         self._number = 0
         self._divided_at = -1e18
 
-    def of(self, budgets: Sequence[Budget]) -> None:
-        """The same budgets, of other wholes: what is one whole thing has changed."""
+    def of(self, budgets: Sequence[Budget], own: int, pool: int, members: Iterable[int],
+           digests: Sequence[bytes]) -> None:  # fmt: skip
+        """The same budgets of other wholes, or a change of the list that has settled. What was lent is known,
+        and numbers go on: guards against a book that begins anew within a term, whose loans nobody takes."""
         self.budgets = self.ledger.budgets = tuple(budgets)
+        self.own, self.ledger.pool, self.digests = own, pool, tuple(digests)
+        self.members = frozenset(members)
 
     def wants(self, now: float, member: int, words: Words) -> Words | None:
         """A borrower's word; gives what may be answered now, and not later: the caller looks at its lease."""
-        if words.digest != self.digest or len(words.loans) != len(self.budgets):
+        if words.digest not in self.digests or len(words.loans) != len(self.budgets):
             return self._none("other budgets, or another version of the site")
         if words.term != self.term:
             return self._none("asked under another term")
-        if not 0 <= member < self.stated:
+        if member not in self.members:
             return self._none("a gateway that is not stated")
         binds = now + self.counted
         if not self.ledger.said(now, member, words.life, words.sequence, words.number, words.held, binds):
@@ -69,7 +74,7 @@
         loan = Loan(self._number, tuple(loans), now + self.counted)
         if not self.ledger.lent(now, member, words.life, loan):
             return self._none("too many loans that may be in force")
-        return Words("lent", self.digest, self.term, words.life, words.sequence, self._number, self.loan,
+        return Words("lent", words.digest, self.term, words.life, words.sequence, self._number, self.loan,
                      loan.parts)  # fmt: skip
 
     def _divide(self, now: float) -> None:
@@ -86,7 +91,7 @@
         """Guards against flutter: loans that chance alone would move stay where they are."""
         if old.keys() != new.keys():
             return True
-        least = self.ledger.pool // (GRAINS * max(1, self.stated))
+        least = self.ledger.pool // (GRAINS * max(1, len(self.members)))
         return any(abs(new[m] - parts) > max(NOISE * parts, least) for m, parts in old.items())
 
     def told(self, now: float) -> list[dict[str, object]]:
--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -41,7 +41,7 @@
             raise BadInput(f"no gateway {name!r}, known are {', '.join(known)}")
     out = []
     for g in site.gateways:
-        if only and g.name not in only:
+        if g.name not in only if only else g.gone:
             continue
         if admin_dir is not None:
             at = f"unix:{admin_dir / g.name}.admin"
--- a/ledgehitch/config/change.py
+++ b/ledgehitch/config/change.py
@@ -111,6 +111,8 @@
         return "more is blocked where links are full"
     if path[-1] in ("fall_multiple", "cold_share", "warm_up") and path[0] == "terms":
         return "rule 4 is reckoned by it: wrong figures push cold media hosts over"
+    if path[0] == "gateways" and path[-1] == "gone" and new:
+        return "it must not run: others stop counting its vote and lend its part; restart all others"
     if path[0] == "gateways" and (old is None or new is None):
         return "every gateway's part of shared limits changes: restart all of them, few at a time"
     return ""
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -96,6 +96,7 @@
     members_at: str = ""  # where it hears whether others are there; empty: it takes no part in membership
     members_via: str = ""  # where others send to reach it, if not there
     reports_at: str = ""  # where `ledgehitch reports` takes players' reports; empty: the gateway does
+    gone: bool = False  # for good: an operator vouches that it does not run; its number stays taken
 
 
 class HostRecord(Record, kw_only=True, frozen=True):
@@ -149,6 +150,11 @@
     budgets: BudgetsRecord = BudgetsRecord()
 
 
+def stated(site: Site) -> tuple[str, ...]:
+    """The gateways that count: those that nobody declared gone."""
+    return tuple(g.name for g in site.gateways if not g.gone)
+
+
 def lends(site: Site) -> bool:
     """Whether limits of the fleet are lent among its gateways: all of them can hear one another."""
     return bool(site.peer_key_file) and all(g.members_at for g in site.gateways)
@@ -202,6 +208,8 @@
     for name in site.door.package_rates:
         if name not in [p.name for p in site.packages]:
             wrong(f"door.package_rates.{name}", "no such package is sold")
+    if not stated(site):
+        wrong("gateways", "all of them are declared gone")
     if site.terms.extra_free is not None and not site.terms.extra_window:
         wrong("terms.extra_window", "a budget for further tune-ins needs a window above 0")
 
--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -10,7 +10,7 @@
 import structlog
 
 from ledgehitch.budgets.borrower import Borrower
-from ledgehitch.budgets.facts import ASKS, WHOLE, Budget, budgets_of, digest_of, loan_of, own_parts
+from ledgehitch.budgets.facts import ASKS, WHOLE, Budget, budgets_of, digest_of, loan_of
 from ledgehitch.budgets.lender import Lender
 from ledgehitch.budgets.words import BadWords, Words, read, written
 from ledgehitch.config import Site
@@ -18,7 +18,7 @@
 from ledgehitch.daemon.owning import Owning
 from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.loop import Loop
-from ledgehitch.owners.facts import BUDGETS, promise_of
+from ledgehitch.owners.facts import BUDGETS, Lists, promise_of
 from ledgehitch.owners.words import NOBODY
 
 LOOKS = 10  # at whether it is time to ask, in the time between two questions
@@ -26,6 +26,8 @@
 
 
 class Budgeting:
+    borrower: Borrower
+
     def __init__(self, loop: Loop, site: Site, owning: Owning, membership: Membership, doorman: Doorman,
                  seed: int) -> None:  # fmt: skip
         self.loop, self.owning, self.membership, self.doorman = loop, owning, membership, doorman
@@ -33,7 +35,8 @@
         self.patience = max(p.patience for p in site.packages)
         self.loan = loan_of(site.owners.lease)
         self.lender: Lender | None = None
-        self.borrower, self.digest = Borrower((), 0, 0, b"", self.loan), b""
+        self.budgets: tuple[Budget, ...] = ()
+        self.lists: Lists = owning.owners.memory.lists  # by which it borrows and lends now
         self.bad: dict[str, int] = {}
         self.trouble = ""  # why it has its own part alone
         self._joined_at: float | None = None
@@ -44,19 +47,35 @@
         self._asking = loop.spawn(self._ask, name="asks for loans")
 
     def placed(self, site: Site) -> None:
-        """The site's limits, at start and at a reload. The same budgets go on; others are borrowed anew."""
-        d = site.door
-        budgets: tuple[Budget, ...] = budgets_of(d.package_rates, d.set_ups, self.patience)
-        self.budgets = budgets
-        digest = digest_of(budgets, site.budgets.own_part, self.names)
-        if digest == self.digest:  # wholes alone have changed: parts of them go on
-            self.borrower.budgets = budgets
-            if self.lender is not None:
-                self.lender.of(budgets)
+        """The site's limits, at start and at a reload. Where wholes alone have changed, parts of them go on;
+        other budgets are borrowed anew."""
+        d, before = site.door, [(x.name, x.unit) for x in self.budgets]
+        self.budgets = budgets_of(d.package_rates, d.set_ups, self.patience)
+        if before and before == [(x.name, x.unit) for x in self.budgets]:
+            self.borrower.budgets = self.budgets
+            self._goes_on()
             return
-        self.digest = digest
         self.lender = None
-        self.borrower = Borrower(budgets, 0, secrets.randbits(32), self.digest, self.loan)
+        life = secrets.randbits(32)
+        self.borrower = Borrower(self.budgets, 0, life, self._digests(), self.loan)
+
+    def _digests(self) -> tuple[bytes, ...]:
+        """Of the versions of the site that may be about, this gateway's own first."""
+        lists = self.lists
+        versions = [(lists.own_part, lists.current), (lists.former_own_part, lists.former)]
+        return tuple(digest_of(self.budgets, part, names) for part, names in versions if names)
+
+    def _listed(self) -> None:
+        """A change of the list that has settled, or has begun to be one: loans go on by what is left."""
+        lists = self.owning.owners.memory.lists
+        if lists != self.lists:
+            self.lists = lists
+            self.borrower.digests = self._digests()
+            self._goes_on()
+
+    def _goes_on(self) -> None:
+        if self.lender is not None:
+            self.lender.of(self.budgets, *self._lent_by(), self._digests())
 
     # ---- the part of this gateway --------------------------------------------------------------------------
 
@@ -76,6 +95,7 @@
 
     def _look(self, mono: float) -> None:
         """Before anybody is let in: a loan that ended while the process stood still is over."""
+        self._listed()
         now, b = self.owning.now(), self.borrower
         b.clock(self.owning.owners.clock_good)
         b.own = self._own(now)
@@ -95,7 +115,6 @@
         now, b, owners = self.owning.now(), self.borrower, self.owning.owners
         owner, term = owners.owner_of(now, BUDGETS)
         why = ("nobody is known to lend" if owner == NOBODY else
-               "the list of gateways changes" if owners.memory.lists.former else
                "it does not count among the others yet" if not owners.joined(now) else "")  # fmt: skip
         if why != self.trouble:
             self.trouble = why
@@ -130,9 +149,9 @@
             self.membership.send(sender, written(answer))
 
     def _answer(self, member: int, words: Words) -> Words | None:
-        """Only under a lease that runs; while the list of gateways changes nothing is lent."""
-        term, owners = self.owning.owns(BUDGETS), self.owning.owners
-        if not term or owners.memory.lists.former or self.lender is None or self.lender.term != term:
+        """Only under a lease that runs."""
+        term = self.owning.owns(BUDGETS)
+        if not term or self.lender is None or self.lender.term != term:
             return None
         return self.lender.wants(self.owning.now(), member, words)
 
@@ -141,23 +160,34 @@
     def run(self, term: int) -> None:
         """As owner of the duty; ended with the term. It begins anew where budgets or the list change."""
         while True:
-            owners = self.owning.owners
-            stale = self.lender is None or self.lender.term != term or self.lender.digest != self.digest
-            if stale and not owners.memory.lists.former:
-                own = own_parts(owners.memory.lists.own_part, len(self.names))
-                former = loan_of(owners.memory.lists.any_lease())
-                self.lender = Lender(self.owning.now(), term, self.budgets, own, len(self.names), self.digest,
-                                     self.loan, former)  # fmt: skip
+            self._listed()
+            if self.lender is None or self.lender.term != term:
+                self.lender = self._lends(term)
                 log.info("lends", term=term, pool=self.lender.ledger.pool / WHOLE)
             self.loop.sleep(self.loan / ASKS / LOOKS)
 
+    def _lends(self, term: int) -> Lender:
+        former = loan_of(self.lists.any_lease())
+        return Lender(self.owning.now(), term, self.budgets, *self._lent_by(), self._digests(), self.loan,
+                      former)  # fmt: skip
+
+    def _lent_by(self) -> tuple[int, int, set[int]]:
+        """Own part of each, what may be lent, and who counts. While a change of the list is not settled that
+        is the larger own part of both versions, and the gateways of both: its majority is one of both, so
+        that nobody else lends by either."""
+        lists, gone = self.lists, self.owning.owners.memory.gone
+        number_of = {name: n for n, name in enumerate(self.names)}
+        # One that this version does not number cannot speak, and may hold what was lent before: -1.
+        members = {number_of.get(name, -1) for name in {*lists.current, *lists.former} - gone}
+        return int(lists.own_share() * WHOLE), int((1.0 - lists.most_own_part()) * WHOLE), members
+
     def doing(self) -> str:
         if self.lender is None:
-            return "waits: the list of gateways changes"
+            return "begins"
         waits = max([w - self.owning.now() for w in self.lender.waits], default=0.0)
         if waits > 0:
             return f"renews what is held, divides anew in {waits:.1f} s at most"
-        return f"lends to {len(self.lender.wanted)} of {len(self.names)}"
+        return f"lends to {len(self.lender.wanted)} of {len(self.lender.members)}"
 
     def close(self) -> None:
         self._asking.cancel()
@@ -174,8 +204,8 @@
                 for i, x in enumerate(b.budgets)}  # fmt: skip
         return {
             "whole": WHOLE, "budgets": mine, "loan_left": round(max(0.0, b.until - now), 3) if held else 0.0,
-            "term": b.term, "digest": self.digest.hex(), "alone": self.trouble, "refused": dict(b.counts),
-            "bad_words": dict(self.bad),
+            "term": b.term, "digests": [d.hex() for d in b.digests], "alone": self.trouble,
+            "refused": dict(b.counts), "bad_words": dict(self.bad),
             "lends": self.lender.told(now) if lends and self.lender is not None else None,
             "lender_refused": dict(self.lender.counts) if lends and self.lender is not None else {},
             "names": list(self.names),
--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -15,6 +15,7 @@
 
 from ledgehitch.budgets.words import FIRST as OF_BUDGETS
 from ledgehitch.config import Site
+from ledgehitch.config.site import stated
 from ledgehitch.daemon.membership import Membership
 from ledgehitch.loop import Event, Loop, forked
 from ledgehitch.loop.kernel import Task
@@ -44,8 +45,9 @@
         self.file = File(directory / f"{name}.owners", private=True, synced=True)
         self.clock = Clock(self._boottime(), time.monotonic())
         now, names = self._boottime(), tuple(membership.names)
-        memory = Memory(now, name, names, DUTIES, site.owners.lease, self._held(), secrets.randbits(32),
-                        own_part=site.budgets.own_part)  # fmt: skip
+        gone = frozenset(g.name for g in site.gateways if g.gone)
+        memory = Memory(now, name, stated(site), DUTIES, site.owners.lease, self._held(),
+                        secrets.randbits(32), own_part=site.budgets.own_part, gone=gone)  # fmt: skip
         self.owners = Owners(now, names.index(name), names, memory, random.Random(seed))
         self.work: dict[str, Work] = {}
         self.at_work: dict[str, Task] = {}
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -18,7 +18,7 @@
 from ledgehitch import __version__
 from ledgehitch.brain import Gateway
 from ledgehitch.config import Site, facts_of
-from ledgehitch.config.site import lends, rack_name
+from ledgehitch.config.site import lends, rack_name, stated
 from ledgehitch.door.decide import Door
 from ledgehitch.door.names import ORDER
 from ledgehitch.gate import Gate
@@ -85,7 +85,7 @@
                         gateways=terms.gateways)  # fmt: skip
             kept_door = Keep(state_dir / f"{name}.door", private=True) if state_dir is not None else None
             if lends(site):  # nobody's part is larger than what needs nobody, until a daemon borrows
-                door.shared(time.monotonic(), site.budgets.own_part / len(site.gateways), {}, 0.0)
+                door.shared(time.monotonic(), site.budgets.own_part / len(stated(site)), {}, 0.0)
             self.carrier.doorman = Doorman(door, kept_door, site.door.order or ORDER)
             self._limit(site)
         front.tokens = Tokens(name, state_dir)
--- a/ledgehitch/owners/decide.py
+++ b/ledgehitch/owners/decide.py
@@ -112,7 +112,7 @@
         self.fit, self.clock_good = True, True
         self.why_not = ""
         self.counts: dict[str, int] = {}
-        self._joining = not memory.intact
+        self._joining = not memory.joined
         self._formers: dict[str, bool] = {}  # by who answered: whether its list is still unsettled
         self._out: dict[int, tuple[str, int, int, float]] = {}  # sequence: duty, term, whom, when
         self._sequence = 0
@@ -135,6 +135,8 @@
         # two and a newcomer that waits for the third were held to be a majority, and nobody was elected.
         if words.kind not in ("greet", "greeted") or words.intact:
             self.memory.runs(now, self.names[sender], words.list)
+        if self.names[sender] in self._formers:
+            self._formers[self.names[sender]] = words.former != NO_LIST
         if words.kind in ("greet", "greeted"):
             self._greeting(now, sender, words)
             return
@@ -431,6 +433,9 @@
     def _look(self, now: float) -> None:
         if now >= self._greet_at:
             self._greet(now)
+        if self._joining and self.joined(now):
+            # Guards against a newcomer that starts anew during the change that adds it, and has a file now.
+            self._joining, self.memory.joined = False, True
         if self.memory.settle(now):
             self.lease = self.memory.lists.shortest()
         if len(self._out) > MOST_OUT // 2:
@@ -477,8 +482,10 @@
         return self.fit and self.clock_good and self.memory.votes(now) and self.joined(now)
 
     def joined(self, now: float) -> bool:
-        """Whether others count this one: not while it knows of nobody's terms, nor, where it came without a
-        file, while any that it heard still goes by the list before."""
+        """Whether others count this one: not where it was declared gone, nor while it knows of nobody's
+        terms, nor, where it came without a file, while any that it heard goes by the list before, too."""
+        if self.memory.me not in self.memory.lists.current:
+            return False
         return self.memory.votes(now) and not (self._joining and any(self._formers.values()))
 
     def owner_of(self, now: float, duty: str) -> tuple[int, int]:
@@ -506,7 +513,8 @@
         memory = self.memory
         waiting = [m for m in self._others() if self.names[m] not in memory.answers]
         if memory.votes(now) and now >= self._greets_until:
-            waiting = []
+            # Guards against a newcomer that never hears that the change which adds it is over.
+            waiting = [m for m in self._others() if self._joining and self._formers.get(self.names[m])]
         if memory.lists.former:
             waiting = [m for m in self._others() if self.names[m] not in memory.on_new]
         if not waiting:
@@ -535,7 +543,7 @@
         memory.answered(now, name, words.known_life, words.intact, words.terms)
         if before and not memory.intact:
             self._count("an old copy of the state directory")
-            self._joining = True
+            self._joining, memory.joined = True, False
             memory.nonce = self.chance.getrandbits(32)
             self._greet_at, self._greet_every = now, GREET * self.lease
             for one in self.duties.values():
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -31,8 +31,9 @@
 
 def digest_of(names: Sequence[str], lease: float, own_part: float = 0.0) -> bytes:
     """Four bytes that two versions of a site share where they state the same gateways in the same order,
-    leases of the same length, and the same own part of the fleet's budgets."""
-    words = [*names, f"{lease:.3f}", f"{own_part:.6f}"]
+    leases of the same length, and the same own part of the fleet's budgets. An own part of 1 is what programs
+    had that lent nothing: their digest did not name it."""
+    words = [*names, f"{lease:.3f}", *([f"{own_part:.6f}"] if own_part != 1.0 else [])]
     return blake3("\n".join(words).encode()).digest(4) if names else NO_LIST
 
 
@@ -62,6 +63,10 @@
         """What an owner counts on: voters of either list bind themselves for at least so long."""
         return min(self.lease, self.former_lease) if self.former else self.lease
 
+    def most_own_part(self) -> float:
+        """The most that own parts may come to together, whichever version each gateway goes by."""
+        return max(self.own_part, self.former_own_part) if self.former else self.own_part
+
     def any_lease(self) -> float:
         """The longest that anybody may have counted on by this list or the one before, settled or not."""
         return max(self.lease, self.former_lease)
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -15,11 +15,13 @@
 
 class Memory:
     def __init__(self, now: float, me: str, stated: tuple[str, ...], duties: tuple[str, ...], lease: float,
-                 held: Any, nonce: int, promise: float = 0.0, own_part: float = 0.0) -> None:  # fmt: skip
+                 held: Any, nonce: int, promise: float = 0.0, own_part: float = 0.0,
+                 gone: frozenset[str] = frozenset()) -> None:  # fmt: skip
         """`held`: what the file gave, None where it is not whole. `nonce`: of this life, drawn anew.
         `promise`: seconds that a vote binds; left out, what the bound on clocks asks for. `own_part`: of the
-        fleet's budgets; a change of it goes as a change of the list does."""
-        self.me, self.nonce = me, nonce
+        fleet's budgets; a change of it goes as a change of the list does. `gone`: who does not run, as an
+        operator vouches: nobody waits for their votes by a former list."""
+        self.me, self.nonce, self.gone = me, nonce, gone
         self.intact = isinstance(held, dict) and held.get("version") == VERSION
         votes: dict[str, Any] = held["votes"] if self.intact else {}
         fence: dict[str, int] = held["fence"] if self.intact else {}
@@ -38,6 +40,8 @@
         self.votes_from = now if self.intact else now + self.promise
         self.answers: dict[str, tuple[bool, tuple[int, ...]]] = {}  # to our greeting: intact, terms
         self.confirmed = self.intact or len(stated) == 1
+        # Whether others counted this one before, so that it had a part of what is the fleet's.
+        self.joined = self.intact and bool(held.get("joined", True))
         self.begun = False  # terms begin here: nobody that was heard knew of any
         self.on_new: set[str] = {me}  # who goes by the current list, of those that are in the former one
         self.settles_at = 1e18
@@ -50,6 +54,7 @@
             "current": list(self.lists.current), "former": list(self.lists.former),
             "lease": self.lists.lease, "former_lease": self.lists.former_lease,
             "own_part": self.lists.own_part, "former_own_part": self.lists.former_own_part,
+            "joined": self.joined,
         }  # fmt: skip
 
     def terms(self) -> tuple[int, ...]:
@@ -114,8 +119,8 @@
         if not former or member in self.on_new or current != self.lists.digests()[0]:
             return
         self.on_new.add(member)
-        left = len(former) - len(self.on_new.intersection(former))
-        enough = len(self.on_new) >= majority(len(self.lists.current))
+        left = len(set(former) - self.on_new - self.gone)
+        enough = len(self.on_new.intersection(self.lists.current)) >= majority(len(self.lists.current))
         if enough and left < majority(len(former)) and self.settles_at > 1e17:
             self.settles_at = now + self.promise
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -79,12 +79,13 @@
     def __init__(self, n: int = 3, own_part: float = 0.1, unit: Budget = RATE) -> None:
         self.own = own_parts(own_part, n)
         self.unit, self.n, self.term = unit, n, 0
-        self.borrowers = [Borrower([unit], self.own, life + 1, DIGEST, LOAN) for life in range(n)]
+        self.borrowers = [Borrower([unit], self.own, life + 1, [DIGEST], LOAN) for life in range(n)]
         self.lender = self.won(T - 100.0)
 
     def won(self, now: float) -> Lender:
         self.term += 1
-        self.lender = Lender(now, self.term, [self.unit], self.own, self.n, DIGEST, LOAN)
+        self.lender = Lender(now, self.term, [self.unit], self.own, WHOLE - self.n * self.own, range(self.n),
+                             [DIGEST], LOAN)  # fmt: skip
         return self.lender
 
     def ask(self, now: float, me: int, wanted: float, used: float = 0.0) -> Words | None:
@@ -170,7 +171,7 @@
 
 
 def test_a_lender_waits_for_loans_that_were_longer_before_leases_were_changed() -> None:
-    lender = Lender(T, 2, [RATE, COUNT], 0, 3, DIGEST, loan_of(2.0), loan_of(20.0))
+    lender = Lender(T, 2, [RATE, COUNT], 0, WHOLE, range(3), [DIGEST], loan_of(2.0), loan_of(20.0))
     longest = loan_of(20.0) * 1.01
     assert lender.waits == pytest.approx([T + longest, T + longest + COUNT.lag])
 
@@ -192,7 +193,7 @@
 
 
 def test_who_needs_much_more_than_it_has_asks_soon_and_others_once_a_period() -> None:
-    b = Borrower([RATE], own_parts(0.1, 3), 1, DIGEST, LOAN)
+    b = Borrower([RATE], own_parts(0.1, 3), 1, [DIGEST], LOAN)
     assert b.asks(T, 1, {}, {}) and not b.asks(T + PERIOD - 0.01, 1, {}, {}) and b.asks(T + PERIOD, 1, {}, {})
     assert not b.asks(T + PERIOD + 0.1, 1, {}, {"offers.live": WHOLE})
     assert b.asks(T + PERIOD + 0.2, 1, {}, {"offers.live": WHOLE})
@@ -229,7 +230,7 @@
             if chance.random() < 0.005:  # it is killed, what it had out goes on for a while
                 lingers.append((out[me], since[me] + unit.lag))
                 out[me] = 0
-                few.borrowers[me] = Borrower([unit], few.own, 100 + step, DIGEST, LOAN)
+                few.borrowers[me] = Borrower([unit], few.own, 100 + step, [DIGEST], LOAN)
         for item in [x for x in wire if x[0] <= now]:
             wire.remove(item)
             _, me, words = item
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -132,6 +132,47 @@
     assert rig.over_budget(rig.run(script)) == []
 
 
+def test_one_is_added_and_the_dead_are_declared_gone_while_loans_go_on(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> None:
+        five = rig.site
+        rig.site = msgspec.structs.replace(five, gateways=five.gateways[:4])
+        rig.write_site()
+        rig.start_all(rig.names[:4])
+        rig.owner("budgets")
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
+        rig.site = five
+        rig.write_site()
+        rig.start_all(["g4"])
+        for number, name in enumerate(rig.names[:4]):
+            rig.kill(name)
+            rig.start_all([name])
+            if number < 3:
+                assert part(rig, "g4") <= 0.0, "others do not count it yet"
+                rig.until(lambda name=name: part(rig, name) > 0.1, 60.0)  # type: ignore[misc]
+        # No viewer asks the newcomer: it has its own part, as the others have theirs and the rest.
+        rig.until(lambda: part(rig, "g4") > 0.0 and min(part(rig, n) for n in rig.names[:4]) > 0.1, 60.0)
+        # Three of five are lost; an operator vouches for two of them.
+        for name in ("g1", "g2", "g3"):
+            rig.kill(name)
+        rig.until(lambda: alone(rig, "g0") and alone(rig, "g4"), 60.0)
+        rest = [msgspec.structs.replace(g, gone=g.name in ("g1", "g2")) for g in five.gateways]
+        rig.site = msgspec.structs.replace(five, gateways=rest)
+        rig.write_site()
+        for name in ("g0", "g4"):
+            rig.kill(name)
+            rig.start_all([name])
+        rig.until(lambda: part(rig, "g0") + part(rig, "g4") > 0.9, 60.0)
+        rig.start_all(["g1"])  # it turns up all the same: it takes nothing
+        rig.until(lambda: bool((rig.asked("g1", "/v1/budgets") or {}).get("alone")), 60.0)
+        rig.loop.sleep(2 * loan_of(rig.lease))
+        assert part(rig, "g1") == 0.0 and part(rig, "g0") + part(rig, "g4") > 0.9
+
+    rig = lending(tmp_path, 5)
+    rig.run(script)
+    assert rig.over_budget() == []
+
+
 # ---- the checker is seen to fail ---------------------------------------------------------------------------
 
 
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -290,6 +290,56 @@
     assert owners.memory.settle(T + 11) and not owners.memory.lists.former
 
 
+def test_who_is_declared_gone_is_not_waited_for_and_counts_for_nothing() -> None:
+    """Four of seven are dead: by the former list nobody is elected any more. Two of them are vouched for."""
+    old = tuple(f"g{n}" for n in range(7))
+    new, gone = old[:5], frozenset(old[5:])
+    held = Memory(T, "g0", old, DUTIES, 10.0, None, 1, own_part=0.1).record()
+    for vouched in (frozenset[str](), gone):
+        m = Memory(T, "g0", new, DUTIES, 10.0, held, 2, own_part=0.1, gone=vouched)
+        for name in ("g1", "g2"):
+            m.runs(T, name, m.lists.digests()[0])
+        assert m.settle(T + m.promise) == bool(vouched)
+    assert m.lists.own_share() == 0.1 / 5 and m.lists.reached(["g0", "g1", "g2"])
+    back = Owners(T, 6, old, Memory(T, "g6", new, DUTIES, 10.0, held, 3, own_part=0.1), random.Random(1))
+    assert not back.joined(T + 60) and not any(isinstance(d, Won) for d in pulled(back, T + 60))
+
+
+def test_versions_of_the_own_part_are_versions_of_the_list() -> None:
+    """Also of a program that lent nothing: its file and its words name none, it went by 1/n."""
+    names = ("g0", "g1", "g2")
+    held = Memory(T, "g0", names, DUTIES, 10.0, None, 1, own_part=1.0).record()
+    for key in ("own_part", "former_own_part", "joined"):
+        del held[key]
+    m = Memory(T, "g0", names, DUTIES, 10.0, held, 2, own_part=0.25)
+    assert m.lists.former == names and m.lists.own_share() == 0.25 / 3 and m.lists.most_own_part() == 1.0
+    assert Lists(names, own_part=1.0).covered_by(*m.lists.digests()) and m.joined
+    for name in names[1:]:
+        m.runs(T, name, m.lists.digests()[0])
+    assert m.settle(T + m.promise) and m.lists.most_own_part() == 0.25
+    again = Memory(T, "g0", names, DUTIES, 2.0, m.record(), 3, own_part=0.25)
+    for name in names[1:]:
+        again.runs(T, name, again.lists.digests()[0])
+    assert again.settle(T + again.promise) and again.lists.any_lease() == 10.0, "loans may be longer"
+
+
+def test_a_newcomer_that_starts_anew_during_the_change_has_no_part_before_the_others_count_it() -> None:
+    new = tuple(f"g{n}" for n in range(4))
+    first = Owners(T, 3, new, Memory(T, "g3", new, DUTIES, 10.0, None, 1), random.Random(1))
+    pulled(first, T)
+    again = Memory(T, "g3", new, DUTIES, 10.0, first.memory.record(), 2)
+    assert again.intact and not again.joined
+    owners = Owners(T, 3, new, again, random.Random(1))
+    both = Lists(new, new[:3]).digests()
+    for n in range(3):
+        owners.heard(T, n, Words("greeted", 0, 2, 0, owners.shorts[n], *both, intact=True, terms=(0, 0, 0)))
+    assert not owners.joined(T + 60)
+    for n in range(3):
+        owners.heard(T, n, Words("greeted", 0, 2, 0, owners.shorts[n], both[0], b"\0" * 4, intact=True))
+    pulled(owners, T + 60)
+    assert owners.joined(T + 60) and owners.memory.record()["joined"]
+
+
 def test_who_was_told_of_an_owner_says_so_to_who_asks_until_what_it_was_told_has_ended() -> None:
     owners = lone(5, lone(5).memory.record())
     told = Words("told", 0, 0, 3, owners.shorts[1], *owners.memory.lists.digests(), member=1, left=15.0)
