--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -12,6 +13,9 @@
 from ledgehitch.budgets.ledger import MOST_OUT, divided, filled
 from ledgehitch.budgets.lender import Lender
 from ledgehitch.budgets.words import BadWords, Words, read, written
+from ledgehitch.fleet.shared import Told, remarks
+from ledgehitch.fleet.shared import divided as shares
+from ledgehitch.fleet.shared import read as read_said
 
 T = 1000.0
 RATE, COUNT = Budget("offers.live", "rate"), Budget("set_ups", "count", 3.0, WHOLE // 20)
@@ -276,3 +280,33 @@
     assert budgets[2].grain == WHOLE // 20 and budgets[2].lag == 4.0 and budgets_of({}, 0.0, 4.0) == ()
     versions = [(budgets, 0.1, "ab"), (budgets, 0.2, "ab"), (budgets, 0.1, "abc"), (budgets[:2], 0.1, "ab")]
     assert len({digest_of(*version) for version in versions}) == 4
+
+
+# ---- what the tool makes of what gateways say --------------------------------------------------------------
+
+
+def said(own: float, loan: float, wanted: float, lends: list[dict[str, object]] | None = None,
+         alone: str = "") -> bytes:  # fmt: skip
+    one = {"own": int(own * WHOLE), "loan": int(loan * WHOLE), "wanted": int(wanted * WHOLE), "used": 0,
+           "unit": "rate"}  # fmt: skip
+    return msgspec.json.encode({"whole": WHOLE, "budgets": {"offers.live": one}, "loan_left": 1.0,
+                                "term": 3, "alone": alone, "lends": lends, "refused": {}})  # fmt: skip
+
+
+def test_sums_are_told_as_they_are_and_what_does_not_add_up_is_named() -> None:
+    book = {"budget": "offers.live", "pool": int(0.9 * WHOLE), "lent": {"0": WHOLE // 2}, "waits": 0.0}
+    told = {"g0": read_said(said(0.05, 0.5, 0.9, [book])), "g1": read_said(said(0.05, 0.0, 0.01))}
+    good = {name: t for name, t in told.items() if not isinstance(t, str)}
+    (one,) = shares(good)
+    assert len(good) == 2 and (one.own, one.lent, one.wrong) == (0.1, 0.5, "")
+    assert one.unmet == pytest.approx(0.35) and one.free == pytest.approx(0.4)
+    good["g2"] = good["g0"]
+    (one,) = shares(good)
+    assert "gateways say 1.1500 of the whole" in one.wrong and "g0, g2 say that they lend" in one.wrong
+    over = read_said(said(0.0, 0.0, 0.0, [{**book, "lent": {"0": WHOLE}}], "nobody is known to lend"))
+    assert isinstance(over, Told) and "has lent 1.0000 of 0.9000" in shares({"g0": over})[0].wrong
+    lines = remarks({"g0": over}, [("g9", "timed out")])
+    assert lines == ["g9: silent, timed out", "g0: own parts alone: nobody is known to lend",
+                     "g0 lends under term 3"]  # fmt: skip
+    for spoilt in (b"{", b"[]", said(0, 0, 0).replace(b'"own":0', b'"own":"all"')):
+        assert "does not read" in str(read_said(spoilt))
