--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -2,7 +2,7 @@
 static parts and beside a divider that sees all; bytes, lender's time and largest message; states explored;
 and random scripts of real daemons.
 
-`python -m benchmarks.budgets [PART ...]`: deaths, own, uneven, bytes, states, scripts; all without a PART.
+`python -m benchmarks.budgets [PART ...]`: deaths, own, uneven, bytes, states, joins, scripts; all if none.
 Networks and gateways are simulated, but for the scripts' daemons; owners, borrowers, lender and the door's
 rates are the classes that gateways run.
 """
@@ -286,6 +286,39 @@
     return {"corners": out, "states": total, "seconds": round(time.monotonic() - began, 1)}
 
 
+def joins(seconds: int = 20) -> dict[str, Any]:
+    """Set-ups of real gateways with loans, and with parts of 1/n that nobody lends: in turns in one run."""
+    out: dict[str, Any] = {}
+    door = {"on": True, "package_rates": {"recorded": 1000.0}, "set_ups": 500.0}
+    for turn in range(2):
+        for name, own_part in (("without loans", 1.0), ("with loans", 0.1)):
+            cpu = [0.0, 0.0]
+
+            def script(rig: FleetRig, cpu: list[float] = cpu) -> None:
+                rig.start_all()
+                rig.owner(BUDGETS)
+                rig.loop.sleep(5.0)
+                rig.viewers()
+                rig.loop.sleep(2.0)
+                cpu[0] = sum(_cpu(rig.children[n].pid) for n in rig.names)
+                rig.loop.sleep(seconds)
+                cpu[1] = sum(_cpu(rig.children[n].pid) for n in rig.names)
+
+            with tempfile.TemporaryDirectory() as directory:
+                rig = FleetRig(Path(directory), 3, lease=2.0, hosts=9, rate=60.0, watch=0.3, door=door,
+                               budgets={"own_part": own_part})  # fmt: skip
+                rig.run(script)
+                each = 1000.0 * (cpu[1] - cpu[0]) / (60.0 * seconds)
+                out[f"{name}, {turn + 1}"] = {**rig.joined(), "cpu_ms_an_offer_with_all_else": round(each, 2)}
+    return out
+
+
+def _cpu(pid: int) -> float:
+    """Seconds that a process has computed."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100.0
+
+
 def scripts(first: int = 1, number: int = 20, seconds: float = 30.0) -> dict[str, Any]:
     """Random scripts of five real daemons whose viewers ask for three times what the fleet may let in: kills,
     stops, cuts, bad wires. Their seeds are printed."""
@@ -316,7 +349,7 @@
 def main(parts: Sequence[str]) -> None:
     calls: dict[str, Callable[..., Any]] = {
         "deaths": deaths, "own": own, "uneven": uneven, "bytes": sizes, "states": states,
-        "scripts": scripts}  # fmt: skip
+        "joins": joins, "scripts": scripts}  # fmt: skip
     for part in parts or tuple(calls):
         name, *numbers = part.split(":")
         print(json.dumps({part: calls[name](*map(int, numbers))}), flush=True)
