--- a/ledgehitch/rehearsal/play.py
+++ b/ledgehitch/rehearsal/play.py
@@ -27,6 +27,7 @@
 
 MOST_GATEWAYS, MOST_HOSTS = 64, 400  # of a day on loopback: each gateway is a process
 PORTS = 10_240, 32_768  # for what a day starts
+APART = 8  # processes that draw ports at once, at best
 READY_WITHIN = 20.0  # seconds for a process to be ready
 log = structlog.get_logger("rehearsal")
 
@@ -67,13 +68,14 @@
     """Ports of loopback that were free just now, all different, for streams and datagrams.
 
     Guards against a gateway that is down for a moment finding its port taken when it comes back: the system
-    gives ports from 32768 on to whoever connects, so these lie below."""
+    gives ports from 32768 on to whoever connects, so these lie below. Two stages that are set at once mostly
+    draw from ports apart: one's are free until its processes have started."""
     held: list[socket.socket] = []
     chance = random.SystemRandom()
     while len(held) < n:
         stream = socket.socket()
         try:
-            stream.bind(("127.0.0.1", chance.randrange(*PORTS)))
+            stream.bind(("127.0.0.1", chance.randrange(PORTS[0] + os.getpid() % APART, PORTS[1], APART)))
         except OSError:
             stream.close()
             continue
