An own part that a change raised counts a loan's length after it; needs are told once

Found by reading: a change that raises own_part settles about a lease after the last owner of the former version, whose loans last 1.25 leases; for the rest own parts of the new and loans beside those of the old version were in force together. The smaller of both own parts counts for a loan's length after the list changed or the process began. The most set-ups at once were forgotten at each look of the loop, not at each question (Door.needs).

--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -40,6 +40,7 @@
         self.bad: dict[str, int] = {}
         self.trouble = ""  # why it has its own part alone
         self._joined_at: float | None = None
+        self._listed_at = owning.now()
         self._told: tuple[float, float] = (-1.0, -1.0)
         self.placed(site)
         owning.more = self._heard
@@ -69,7 +70,7 @@
         """A change of the list that has settled, or has begun to be one: loans go on by what is left."""
         lists = self.owning.owners.memory.lists
         if lists != self.lists:
-            self.lists = lists
+            self.lists, self._listed_at = lists, self.owning.now()
             self.borrower.digests = self._digests()
             self._goes_on()
 
@@ -89,9 +90,11 @@
         if self._joined_at is None:
             sure = owners.memory.intact or owners.memory.begun  # it, or nobody, had a part before
             self._joined_at = -1e18 if sure else now
-        if now < self._joined_at + promise_of(loan_of(owners.memory.lists.any_lease())):
+        longest = promise_of(loan_of(self.lists.any_lease()))
+        if now < self._joined_at + longest:
             return 0
-        return int(owners.memory.lists.own_share() * WHOLE)
+        # Guards against a larger own part beside what was lent while it was smaller.
+        return int(self.lists.own_share(surely=now < self._listed_at + longest) * WHOLE)
 
     def _look(self, mono: float) -> None:
         """Before anybody is let in: a loan that ended while the process stood still is over."""
@@ -126,6 +129,7 @@
         words = b.asks(now, term, *parts)
         if words is None:
             return
+        self.doorman.needs_told()
         if owner != owners.me:
             self.membership.send(owner, written(words))
         elif (answer := self._answer(owners.me, words)) is not None:
--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -108,13 +108,13 @@
         self.part.told(own, lent, until)
 
     def needs(self, now: float) -> tuple[dict[str, float], dict[str, float]]:
-        """Of the whole of each of the fleet's limits, what is in use here and what could be."""
+        """Of the whole of each of the fleet's limits, what is in use here and what could be: the most set-ups
+        at once since `needs_told`."""
         used, wanted = self.uses(), dict[str, float]()
         for package, a_second in self.by_package.a_second.items():
             wanted[budget_of(package)] = self._asked[package].at(now) / a_second
         if self.set_ups:
-            most, self._most = self._most, len(self.out) + len(self.queue)
-            wanted[SET_UPS] = min(ROOM * most + 1.0, self.limit.limit) / self.set_ups
+            wanted[SET_UPS] = min(ROOM * self._most + 1.0, self.limit.limit) / self.set_ups
         return used, wanted
 
     # ---- what happens --------------------------------------------------------------------------------------
@@ -169,6 +169,10 @@
         """A tune-in of one that was let in was not answered in its time."""
         self.limit.pressed(now)
 
+    def needs_told(self) -> None:
+        """What is needed here was asked for."""
+        self._most = len(self.out) + len(self.queue)
+
     def uses(self) -> dict[str, float]:
         """Of the whole of each limit on what is held, what is held here now."""
         return {SET_UPS: len(self.out) / self.set_ups} if self.set_ups else {}
--- a/ledgehitch/gateway/doorman.py
+++ b/ledgehitch/gateway/doorman.py
@@ -88,6 +88,10 @@
             self.look(now)
         self.door.asked(now, vw, name, package, patience, ticket, time.time() - now)
 
+    def needs_told(self) -> None:
+        if isinstance(self.door, Door):
+            self.door.needs_told()
+
     def uses(self) -> dict[str, float]:
         return self.door.uses() if isinstance(self.door, Door) else {}
 
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -82,9 +82,11 @@
         return (digest_of(self.current, self.lease, self.own_part),
                 digest_of(self.former, self.former_lease, self.former_own_part))  # fmt: skip
 
-    def own_share(self) -> float:
-        """Of each of the fleet's budgets, what a gateway has though it hears nothing: the least of both."""
-        parts = [self.own_part / len(self.current)]
+    def own_share(self, surely: bool = False) -> float:
+        """Of each of the fleet's budgets, what a gateway has though it hears nothing: the least of both
+        versions. `surely`: of the one before too where it is settled, as what was lent by it may be out."""
+        part = min(self.own_part, self.former_own_part) if surely else self.own_part
+        parts = [part / len(self.current)]
         return min([*parts, self.former_own_part / len(self.former)] if self.former else parts)
 
     def covered_by(self, current: bytes, former: bytes) -> bool:
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -129,8 +129,8 @@
         if now < self.settles_at:
             return False
         now_on = self.lists
-        # How long leases were before is kept: what was lent under them may outlast the change.
-        self.lists = now_on._replace(former=(), former_own_part=now_on.own_part)
+        # How long leases were before, and how large own parts, is kept: loans may outlast the change.
+        self.lists = now_on._replace(former=())
         self.settles_at = 1e18
         return True
 
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -317,6 +317,8 @@
     for name in names[1:]:
         m.runs(T, name, m.lists.digests()[0])
     assert m.settle(T + m.promise) and m.lists.most_own_part() == 0.25
+    raised = Lists(names, (), 10.0, 10.0, 0.5, 0.1)
+    assert raised.own_share() == 0.5 / 3 and raised.own_share(surely=True) == 0.1 / 3
     again = Memory(T, "g0", names, DUTIES, 2.0, m.record(), 3, own_part=0.25)
     for name in names[1:]:
         again.runs(T, name, again.lists.digests()[0])
