--- a/ledgehitch/rehearsal/play.py
+++ b/ledgehitch/rehearsal/play.py
@@ -28,6 +28,7 @@
 MOST_GATEWAYS, MOST_HOSTS = 64, 400  # of a day on loopback: each gateway is a process
 PORTS = 10_240, 32_768  # for what a day starts
 APART = 8  # processes that draw ports at once, at best
+_DRAWN: deque[int] = deque(maxlen=1000)  # given lately, by this process
 READY_WITHIN = 20.0  # seconds for a process to be ready
 log = structlog.get_logger("rehearsal")
 
@@ -69,13 +70,18 @@
 
     Guards against a gateway that is down for a moment finding its port taken when it comes back: the system
     gives ports from 32768 on to whoever connects, so these lie below. Two stages that are set at once mostly
-    draw from ports apart: one's are free until its processes have started."""
+    draw from ports apart: one's are free until its processes have started. For the same cause none is given
+    twice by one process within a while: a stage that draws in two turns had its own port given again."""
     held: list[socket.socket] = []
     chance = random.SystemRandom()
     while len(held) < n:
         stream = socket.socket()
+        port = chance.randrange(PORTS[0] + os.getpid() % APART, PORTS[1], APART)
+        if port in _DRAWN:
+            stream.close()
+            continue
         try:
-            stream.bind(("127.0.0.1", chance.randrange(PORTS[0] + os.getpid() % APART, PORTS[1], APART)))
+            stream.bind(("127.0.0.1", port))
         except OSError:
             stream.close()
             continue
@@ -89,6 +95,7 @@
             datagrams.close()
         held.append(stream)
     ports = [s.getsockname()[1] for s in held]
+    _DRAWN.extend(ports)
     for s in held:
         s.close()
     return ports
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -23,7 +23,7 @@
 from ledgehitch.loop import Loop
 from ledgehitch.proof.check import figures_of, judged_tape
 from ledgehitch.rehearsal.imported import KINDS_HERE, imported
-from ledgehitch.rehearsal.play import Stage
+from ledgehitch.rehearsal.play import Stage, free_ports
 from ledgehitch.standins.arrivals import fewest_held, visits
 from ledgehitch.standins.faults import Faults
 from ledgehitch.standins.links import Fabric, Link
@@ -366,3 +366,9 @@
     assert broken.returncode == 1 and "^" in broken.stderr and "Traceback" not in broken.stderr
     status = run("config", "status", "http://127.0.0.1:1")
     assert status.returncode == 1 and "does not answer" in status.stdout
+
+
+def test_no_port_is_given_twice_though_nobody_listens_there_yet() -> None:
+    """A fleet draws its ports in two turns: with few to draw from, the second one gave some of the first."""
+    some = [port for _ in range(12) for port in free_ports(40)]
+    assert len(some) == len(set(some)) == 480
