--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # make run: sets up and starts a gateway with stand-ins. make test: sets up, checks and tests. make day: the bad day.
 VENV ?= .venv
 PY = $(VENV)/bin/python
-SEVERAL = tests/test_owning.py tests/test_lending.py
+SEVERAL = tests/test_owning.py tests/test_lending.py tests/test_ramp.py
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
