Before a tune-in leaves, its viewer's connection is looked at; floods, SIGTERM, troubles of the list tested

Seen by reading: a pull of decisions comes at the end of a turn of the loop, and in a flood a turn takes long, so what had arrived since the last poll was not known to it: `carry.py` `_tune_in` sent for a viewer who had hung up meanwhile. Forced in one process with no poll between the hang-up and the pull: with the look taken out the four cases fail (a second media host is asked), with it they pass. One look (MSG_PEEK) a tune-in; a TEARDOWN that has come and is not read counts as well.

Also tested, on real sockets, and found to hold before as well, so ruled out: valid and bad set-ups flooding over 2 and 60 connections (memory under 40 MB, 503 at once, a playing session's release not held up); SIGTERM with sessions playing, sent, dialling and waiting and set-ups up to 0.6 s after it; a list that moves while a call dials, three SIGHUPs; a list that is silent, refused, slow while hosts are replaced (a spoilt event fails on the code as found).

--- a/ledgehitch/loop/sockets.py
+++ b/ledgehitch/loop/sockets.py
@@ -91,26 +91,22 @@
 
     def ended(self) -> bool:
         """Whether the other side has hung up, seen without waiting; unread bytes say no."""
+        return self.peek(1) == b""
+
+    def peek(self, most: int) -> bytes | None:
+        """What has come and was not read, seen without waiting; none at the end, None where nothing came."""
         if self.fd < 0:
-            return True
+            return b""
         try:
-            return self.sock.recv(1, socket.MSG_PEEK) == b""
+            return self.sock.recv(most, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
 
     def quiet(self) -> bool:
         """Whether it is open and nothing is to be read: fit to be used again for a new request."""
-        if self.fd < 0:
-            return False
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return self.peek(1) is None
 
     def close(self) -> None:
         if self.fd >= 0:
--- a/ledgehitch/platform/carry.py
+++ b/ledgehitch/platform/carry.py
@@ -127,6 +127,9 @@
             log("stopped", vw=vw, host=host, why=why)
             self._undone.append(lambda: self._ended(now, vw, False, Outcome.MOOT, host, 0.0, number))
             return
+        if self.front.gone(self.desk.by_vw[vw].conn, v.sid):
+            self._undone.append(lambda: self._gone(now, vw, host, number))
+            return
         left = f"{max(1, int(within * 1000))}"
         fields: dict[str, str | int | float] = {"class": v.package.name, "key": v.title, "left": left}
         fields["rung"] = v.rung
@@ -139,6 +142,14 @@
         v.until = now + within
         v.timer = self.loop.call_at(v.until, lambda: self._timed_out(vw))
 
+    def _gone(self, now: float, vw: int, host: str, number: int) -> None:
+        """A tune-in was wanted for a viewer who has gone: it never left, and there is no other."""
+        self.count("gone")
+        entry = self.desk.by_vw.get(vw)
+        if entry is not None:
+            self._ended(now, vw, False, Outcome.MOOT, host, 0.0, number)
+            self.torn(now, entry.sid)
+
     def leaves(self, now: float, sid: str, line: Line) -> float | None:
         """A set-up that was held until its connection could take it is about to leave: the seconds left for
         it; None where it must not leave any more, which is its outcome."""
--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -227,6 +227,15 @@
         body = decision.description.encode()
         return conn.pipe.write(rtsp.answer(STATUS[decision.kind], decision.cseq, decision.sid, advice, body))
 
+    def gone(self, number: int, sid: str) -> bool:
+        """Whether the viewer of a set-up that waits on this connection has hung up or given it up, though it
+        is not read yet.
+
+        Guards against a turn of the loop that takes long, in a flood: decisions come before the next read."""
+        conn = self.conns.get(number)
+        ahead = b"" if conn is None else conn.stream.peek(MOST_READ)
+        return ahead == b"" or ahead is not None and b"TEARDOWN" in ahead and sid.encode() in ahead
+
     @property
     def unsent(self) -> int:
         """Bytes that are kept until viewers read."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import socket
+import tempfile
 import time
 from collections.abc import Callable
 from functools import partial
@@ -18,6 +19,7 @@
 from ledgehitch.facts import Reach, facts_from
 from ledgehitch.http.events import event
 from ledgehitch.loop import Listener, Loop, Stream, TimedOut, endpoint
+from ledgehitch.platform.__main__ import Running, told_from
 from ledgehitch.platform.bounds import bounds_of
 from ledgehitch.platform.desk import Desk
 from ledgehitch.platform.front import Front
@@ -168,6 +170,34 @@
     over_loop(play)
 
 
+@pytest.mark.parametrize("way", WAYS)
+def test_no_tune_in_begins_in_a_long_turn_for_a_viewer_whose_end_is_not_read_yet(way: Way) -> None:
+    """In a flood a turn takes long: its decisions came before what had arrived meanwhile was read."""
+
+    def play(loop: Loop) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            world = World(loop, 2, Path(folder), {"peerMessages": False}, start=False)
+            gateway = Running(loop, told_from(str(world.path)), str(world.path))
+            gateway.start()
+            v = world.ready()
+            known(world, v)
+            for host in world.hosts:
+                host.how = nothing
+            v.set_up(1)
+            host = holder(world, 1)
+            viewing = gateway.carrier.viewings[gateway.carrier.desk.by_sid[sid(1)].vw]
+            assert viewing.line is not None
+            way(v, 1)
+            # In the same turn, with no look at the sockets between: the tune-in ends, decisions are pulled.
+            gateway.carrier.finished(time.monotonic(), sid(1), host.name, viewing.line, ERROR, [])
+            gateway.carrier._pull()
+            loop.sleep(0.2)
+            assert starts(world, 1) == [host.name]
+            assert not gateway.carrier.desk.waiting and not gateway.carrier.viewings
+
+    over_loop(play)
+
+
 @on_loop
 def test_what_comes_up_as_its_viewer_hangs_up_does_not_play_on(loop: Loop) -> None:
     with running(loop, peerMessages=False) as (world, other):
@@ -679,3 +709,184 @@
         v.set_up(9)
         assert v.answer()[0] == "200" and starts(world, 9) == [world.hosts[1].name]
         assert not judge(world.log)
+
+
+@on_loop
+def test_the_list_moves_while_a_call_dials_and_only_the_last_address_is_followed(loop: Loop) -> None:
+    held = Held()
+    with running(loop) as (world, v):
+        first, good = world.until(lambda: world.feeds)[0], world.journal
+        world.journal = held  # type: ignore[assignment]
+        world.write()
+        world.process.send_signal(signal.SIGHUP)
+        world.until(lambda: f"reloaded journal={held.at}" in world.errors.read_text())
+        first.close()
+        loop.sleep(0.2)  # the call to the held address dials
+        others = [world.serve_journal() for _ in range(2)]
+        for journal in (others[0], others[1]):
+            world.journal = journal
+            world.write()
+            world.process.send_signal(signal.SIGHUP)
+            loop.sleep(0.05)
+        feed = world.until(lambda: world.feeds[1:] and world.errors.read_text().count("reloaded") == 3)
+        loop.sleep(1.0)
+        feed = world.feeds[-1]
+        feed.send(world.told(2, (world.hosts[0], "gone")))
+        open_feeds = 0
+        for old in world.feeds:
+            try:
+                old.send(b":\n\n")
+                loop.sleep(0.05)
+                open_feeds += not old.ended()
+            except OSError:
+                continue
+        assert open_feeds == 1, "the calls to former addresses are over"
+        v.set_up(1)
+        assert v.answer()[0] == "200" and starts(world, 1) == [world.hosts[1].name]
+        held.release(world, world.hosts[0])
+        for journal in (good, *others):
+            journal.close()
+
+
+@pytest.mark.parametrize("trouble", ["silent", "refusing", "spoilt", "slow"])
+def test_hosts_are_replaced_while_the_list_is_in_trouble_and_no_drain_is_missed(trouble: str) -> None:
+    def play(loop: Loop) -> None:
+        with running(loop, hosts=3) as (world, v):
+            first = world.until(lambda: world.feeds)[0]
+            at = world.journal.at
+            if trouble == "silent":
+                world.comments = False
+            elif trouble == "refusing":
+                world.journal.close()
+                first.close()
+            elif trouble == "spoilt":
+                first.send(b"data: {\xff\xfe\n\n")
+            else:
+                world.comments = False
+                first.send(world.told(2, (world.hosts[0], "draining"))[:-2])
+            loop.sleep(1.0)
+            if trouble == "refusing":
+                world.journal = Listener(loop, at)
+                loop.spawn(world._journal, world.journal)
+            feed = world.until(lambda: world.feeds[1:] if trouble != "slow" else [first])[-1]
+            world.comments = True
+            if trouble == "slow":
+                feed.send(b"\n\n")
+            else:
+                assert world.calls[-1] == "1", "asked from where it stood"
+                feed.send(world.told(2, (world.hosts[0], "draining")))
+            feed.send(world.told(3, (world.hosts[1], "gone")))
+            loop.sleep(0.1)
+            for n in range(1, 4):
+                v.set_up(n)
+                assert v.answer()[0] == "200" and starts(world, n) == [world.hosts[2].name]
+            assert not judge(world.log)
+
+    over_loop(play)
+
+
+# ---- floods ------------------------------------------------------------------------------------------------
+
+
+def held_by(world: World) -> tuple[int, int]:
+    """Megabytes resident and descriptors of the process."""
+    pages = Path(f"/proc/{world.process.pid}/statm").read_text().split()[1]
+    return int(pages) * 4096 >> 20, len(list(Path(f"/proc/{world.process.pid}/fd").iterdir()))
+
+
+@pytest.mark.parametrize("conns", [2, 60])
+def test_a_flood_is_refused_at_once_in_bounds_and_harms_nothing_that_plays(conns: int) -> None:
+    def play(loop: Loop) -> None:
+        with running(loop, peerMessages=False) as (world, v):
+            v.set_up(1)
+            assert v.answer()[0] == "200"
+            plays = holder(world, 1)
+            for host in world.hosts:
+                host.how = nothing
+            crowd = [world.viewers() for _ in range(conns)]
+            good = [("X-Tier", "clip"), ("X-Deadline", "3000"), ("X-Attrs", "home:0;copies:6;top:2")]
+            bad = [("X-Tier", "gold"), *good[1:]]
+            for k in range(1200):
+                n = 100 + k
+                who = crowd[k % conns]
+                valid = k % conns < (conns + 1) // 2
+                try:
+                    who.send("SETUP", n, fields=good if valid else bad, body=BLOB)
+                except OSError:
+                    assert not valid, "one that sends no faults is not closed"
+                if valid:
+                    world.log.append(("asked", sid(n)))
+                if k % 50 == 0:
+                    loop.sleep(0.01)
+            began = time.monotonic()
+            plays.say("FINISH", sid(1), None, 16)
+            assert v.next(1.0)[0] == "TEARDOWN", "a release is not held up"
+            memory, descriptors = held_by(world)
+            assert memory < 40 and descriptors <= 256
+            answers: dict[str, int] = {}
+            for k, who in enumerate(crowd[: (conns + 1) // 2]):
+                mine = [100 + j for j in range(1200) if j % conns == k]
+                for _ in mine:
+                    status = who.answer()[0]
+                    answers[status] = answers.get(status, 0) + 1
+            assert answers["503"] >= 200, "what there is no room for is refused before anything waits"
+            assert time.monotonic() - began < 3.5 and sum(answers.values()) == 600
+            v.got.clear()
+            for host in world.hosts:
+                host.how = lambda tag: hostline.written("STARTED", tag, {}, None, BLOB)
+            assert not judge([e for e in world.log if e[1] != sid(1)])
+
+    over_loop(play)
+
+
+# ---- SIGTERM at each stage ---------------------------------------------------------------------------------
+
+
+@on_loop
+def test_sigterm_at_each_stage_of_a_session_with_set_ups_up_to_the_last_that_may_come(loop: Loop) -> None:
+    held = Held()
+    with running(loop, hosts=2, connectTimeout=3000, sold=ONCE | {"deadline": 3000}) as (world, v):
+        feed = world.until(lambda: world.feeds)[0]
+        v.set_up(1)
+        assert v.answer()[0] == "200"  # plays
+        for host in world.hosts:
+            host.how = nothing
+        v.set_up(2)
+        holder(world, 2)  # sent
+        slow = Host(world, "s-5")
+        slow.at = held.at
+        entry = world.members((slow, "ready"))
+        gone = world.members((world.hosts[0], "draining"), (world.hosts[1], "draining"))
+        change = {"pos": 2, "hosts": {"revision": 2, "complete": False, "members": [*gone, *entry]}}
+        feed.send(event(json.dumps(change), number="2"))
+        loop.sleep(0.1)
+        v.set_up(3)  # dials
+        loop.sleep(0.1)
+        nobody = world.told(3, (slow, "draining"))
+        feed.send(nobody)
+        loop.sleep(0.05)
+        v.set_up(4)  # waits for a media host
+        began = time.monotonic()
+        world.process.send_signal(signal.SIGTERM)
+        late = []
+        for n in range(10, 22):  # on new connections and on open ones, 0.6 s long
+            who = world.viewers() if n % 2 else v
+            who.set_up(n)
+            late.append((n, who))
+            loop.sleep(0.045)
+        # Each gets its one answer, and what is paid for and went out is not told as one that never ran.
+        got: dict[str, str] = {}
+        for n, who in late:
+            if who is not v:
+                status, name, _ = who.answer()
+                assert (status, name) == ("503", sid(n))
+        while len(got) < 3 + 6:
+            method, status, fields, _ = v.next()
+            if not method:
+                got[fields["session"]] = status
+        assert got[sid(2)] == "500" and {got[sid(3)], got[sid(4)]} == {"453"}
+        # The first may have come before the signal was heard.
+        assert {got[sid(n)] for n, who in late[1:] if who is v} == {"503"} and not judge(world.log)
+        world.until(lambda: world.process.poll() is not None, 3.7 - (time.monotonic() - began))
+        assert world.process.returncode == 0 and not starts(world, 3) and not starts(world, 4)
+        held.release(world, slow)
