A release that crosses the end of its connection goes out on another one

Seen by reading, then forced: media host and viewer speak while the process stands still, in both orders. On the code as found both cases time out. Now the connection is looked at first, and `desk.undelivered` sends the release to another one, or keeps it for the next on which a set-up comes. An answer is not written into an ended connection either: what came up there is ended.

--- a/ledgehitch/platform/carry.py
+++ b/ledgehitch/platform/carry.py
@@ -87,7 +87,8 @@
                             self.torn(now, due.sid)
                             done = False
                     case Release():
-                        self.front.release(due)
+                        if not self.front.release(due):
+                            self.desk.undelivered(due)
             if done:
                 break
         return min(self.brain.wake_at() or math.inf, self.watch.wake_at())
--- a/ledgehitch/platform/desk.py
+++ b/ledgehitch/platform/desk.py
@@ -114,13 +114,22 @@
         if entry is None:
             return
         self._drop(entry)
-        if not owed:
-            return
-        conn = entry.conn if entry.conn in self.homes else next(reversed(self.homes), None)
-        if conn is None:
-            self._unsent.append((entry.sid, cause))
+        if owed:
+            self._release(entry.conn, entry.sid, cause)
+
+    def _release(self, conn: int, sid: str, cause: int) -> None:
+        home = conn if conn in self.homes else next(reversed(self.homes), None)
+        if home is None:
+            self._unsent.append((sid, cause))
         else:
-            self._due.append(Release(conn, entry.sid, cause))
+            self._due.append(Release(home, sid, cause))
+
+    def undelivered(self, release: Release) -> None:
+        """Its connection turned out to be gone: it goes out on another, or waits for the next.
+
+        Guards against a release that crosses the end of its connection being lost."""
+        self.homes.pop(release.conn, None)
+        self._release(release.conn, release.sid, release.cause)
 
     def torn(self, sid: str) -> tuple[int, bool] | None:
         """The viewer gives up or ends a viewing: its number, and whether it played; None if unknown."""
--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -219,9 +219,9 @@
     # ---- what is owed --------------------------------------------------------------------------------------
 
     def answer(self, decision: Answer) -> bool:
-        """Whether it was sent or kept; not where the connection is gone."""
+        """Whether it was sent or kept; not where the connection is gone, read or not."""
         conn = self.conns.get(decision.conn)
-        if conn is None:
+        if conn is None or conn.stream.ended():
             return False
         advice = [("Retry-After", f"{decision.advice:.3f}")] if decision.advice > 0 else []
         body = decision.description.encode()
@@ -241,11 +241,13 @@
         """Bytes that are kept until viewers read."""
         return sum(conn.pipe.unsent for conn in self.conns.values())
 
-    def release(self, decision: Release) -> None:
+    def release(self, decision: Release) -> bool:
+        """Whether it was sent or kept; not where the connection is gone, read or not."""
         conn = self.conns.get(decision.conn)
-        if conn is not None:
-            fields = [("Reason", f"cause={decision.cause}")]
-            conn.pipe.write(rtsp.request("TEARDOWN", "rtsp://media/over", "2", decision.sid, fields))
+        if conn is None or conn.stream.ended():
+            return False
+        fields = [("Reason", f"cause={decision.cause}")]
+        return conn.pipe.write(rtsp.request("TEARDOWN", "rtsp://media/over", "2", decision.sid, fields))
 
     def sweep(self, now: float) -> None:
         """Closes what is silent, never became whole, sent nothing but faults or is long without a viewing;
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -221,6 +221,33 @@
             assert ends(world, n) <= 2 and starts(world, n) == [host.name]
 
 
+@pytest.mark.parametrize("way", [closes, resets])
+def test_a_release_that_crosses_the_end_of_its_connection_goes_out_on_another(way: Way) -> None:
+    """It was written into the connection that had ended, and lost."""
+
+    def play(loop: Loop) -> None:
+        with running(loop, peerMessages=False) as (world, other):
+            known(world, other)
+            other.got.clear()
+            for n, viewer_first in ((1, True), (2, False), (3, True), (4, False)):
+                v = world.viewers()
+                v.set_up(n)
+                assert v.answer()[0] == "200"
+                host = holder(world, n)
+                stream = next(s for s in host.streams if s.fd >= 0)
+                with Stopped(world):
+                    if viewer_first:
+                        way(v, n)
+                    stream.send(hostline.written("FINISH", sid(n), {}, 16))
+                    if not viewer_first:
+                        way(v, n)
+                    loop.sleep(0.05)
+                method, _, fields, _ = other.next(1.0)
+                assert (method, fields["session"]) == ("TEARDOWN", sid(n)), f"viewer first: {viewer_first}"
+
+    over_loop(play)
+
+
 @on_loop
 def test_words_that_cross_a_release_slow_no_connection_down(loop: Loop) -> None:
     """Each was a fault, and a connection kept its faults for good: later set-ups there waited up to 1 s."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -179,6 +179,25 @@
     assert owed(desk) == [Release(2, SID, 16)]
 
 
+def test_a_release_whose_connection_turned_out_to_be_gone_goes_out_on_another_or_waits() -> None:
+    desk = Desk()
+    vw = desk.asked(1, SID, "1")
+    assert vw is not None
+    desk.plays(vw, "d")
+    desk.asked(2, "2" * 16, "1")
+    owed(desk)
+    desk.over(vw, 16)
+    (release,) = owed(desk)
+    assert release == Release(1, SID, 16)
+    desk.undelivered(release)
+    (again,) = owed(desk)
+    assert again == Release(2, SID, 16)
+    desk.undelivered(again)
+    assert owed(desk) == []
+    desk.asked(3, "3" * 16, "1")
+    assert owed(desk) == [Release(3, SID, 16)]
+
+
 def test_what_its_viewer_ended_is_owed_no_release() -> None:
     desk = Desk()
     vw = desk.asked(1, SID, "1")
