--- a/ledgehitch/platform/hosts.py
+++ b/ledgehitch/platform/hosts.py
@@ -18,7 +18,7 @@
 from ledgehitch.platform.pipe import Pipe
 
 MOST_READ = 16384
-MOST_PAST = 256  # ids kept of a connection that had their outcome there
+MOST_PAST = 64  # ids kept of a connection that had their outcome there
 REFUSED = (errno.ECONNREFUSED, errno.ECONNRESET)
 
 
