--- a/ledgehitch/platform/carry.py
+++ b/ledgehitch/platform/carry.py
@@ -159,6 +159,9 @@
             return None
         vw, v = found
         number = v.tune_ins - 1
+        if self.front.gone(self.desk.by_vw[vw].conn, sid):
+            self._gone(now, vw, line.host, number)
+            return None
         try:
             self.gate.leaving(now, vw, line.host)
             if not self.brain.leaves(now, vw):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -221,6 +221,32 @@
             assert ends(world, n) <= 2 and starts(world, n) == [host.name]
 
 
+@pytest.mark.parametrize("way", WAYS)
+def test_what_waits_for_a_connection_does_not_leave_for_a_viewer_whose_end_is_not_read_yet(way: Way) -> None:
+    def play(loop: Loop) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            world = World(loop, 1, Path(folder), {"peerMessages": False, "probes": False}, start=False)
+            gateway = Running(loop, told_from(str(world.path)), str(world.path))
+            gateway.start()
+            carrier, v = gateway.carrier, world.ready()
+            held = Held()
+            carrier.hosts.listed("s-0", held.at, False)
+            v.set_up(1)
+            world.until(lambda: carrier.hosts.lines.get("s-0"))
+            (line,) = carrier.hosts.lines["s-0"]
+            assert line.unsent == [sid(1)]
+            left = carrier.leaves(time.monotonic(), sid(1), line)
+            assert left is not None and 0 < left <= 3.0
+            way(v, 1)
+            # In the same turn the connection comes up.
+            assert carrier.leaves(time.monotonic(), sid(1), line) is None
+            loop.sleep(0.1)
+            assert not carrier.desk.waiting and not carrier.viewings and not starts(world, 1)
+            held.release(world, world.hosts[0])
+
+    over_loop(play)
+
+
 @pytest.mark.parametrize("way", [closes, resets])
 def test_a_release_that_crosses_the_end_of_its_connection_goes_out_on_another(way: Way) -> None:
     """It was written into the connection that had ended, and lost."""
