--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -19,7 +19,6 @@
 
 from benchmarks.owners import FRAME, Crowd, shaken
 from ledgehitch.budgets.borrower import Borrower
-from ledgehitch.budgets.explore import CORNERS, explored, walked
 from ledgehitch.budgets.facts import WHOLE, Budget, digest_of, loan_of, own_parts
 from ledgehitch.budgets.lender import Lender
 from ledgehitch.budgets.words import FIRST, Words, read, written
@@ -29,6 +28,7 @@
 from ledgehitch.owners.facts import BUDGETS
 from ledgehitch.owners.words import NOBODY
 from ledgehitch.rehearsal.fleet import FleetRig
+from tests.explore_budgets import CORNERS, explored, walked
 
 PACKAGE = "live"
 UNIT = Budget(budget_of(PACKAGE), "rate")
--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -19,12 +19,12 @@
 
 from ledgehitch.config import Fault
 from ledgehitch.owners.decide import Keep, Lost, Owners, Renewed, Send, Won
-from ledgehitch.owners.explore import CORNERS, explored, walked
 from ledgehitch.owners.facts import DUTIES
 from ledgehitch.owners.memory import Memory
 from ledgehitch.owners.words import read, written
 from ledgehitch.rehearsal.fleet import FleetRig
 from ledgehitch.standins.cuts import Bad, Cuts
+from tests.explore_owners import CORNERS, explored, walked
 
 FRAME = 52  # bytes of head and MAC around the words
 
--- a/ledgehitch/budgets/__init__.py
+++ b/ledgehitch/budgets/__init__.py
@@ -1,5 +1,5 @@
 """Budgets of the whole fleet, divided among its gateways by use: own parts that need nobody, and loans.
 
 It never spends, opens a socket or reads a clock; `door/` goes by what it says, `daemon/` carries its words.
-Start reading at `ledger.py` (the promise that `explore.py` checks), then `lender.py` and `borrower.py`.
+Start reading at `ledger.py` (its promise: `tests/explore_budgets.py`), then `lender.py` and `borrower.py`.
 """
--- a/ledgehitch/members/__init__.py
+++ b/ledgehitch/members/__init__.py
@@ -1,5 +1,4 @@
 """Which gateways are there, told by gossip; how many share the fleet's limits, with a safe side.
 
-It never opens a socket and never takes anyone's word for a larger part. Start reading at `roster.py`;
-`parts.py` holds the promise that `explore.py` checks in all interleavings of a small fleet.
+It never opens a socket and never takes anyone's word for a larger part. Start reading at `roster.py`.
 """
--- a/ledgehitch/owners/votes.py
+++ b/ledgehitch/owners/votes.py
@@ -1,5 +1,5 @@
 """The three things that a promise rests on: a voter, an owner's lease, a receiver's fence. Free of I/O, clock
-and chance; `explore.py` goes through their interleavings.
+and chance; `tests/explore_owners.py` goes through their interleavings.
 
 A voter binds itself from when it answers, an owner counts from when it asked, each by its own clock, and the
 voter's time is longer by the bound on how far the clocks' rates may differ: so two leases of one duty never
--- a/tests/explore_budgets.py
+++ b/tests/explore_budgets.py
@@ -18,7 +18,7 @@
 from ledgehitch.budgets.ledger import Ledger
 from ledgehitch.budgets.lender import Lender
 from ledgehitch.budgets.words import Words
-from ledgehitch.interleavings import Explored, gone_through, walked_through
+from tests.interleavings import Exploration
 
 LOAN, FAST, RENEWED = 2.0, 2.0, 9.0
 NAME, DIGEST = "b", b"same"
@@ -313,17 +313,5 @@
             yield f"arrives, and is doubled: {what}", new
 
 
-def led(world: World, way: tuple[str, ...]) -> World:
-    """The world after these steps, each named by how its word begins; raises where one cannot be taken."""
-    for word in way:
-        world = next(new for told, new in steps(world) if told.startswith(word))
-    return world
-
-
-def explored(most: int, corner: Corner, spoilt: str = "", way: tuple[str, ...] = ()) -> Explored:
-    """`spoilt`: a fault planted. `way`: steps taken before."""
-    return gone_through(led(begun(corner, spoilt), way), steps, most)
-
-
-def walked(seed: int, walks: int, depth: int, corner: Corner, spoilt: str = "") -> Explored:
-    return walked_through(lambda: begun(corner, spoilt), steps, seed, walks, depth)
+EXPLORATION = Exploration(begun, steps)
+explored, walked = EXPLORATION.explored, EXPLORATION.walked
--- a/tests/explore_owners.py
+++ b/tests/explore_owners.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from ledgehitch.interleavings import Explored, gone_through, walked_through
 from ledgehitch.owners.facts import Lists
 from ledgehitch.owners.memory import Memory
 from ledgehitch.owners.votes import Fence, Lease, Voter
+from tests.interleavings import Exploration
 
 DUTY = "d"
 LEASE = 2.0
@@ -375,17 +375,5 @@
         yield f"{me} acts", new
 
 
-def led(world: World, way: tuple[str, ...]) -> World:
-    """The world after these steps, each named by how its word begins; raises where one cannot be taken."""
-    for word in way:
-        world = next(new for told, new in steps(world) if told.startswith(word))
-    return world
-
-
-def explored(most: int, corner: Corner, spoilt: str = "", way: tuple[str, ...] = ()) -> Explored:
-    """`spoilt`: a fault planted. `way`: steps taken before."""
-    return gone_through(led(begun(corner, spoilt), way), steps, most)
-
-
-def walked(seed: int, walks: int, depth: int, corner: Corner, spoilt: str = "") -> Explored:
-    return walked_through(lambda: begun(corner, spoilt), steps, seed, walks, depth)
+EXPLORATION = Exploration(begun, steps)
+explored, walked = EXPLORATION.explored, EXPLORATION.walked
--- a/tests/interleavings.py
+++ b/tests/interleavings.py
@@ -1,14 +1,14 @@
 """Going through the interleavings of a small world: breadth first, or by chance and deeper. Free of I/O.
 
 A world says by a key what it is, and whether it is safe; `steps` gives every world that one step leads to,
-with the step in words. Whoever has promises to explore writes these two (`members/`, `owners/`).
+with the step in words. Whoever has promises to explore writes these two, and hands them to `Exploration`.
 """
 
 import random
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 
 class World(Protocol):
@@ -19,6 +19,7 @@
 
 
 W = TypeVar("W", bound=World)
+C = TypeVar("C")
 Steps = Callable[[W], Iterator[tuple[str, W]]]
 Way = tuple[object, ...]  # the way before, and the last step
 
@@ -90,3 +91,23 @@
 
 def _kind(word: str) -> str:
     return word if word == "time passes" else word.partition(":")[0].lstrip("0123456789 ").partition(" ")[0]
+
+
+class Exploration(Generic[C, W]):
+    """The promises of one package: `begun` makes the first world of a corner, with a fault planted or not."""
+
+    def __init__(self, begun: Callable[[C, str], W], steps: Steps[W]) -> None:
+        self.begun, self.steps = begun, steps
+
+    def led(self, world: W, way: tuple[str, ...]) -> W:
+        """The world after these steps, each named by how its word begins; raises where one cannot be."""
+        for word in way:
+            world = next(new for told, new in self.steps(world) if told.startswith(word))
+        return world
+
+    def explored(self, most: int, corner: C, spoilt: str = "", way: tuple[str, ...] = ()) -> Explored:
+        """`spoilt`: a fault planted. `way`: steps taken before."""
+        return gone_through(self.led(self.begun(corner, spoilt), way), self.steps, most)
+
+    def walked(self, seed: int, walks: int, depth: int, corner: C, spoilt: str = "") -> Explored:
+        return walked_through(lambda: self.begun(corner, spoilt), self.steps, seed, walks, depth)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -14,12 +14,12 @@
 from benchmarks.owners import Crowd
 from ledgehitch.owners.clock import Clock
 from ledgehitch.owners.decide import Keep, Lost, Owners, Send, Won
-from ledgehitch.owners.explore import CORNERS, PLANTED, explored, walked
 from ledgehitch.owners.facts import DUTIES, STEP, TOP, Lists, majority, rank
 from ledgehitch.owners.memory import Memory
 from ledgehitch.owners.votes import Fence, Lease, Voter
 from ledgehitch.owners.words import KINDS, BadWords, Words, read, written
 from ledgehitch.quality.keep import Keep as File
+from tests.explore_owners import CORNERS, PLANTED, explored, walked
 
 T = 1000.0
 ROOT = Path(__file__).parent.parent
