When an own part counts and what may be lent is decided in budgets/parts.py, names of budgets stand once

Moved out of daemon/budgeting.py as it was, free of I/O and clock, with tests as close as the rest: a part that is new or was raised waits for former loans, a lowered one counts at once; during a change the larger own part is left out of the pool and the gateways of both lists count. `offers_of` and a second SET_UPS are gone; door/rates.py names budgets.

--- a/ledgehitch/budgets/facts.py
+++ b/ledgehitch/budgets/facts.py
@@ -5,13 +5,14 @@
 
 from blake3 import blake3
 
+from ledgehitch.door.rates import SET_UPS, budget_of
+
 WHOLE = 1_000_000_000  # parts of every budget, whatever its unit: a share goes on when the whole is changed
 OWN_PART = 0.1  # of the whole that is not lent; `docs/budgets.md` has the table it was chosen by
 OF_LEASE = 1.25  # of a lease that a loan lasts, from when the borrower asked
 ASKS = 8  # questions of a borrower in a loan's time
 SOON = 1 / 6  # of the time between two of them, after which it asks again where its need has jumped
 MOST_BUDGETS = 64
-SET_UPS = "set_ups"
 
 Unit = Literal["rate", "count", "window"]
 
@@ -27,14 +28,10 @@
     grain: int = 1
 
 
-def offers_of(package: str) -> str:
-    return f"offers.{package}"
-
-
 def budgets_of(package_rates: Mapping[str, float], set_ups: float, patience: float) -> tuple[Budget, ...]:
     """Of a site's limits, in an order that all gateways share. `patience`: the longest that a set-up may be
     out, seconds. A further budget is one more record here."""
-    out = [Budget(offers_of(package), "rate") for package in sorted(package_rates)]
+    out = [Budget(budget_of(package), "rate") for package in sorted(package_rates)]
     if set_ups >= 1:
         out.append(Budget(SET_UPS, "count", patience, max(1, WHOLE // int(set_ups))))
     return tuple(out[:MOST_BUDGETS])
--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -12,13 +12,14 @@
 from ledgehitch.budgets.borrower import Borrower
 from ledgehitch.budgets.facts import ASKS, WHOLE, Budget, budgets_of, digest_of, loan_of
 from ledgehitch.budgets.lender import Lender
+from ledgehitch.budgets.parts import OwnPart, lent_by
 from ledgehitch.budgets.words import BadWords, Words, read, written
 from ledgehitch.config import Site
 from ledgehitch.daemon.membership import Membership
 from ledgehitch.daemon.owning import Owning
 from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.loop import Loop
-from ledgehitch.owners.facts import BUDGETS, Lists, promise_of
+from ledgehitch.owners.facts import BUDGETS, Lists
 from ledgehitch.owners.words import NOBODY
 
 LOOKS = 10  # at whether it is time to ask, in the time between two questions
@@ -39,8 +40,7 @@
         self.lists: Lists = owning.owners.memory.lists  # by which it borrows and lends now
         self.bad: dict[str, int] = {}
         self.trouble = ""  # why it has its own part alone
-        self._joined_at: float | None = None
-        self._listed_at = owning.now()
+        self.own = OwnPart(owning.now(), self.lists)
         self._told: tuple[float, float] = (-1.0, -1.0)
         self.placed(site)
         owning.more = self._heard
@@ -70,7 +70,8 @@
         """A change of the list that has settled, or has begun to be one: loans go on by what is left."""
         lists = self.owning.owners.memory.lists
         if lists != self.lists:
-            self.lists, self._listed_at = lists, self.owning.now()
+            self.lists = lists
+            self.own.listed(self.owning.now(), lists)
             self.borrower.digests = self._digests()
             self._goes_on()
 
@@ -80,28 +81,13 @@
 
     # ---- the part of this gateway --------------------------------------------------------------------------
 
-    def _own(self, now: float) -> int:
-        """Parts that need nobody. Guards against a newcomer taking a part that others still have: it waits
-        until those that it heard go by its list, and as long as a loan of the lender before may last."""
-        owners = self.owning.owners
-        if not owners.joined(now):
-            self._joined_at = None
-            return 0
-        if self._joined_at is None:
-            sure = owners.memory.intact or owners.memory.begun  # it, or nobody, had a part before
-            self._joined_at = -1e18 if sure else now
-        longest = promise_of(loan_of(self.lists.any_lease()))
-        if now < self._joined_at + longest:
-            return 0
-        # Guards against a larger own part beside what was lent while it was smaller.
-        return int(self.lists.own_share(surely=now < self._listed_at + longest) * WHOLE)
-
     def _look(self, mono: float) -> None:
         """Before anybody is let in: a loan that ended while the process stood still is over."""
         self._listed()
         now, b = self.owning.now(), self.borrower
         b.clock(self.owning.owners.clock_good)
-        b.own = self._own(now)
+        owners = self.owning.owners
+        b.own = self.own.at(now, owners.joined(now), owners.memory.intact or owners.memory.begun)
         left = b.until - now if b.holds(now) else 0.0
         if (b.own, b.until if left else 0.0) != self._told:
             self._told = b.own, b.until if left else 0.0
@@ -176,14 +162,8 @@
                       former)  # fmt: skip
 
     def _lent_by(self) -> tuple[int, int, set[int]]:
-        """Own part of each, what may be lent, and who counts. While a change of the list is not settled that
-        is the larger own part of both versions, and the gateways of both: its majority is one of both, so
-        that nobody else lends by either."""
-        lists, gone = self.lists, self.owning.owners.memory.gone
-        number_of = {name: n for n, name in enumerate(self.names)}
-        # One that this version does not number cannot speak, and may hold what was lent before: -1.
-        members = {number_of.get(name, -1) for name in {*lists.current, *lists.former} - gone}
-        return int(lists.own_share() * WHOLE), int((1.0 - lists.most_own_part()) * WHOLE), members
+        numbers = {name: n for n, name in enumerate(self.names)}
+        return lent_by(self.lists, self.owning.owners.memory.gone, numbers)
 
     def doing(self) -> str:
         if self.lender is None:
--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -15,7 +15,7 @@
 from ledgehitch.door.limits import LEAST, NEW, OLD, Adapted, Asked, Pace
 from ledgehitch.door.part import Part
 from ledgehitch.door.queue import FairQueue, Waiting
-from ledgehitch.door.rates import ClientRates, PackageRates, budget_of
+from ledgehitch.door.rates import SET_UPS, ClientRates, PackageRates, budget_of
 from ledgehitch.door.returns import Places, Tickets
 
 NEEDED = 0.35  # seconds before its patience's end by which a viewing must be let in
@@ -24,7 +24,6 @@
 STEP = 1.0  # seconds between two looks at whether the least valuable are turned away at once
 CALM = 5  # looks in which nobody was pressed until they are let in again
 ROOM = 1.25  # times the set-ups at once of lately that are wanted of the fleet's limit: they swing
-SET_UPS = "set_ups"  # what the limit on set-ups at once is called among the budgets of the fleet
 ROUNDING = 1e-6  # of one set-up, by which parts of the whole may fall short of a whole one
 PRESSED = 3  # of a value that found no turn in such a time, from which those worth less make room
 
--- a/ledgehitch/door/rates.py
+++ b/ledgehitch/door/rates.py
@@ -13,6 +13,7 @@
 ROWS, COLUMNS = 4, 16384  # of the clients' table: half a megabyte
 FOREVER = 1e18
 ROUNDING = 1e-9
+SET_UPS = "set_ups"  # what the limit on set-ups at once is called among the budgets of the fleet
 
 
 def budget_of(package: str) -> str:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -8,14 +8,16 @@
 from hypothesis import strategies as st
 
 from ledgehitch.budgets.borrower import Borrower
-from ledgehitch.budgets.explore import CORNERS, PLANTED, explored, walked
 from ledgehitch.budgets.facts import ASKS, WHOLE, Budget, budgets_of, digest_of, loan_of, own_parts
 from ledgehitch.budgets.ledger import MOST_OUT, divided, filled
 from ledgehitch.budgets.lender import Lender
+from ledgehitch.budgets.parts import NOBODYS, OwnPart, lent_by
 from ledgehitch.budgets.words import BadWords, Words, read, written
 from ledgehitch.fleet.shared import Told, remarks
 from ledgehitch.fleet.shared import divided as shares
 from ledgehitch.fleet.shared import read as read_said
+from ledgehitch.owners.facts import Lists, promise_of
+from tests.explore_budgets import CORNERS, PLANTED, explored, walked
 
 T = 1000.0
 RATE, COUNT = Budget("offers.live", "rate"), Budget("set_ups", "count", 3.0, WHOLE // 20)
@@ -158,6 +160,40 @@
     assert few.parts(T + 6)[1] >= 0.8
 
 
+def test_an_own_part_waits_for_former_loans_where_it_is_new_or_was_raised_and_falls_at_once() -> None:
+    three = Lists(("a", "b", "c"), lease=6.0, former_lease=6.0, own_part=0.3, former_own_part=0.3)
+    longest = promise_of(loan_of(6.0))
+    old, new = OwnPart(0.0, three), OwnPart(0.0, three)
+
+    def third(whole: float) -> int:
+        return int(whole / 3 * WHOLE)
+
+    assert old.at(longest + 1.0, True, had=True) == third(0.3)
+    assert new.at(10.0, False, had=False) == 0 and new.at(20.0, True, had=False) == 0
+    assert new.at(20.0 + longest - 0.01, True, had=False) == 0
+    assert new.at(20.0 + longest, True, had=False) == third(0.3)
+    assert new.at(40.0, False, had=False) == new.at(41.0, True, had=False) == 0, "it left, and waits anew"
+    raised = three._replace(own_part=0.6)
+    old.listed(100.0, raised)
+    assert old.at(100.0, True, had=True) == third(0.3)
+    assert old.at(100.0 + longest, True, had=True) == third(0.6)
+    lowered = raised._replace(own_part=0.15, former_own_part=0.6)
+    old.listed(200.0, lowered)
+    assert old.at(200.0, True, had=True) == third(0.15)
+
+
+def test_what_may_be_lent_during_a_change_leaves_the_larger_own_part_and_counts_both_lists() -> None:
+    settled = Lists(("a", "b"), own_part=0.2, former_own_part=0.9)
+    assert lent_by(settled, frozenset(), {"a": 0, "b": 1}) == (WHOLE // 10, WHOLE * 8 // 10, {0, 1})
+    changing = Lists(("a", "b"), ("a", "c", "d"), own_part=0.2, former_own_part=0.6)
+    own, pool, members = lent_by(changing, frozenset({"d"}), {"a": 0, "b": 1})
+    assert (own, pool) == (WHOLE // 10, WHOLE * 4 // 10) and members == {0, 1, NOBODYS}
+    for lists in (settled, changing):
+        own, pool, _ = lent_by(lists, frozenset(), {})
+        versions = [one for one in lists.all() if one]
+        assert pool + max(own * len(one) for one in versions) <= WHOLE
+
+
 def test_answers_that_are_late_doubled_overtaken_or_for_another_change_nothing() -> None:
     few = Few()
     first, second = few.ask(T, 0, 1.0), few.ask(T + 0.5, 0, 0.3)
