--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 # make run: sets up and starts a gateway with stand-ins. make test: sets up, checks and tests. make day: the bad day.
 VENV ?= .venv
 PY = $(VENV)/bin/python
-SEVERAL = tests/test_owning.py tests/test_lending.py tests/test_ramp.py
+# Lanes beside the rest of the tests: of many processes, of the platform's sockets. They wait more than they compute.
+SEVERAL = tests/test_owning.py tests/test_lending.py
+SOCKETS = tests/test_crossings.py tests/test_platform_sockets.py tests/test_ramp.py
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -18,10 +20,11 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports
-	# Tests of many processes wait more than they compute: beside the others, so that all take half the time.
 	$(PY) -m pytest -q $(SEVERAL) > $(VENV)/several.txt 2>&1 & several=$$!; \
-	$(PY) -m pytest -q $(SEVERAL:%=--ignore=%); one=$$?; wait $$several; two=$$?; \
-	cat $(VENV)/several.txt; test $$one = 0 && test $$two = 0
+	$(PY) -m pytest -q $(SOCKETS) > $(VENV)/sockets.txt 2>&1 & sockets=$$!; \
+	$(PY) -m pytest -q $(SEVERAL:%=--ignore=%) $(SOCKETS:%=--ignore=%); rest=$$?; \
+	wait $$several; several=$$?; wait $$sockets; sockets=$$?; \
+	cat $(VENV)/several.txt $(VENV)/sockets.txt; test $$rest = 0 && test $$several = 0 && test $$sockets = 0
 
 day: $(VENV)/ready
 	$(PY) -m ledgehitch --log text rehearse days/bad-day.lh $(ARGS)
