A release whose connection is gone goes to where its viewer comes from, not to the latest client

Now: one from the same address, else the one that carries most viewings. Forced on sockets: a stranger's set-up between; on the code as found it gets the release.

--- a/ledgehitch/platform/desk.py
+++ b/ledgehitch/platform/desk.py
@@ -28,21 +28,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """Tell the viewer that a viewing that played is over."""
+    """Tell the viewer that a viewing that played is over; `peer` is where its set-up came from."""
 
     conn: int
     sid: str
     cause: int
+    peer: str = ""
 
 
 Decision = Answer | Release
 
 
 class Entry:
-    __slots__ = ("vw", "sid", "conn", "cseq", "plays")
+    __slots__ = ("vw", "sid", "conn", "cseq", "plays", "peer")
 
-    def __init__(self, vw: int, sid: str, conn: int, cseq: str, plays: bool) -> None:
-        self.vw, self.sid, self.conn, self.cseq, self.plays = vw, sid, conn, cseq, plays
+    def __init__(self, vw: int, sid: str, conn: int, cseq: str, plays: bool, peer: str) -> None:
+        self.vw, self.sid, self.conn, self.cseq, self.plays, self.peer = vw, sid, conn, cseq, plays, peer
 
 
 class Desk:
@@ -53,11 +54,16 @@
         self.by_sid: dict[str, Entry] = {}
         self.by_conn: dict[int, dict[int, None]] = {}
         self.homes: dict[int, None] = {}  # open connections on which a set-up came, the latest last
+        self.peers: dict[int, str] = {}  # where each open connection comes from
         self.waiting = 0  # set-ups without an answer
         self._next = 0
         self.past: dict[str, None] = {}  # ids no longer open, the latest last
         self._due: deque[Decision] = deque()
-        self._unsent: deque[tuple[str, int]] = deque(maxlen=MOST_UNSENT)
+        self._unsent: deque[tuple[str, int, str]] = deque(maxlen=MOST_UNSENT)
+
+    def opened(self, conn: int, peer: str) -> None:
+        """A connection came up, from this address."""
+        self.peers[conn] = peer
 
     def came(self, conn: int) -> None:
         """A set-up came on a connection: releases without one of their own may go out there."""
@@ -78,7 +84,7 @@
         if sid in self.by_sid:
             return None
         self._next += 1
-        entry = Entry(self._next, sid, conn, cseq, plays)
+        entry = Entry(self._next, sid, conn, cseq, plays, self.peers.get(conn, ""))
         self.by_vw[entry.vw] = self.by_sid[sid] = entry
         self.by_conn.setdefault(conn, {})[entry.vw] = None
         self.waiting += not plays
@@ -115,21 +121,29 @@
             return
         self._drop(entry)
         if owed:
-            self._release(entry.conn, entry.sid, cause)
+            self._release(entry.conn, entry.sid, cause, entry.peer)
 
-    def _release(self, conn: int, sid: str, cause: int) -> None:
-        home = conn if conn in self.homes else next(reversed(self.homes), None)
+    def _release(self, conn: int, sid: str, cause: int, peer: str) -> None:
+        home = conn if conn in self.homes else self._home_of(peer)
         if home is None:
-            self._unsent.append((sid, cause))
+            self._unsent.append((sid, cause, peer))
         else:
-            self._due.append(Release(home, sid, cause))
+            self._due.append(Release(home, sid, cause, peer))
+
+    def _home_of(self, peer: str) -> int | None:
+        """The connection on which a viewer is told whose own is gone: from the same address, else the one
+        that carries most, the latest of these.
+
+        Guards against a release that goes to some client which had nothing to do with it."""
+        latest = reversed(self.homes)
+        return max(latest, key=lambda c: (self.peers.get(c, "") == peer, self.on(c)), default=None)
 
     def undelivered(self, release: Release) -> None:
         """Its connection turned out to be gone: it goes out on another, or waits for the next.
 
         Guards against a release that crosses the end of its connection being lost."""
         self.homes.pop(release.conn, None)
-        self._release(release.conn, release.sid, release.cause)
+        self._release(release.conn, release.sid, release.cause, release.peer)
 
     def torn(self, sid: str) -> tuple[int, bool] | None:
         """The viewer gives up or ends a viewing: its number, and whether it played; None if unknown."""
@@ -143,6 +157,7 @@
         """A connection is gone: what plays stands, tied to no connection; gives those that waited there, for
         which nobody waits any more."""
         self.homes.pop(conn, None)
+        self.peers.pop(conn, None)
         left = []
         for vw in self.by_conn.pop(conn, {}):
             entry = self.by_vw[vw]
--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -83,6 +83,7 @@
             self._next += 1
             conn = self.conns[self._next] = Conn(self._next, stream, self.loop.now)
             conn.pipe = Pipe(self.loop, stream, self.bounds.out_bytes, lambda c=conn: self.close(c))  # type: ignore[misc]
+            self.carrier.desk.opened(conn.number, stream.peer)
             conn.task = self.loop.spawn(self._run, conn, name="viewers", owner=self.home)
 
     def _make_room(self) -> bool:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -274,6 +274,32 @@
     over_loop(play)
 
 
+@on_loop
+def test_a_release_goes_to_no_other_clients_connection_where_its_viewer_has_one(loop: Loop) -> None:
+    """It went out on the connection that had brought the latest set-up, whosever that was."""
+    with running(loop, peerMessages=False) as (world, usual):
+        known(world, usual)
+        v, stranger = world.viewers(), world.viewers()
+        stranger.stream.close()
+        sock = socket.socket()
+        sock.bind(("127.0.0.9", 0))
+        host, _, port = world.listen.rpartition(":")
+        sock.connect((host, int(port)))
+        sock.setblocking(False)
+        stranger.stream = Stream(loop, sock)
+        v.set_up(1)
+        assert v.answer()[0] == "200"
+        stranger.set_up(2)
+        assert stranger.answer()[0] == "200"
+        v.stream.close()
+        loop.sleep(0.1)
+        holder(world, 1).say("FINISH", sid(1), None, 16)
+        method, _, fields, _ = usual.next(1.0)
+        assert (method, fields["session"]) == ("TEARDOWN", sid(1))
+        with pytest.raises(TimedOut):
+            stranger.next(0.1)
+
+
 @on_loop
 def test_words_that_cross_a_release_slow_no_connection_down(loop: Loop) -> None:
     """Each was a fault, and a connection kept its faults for good: later set-ups there waited up to 1 s."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -179,6 +179,26 @@
     assert owed(desk) == [Release(2, SID, 16)]
 
 
+def test_a_release_goes_to_where_its_viewer_comes_from_else_to_who_carries_most() -> None:
+    desk = Desk()
+    for conn, peer in ((1, "10.0.0.1"), (2, "10.0.0.2"), (3, "10.0.0.1"), (4, "10.0.0.9")):
+        desk.opened(conn, peer)
+    vws = [desk.asked(1, "a" * 15 + str(n), "1") for n in range(3)]
+    for n, conn in enumerate((2, 2, 3, 4)):
+        desk.asked(conn, "b" * 15 + str(n), "1")
+    for vw in vws:
+        assert vw is not None
+        desk.plays(vw, "d")
+    desk.hung_up(1)
+    owed(desk)
+    for vw, conn in zip(vws, (3, 2, 4), strict=True):
+        assert vw is not None
+        desk.over(vw, 16)
+        assert [d.conn for d in owed(desk)] == [conn]
+        desk.hung_up(conn)
+    assert set(desk.peers) == set()
+
+
 def test_a_release_whose_connection_turned_out_to_be_gone_goes_out_on_another_or_waits() -> None:
     desk = Desk()
     vw = desk.asked(1, SID, "1")
