--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -52,13 +52,13 @@
 
 def known(world: World, v: Viewers) -> None:
     """All media hosts have told their load, on connections that stay open: none is asked before a set-up."""
-    answers = [host.how for host in world.hosts]
-    n = 900
+    answers, n = [host.how for host in world.hosts], 900
     while not all(any(m[0] == "START" for m in host.heard) for host in world.hosts):
         n += 1
         v.set_up(n)
         assert v.answer()[0] == "200"
-        v.send("TEARDOWN", n, "2")
+    for one in range(901, n + 1):  # not before: what plays at one makes the next go to another
+        v.send("TEARDOWN", one, "2")
         assert v.answer()[0] == "200"
     for host, how in zip(world.hosts, answers, strict=True):
         host.how = how
@@ -106,6 +106,73 @@
     on_loop(lambda loop: test(loop, *args))()
 
 
+STAGES = ["waits", "dials", "sent", "refused"]
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("shared", [False, True])
+@pytest.mark.parametrize("stage", STAGES)
+def test_no_tune_in_begins_at_whatever_stage_its_viewer_goes(stage: str, shared: bool, way: Way) -> None:
+    def play(loop: Loop) -> None:
+        sold = {"onTime": 5000, "deadline": 6000, "effect": "once" if stage == "dials" else "repeatable"}
+        with running(loop, sold=sold, peerMessages=False, connectTimeout=5000) as (world, other):
+            known(world, other)
+            goes(world, stage, way, shared)
+
+    over_loop(play)
+
+
+def goes(world: World, stage: str, way: Way, shared: bool) -> None:
+    """A viewer goes at this stage; then there is a way for it to be tried, and it is not."""
+    loop, (first, second) = world.loop, world.hosts
+    feed = world.until(lambda: world.feeds)[0]
+    first.how = second.how = nothing
+    held = Held()
+    ids = [1, 2] if shared else [1]
+    mine = ids[0]
+    if stage == "dials":
+        first.at = held.at
+    phase = "draining" if stage == "waits" else "ready"
+    feed.send(world.told(2, (first, phase), (second, "draining")))
+    loop.sleep(0.1)
+    v = world.viewers()
+    fields = [("X-Tier", "clip"), ("X-Deadline", "6000"), ("X-Attrs", "home:0;copies:6;top:2")]
+    for one in ids:
+        world.log.append(("asked", sid(one)))
+        v.send("SETUP", one, fields=fields, body=BLOB)
+    if stage in ("sent", "refused"):
+        for one in ids:
+            assert holder(world, one) is first
+    if stage == "refused":  # and it waits for another media host to try
+        for one in ids:
+            world.log.append(("end", sid(one), first.name))
+            first.streams[-1].send(hostline.written("FINISH", sid(one), {"load": "x0:1.5;active:40"}, 34))
+    loop.sleep(0.1)
+    way(v, mine)
+    loop.sleep(GONE)
+    seen, given_up = starts(world, mine), 1 if stage == "sent" else 0
+    assert len(seen) == (1 if stage in ("sent", "refused") else 0), way
+    assert ends(world, mine) == given_up, "what is out is given up, once"
+    if stage == "dials":
+        held.release(world, first)
+    elif stage == "sent":
+        world.log.append(("end", sid(mine), first.name))
+        first.streams[-1].send(hostline.written("FINISH", sid(mine), {}, ERROR))
+    for host in world.hosts:
+        host.how = lambda tag: hostline.written("STARTED", tag, {}, None, BLOB)
+    feed.send(world.told(3, (second, "ready")))
+    if shared and way is cancels:
+        if stage == "sent":
+            first.streams[-1].send(hostline.written("STARTED", sid(ids[1]), {}, None, BLOB))
+        while v.next()[2].get("session") != sid(ids[1]):
+            pass  # of the cancelled one
+    else:
+        loop.sleep(0.3)
+    assert starts(world, mine) == seen and ends(world, mine) == given_up, way
+    if stage != "dials":
+        held.release(world, Host(world, "s-9"))
+
+
 @pytest.mark.parametrize("way", WAYS)
 @pytest.mark.parametrize("shared", [False, True])
 def test_no_tune_in_begins_for_a_viewer_gone_from_a_slowed_connection(way: Way, shared: bool) -> None:
