--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1050,3 +1050,56 @@
         world.until(lambda: world.process.poll() is not None, 3.7 - (time.monotonic() - began))
         assert world.process.returncode == 0 and not starts(world, 3) and not starts(world, 4)
         held.release(world, slow)
+
+
+# ---- settings of other customers ---------------------------------------------------------------------------
+
+OTHERS: dict[str, tuple[dict[str, Any], dict[str, Any], int]] = {  # of the package, ceilings, media hosts
+    "may not be repeated": ({"effect": "once"}, {}, 2),
+    "by key in its zone": ({"effect": "by_key", "keyScope": "zone", "dedupWindow": 400}, {}, 2),
+    "no value": ({"worth": 0}, {}, 2),
+    "one of everything": ({}, {"tryLimit": 1, "streamsPerConn": 1}, 2),
+    "100 ms": ({"onTime": 60, "deadline": 100}, {"connectTimeout": 50}, 2),
+    "60 s": ({"onTime": 20000, "deadline": 60000}, {}, 2),
+    "no tests, no words": ({}, {"probes": False}, 2),
+    "one media host": ({}, {}, 1),
+}
+
+
+@pytest.mark.parametrize("name", OTHERS)
+def test_settings_of_other_customers_serve_refuse_and_give_up_in_time(name: str) -> None:
+    sold, ceilings, hosts = OTHERS[name]
+
+    def play(loop: Loop) -> None:
+        with running(loop, hosts=hosts, sold=sold, **ceilings) as (world, v):
+            wait = int(world.sold["deadline"])
+            fields = [("X-Tier", "clip"), ("X-Deadline", str(wait)), ("X-Attrs", "home:0;copies:6;top:2")]
+
+            def asks(n: int) -> tuple[str, float]:
+                began = time.monotonic()
+                world.log.append(("asked", sid(n)))
+                v.send("SETUP", n, fields=fields, body=BLOB)
+                status, who, _ = v.answer(wait / 1000 + 1.0)
+                assert who == sid(n)
+                return status, time.monotonic() - began
+
+            served = [asks(n)[0] for n in range(1, 4)]
+            # Where a deadline is as short as the machine's own delays one may be refused.
+            assert "200" in served and (name == "100 ms" or served == ["200"] * 3)
+            for n in range(1, 4):
+                v.send("TEARDOWN", n, "2")
+                v.answer()
+            for host in world.hosts:
+                host.how = lambda tag: hostline.written("FINISH", tag, {}, 102)  # it never left: harmless
+            assert asks(4)[0] == "453", "refused, also where it is paid for at set-up: nothing ran"
+            for host in world.hosts:
+                host.how = nothing
+            if wait < 10000:
+                status, took = asks(5)
+                # Failed where it may have run and not be repeated, else refused, and never late.
+                harmless = sold.get("effect", "repeatable") == "repeatable" or not starts(world, 5)
+                assert status == ("453" if harmless else "500")
+                assert took < wait / 1000 + 0.05
+            assert not judge(world.log) and all(len(starts(world, n)) <= 3 for n in range(1, 6))
+
+    over_loop(play)
