The rig's log is there before its gateway is started: tests of the ramp did not run

Seen: all runs of tests/test_ramp.py since the rig tells the gateway's log where a connection closes; there the rig starts no gateway, and had no such file.

--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -200,14 +200,14 @@
             free.bind(("127.0.0.1", 0))
             self.peer_listen = f"127.0.0.1:{free.getsockname()[1]}"
         self.peers = [self.peer_listen]
-        self.path = folder / "config.json"
+        self.path, self.errors = folder / "config.json", folder / "log"
+        self.errors.touch()
         self.write()
         if start:
             self.start()
 
     def start(self) -> None:
         env = {**os.environ, "ROUTER_CONFIG": str(self.path), "ROUTER_LISTEN": self.listen}
-        self.errors = self.folder / "log"
         with open(self.errors, "wb") as log:
             command = [sys.executable, "-m", "ledgehitch.platform"]
             self.process = subprocess.Popen(command, env=env, stderr=log, cwd=Path(__file__).parents[1])
