--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -484,3 +484,18 @@
     gw.listed(NOW, "incr", [rows()[0]])
     assert gw.hosts["h0"].cold_until > NOW, "one that comes back has just started"
     assert len({h.number for h in gw.hosts.values()}) == 5
+
+
+def test_a_cold_host_whose_budget_is_under_one_set_up_gets_one_in_a_window_from_all_gateways() -> None:
+    """Nobody was let in for the whole warm-up."""
+    fleet = replace(FLEET, slots={"k": 1}, link_unit_kb=1e9, uplink_kb=1e12)
+    sent = 0
+    for ordinal in range(3):
+        terms = replace(TERMS, gateways=3, ordinal=ordinal)
+        assert terms.fall_multiple * terms.cold_share / terms.warm_up * terms.fall_after < 1
+        gw = Gateway(7, NOW, LADDER, (PLAIN,), fleet, terms)
+        gw.listed(NOW, "incr", [say.Row("new", 0, 2.0, "k", "a", "in_service", NOW)])
+        for vw in range(50):
+            ask(gw, NOW + vw * 0.001, vw)
+            sent += sum(isinstance(d, say.TuneIn) for d in pulled(gw, NOW + vw * 0.001))
+    assert sent == 1
