Budgets: what is counted goes out in whole units, own parts and loans alike

Two equal halves of six gateways that are cut from each other let nobody in: own parts of set_ups were 30 x 0.1 / 6, half a set-up each, and a door lets in whole ones. Own parts are now of each budget: a rate's a fraction, a count's whole units by a keyed hash of names (budgets/units.py); loans of counts are whole units, with turns where there are fewer than are asked for (budgets/turns.py). Functions that give own parts or the pool take `share`, parts of the whole that a scope has. A new life, and who is handed a unit by a change of the list, waits as long as what was begun under it may be out.

--- a/ledgehitch/budgets/borrower.py
+++ b/ledgehitch/budgets/borrower.py
@@ -17,13 +17,13 @@
 
 
 class Borrower:
-    def __init__(self, budgets: Sequence[Budget], own: int, life: int, digests: Sequence[bytes], loan: float
-                 ) -> None:  # fmt: skip
-        """`own`: parts that need nobody. `life`: a number of this life, drawn anew. `digests`: of its version
+    def __init__(self, budgets: Sequence[Budget], own: Sequence[int], life: int, digests: Sequence[bytes],
+                 loan: float) -> None:  # fmt: skip
+        """`own`: parts of each budget that need nobody. `life`: a number of this life, drawn anew. `digests`: of its version
         of the site, and of the one before while a change is not settled: a lender that goes by that one
         counts it, too. `loan`: seconds at most."""
         self.loan, self.period = loan, loan / ASKS
-        self.budgets, self.own, self.life, self.digests = tuple(budgets), own, life, tuple(digests)
+        self.budgets, self.own, self.life, self.digests = tuple(budgets), tuple(own), life, tuple(digests)
         self.number_of = {b.name: i for i, b in enumerate(self.budgets)}
         self.term = self.number = 0
         self.loans: tuple[int, ...] = (0,) * len(self.budgets)
@@ -37,8 +37,8 @@
 
     def part(self, now: float, budget: str) -> int:
         """Parts of a budget in force now; looked at before every spending."""
-        number = self.number_of.get(budget)
-        return self.own + (self.loans[number] if number is not None and self.holds(now) else 0)
+        number = self.number_of[budget]
+        return self.own[number] + (self.loans[number] if self.holds(now) else 0)
 
     def holds(self, now: float) -> bool:
         """Whether what is lent is in force. A clock that jumped back ends it."""
@@ -56,7 +56,8 @@
         """What to say to the lender of this term, where it is time to. `used`, `wanted`: parts of the whole
         by budget; what is missing counts as none."""
         mine = tuple(min(WHOLE, max(0, wanted.get(b.name, 0))) for b in self.budgets)
-        parts = [self.own + (loan if now < self.until else 0) for loan in self.loans]
+        parts = [own + (loan if now < self.until else 0)
+                 for own, loan in zip(self.own, self.loans, strict=True)]  # fmt: skip
         more = [w > JUMPED * max(part, 1) for w, part in zip(mine, parts, strict=True)]
         if any(m and w > JUMPED * before for m, w, before in zip(more, mine, self.wanted, strict=True)):
             self._soon = AT_ONCE
@@ -77,7 +78,7 @@
         self.wanted, self._ask_at = mine, now + self.period
         held, lent = list[int](), self.holds(now)
         for i, budget in enumerate(self.budgets):
-            beyond = max(0, min(WHOLE, used.get(budget.name, 0)) - self.own) if budget.unit != "rate" else 0
+            beyond = max(0, min(WHOLE, used.get(budget.name, 0)) - self.own[i]) if budget.unit != "rate" else 0
             held.append(max(beyond, self.loans[i] if lent else 0))
         self._sequence += 1
         self._asked[self._sequence] = now
--- a/ledgehitch/budgets/facts.py
+++ b/ledgehitch/budgets/facts.py
@@ -1,18 +1,21 @@
 """Budgets and the figures that the promise rests on. Parts are whole numbers, so that sums are exact."""
 
+import math
 from collections.abc import Mapping, Sequence
 from typing import Literal, NamedTuple
 
 from blake3 import blake3
 
+from ledgehitch.door.part import WHOLE, grain_of
 from ledgehitch.door.rates import SET_UPS, budget_of
 
-WHOLE = 1_000_000_000  # parts of every budget, whatever its unit: a share goes on when the whole is changed
+__all__ = ["WHOLE", "Budget"]
 OWN_PART = 0.1  # of the whole that is not lent; `docs/budgets.md` has the table it was chosen by
 OF_LEASE = 1.25  # of a lease that a loan lasts, from when the borrower asked
 ASKS = 8  # questions of a borrower in a loan's time
 SOON = 1 / 6  # of the time between two of them, after which it asks again where its need has jumped
 MOST_BUDGETS = 64
+ROUNDING = 1e-3  # of a part, or of one thing
 
 Unit = Literal["rate", "count", "window"]
 
@@ -20,34 +23,45 @@
 class Budget(NamedTuple):
     """`lag`: seconds for which what was begun under a loan may go on after its end, so that it still counts:
     none for a rate, as long as a set-up may be out for a count, its length for a window. `grain`: parts that
-    are one whole thing, 1 for a rate."""
+    are one whole thing, 1 where there is none: of a rate, and where things are very many."""
 
     name: str
     unit: Unit
     lag: float = 0.0
     grain: int = 1
 
+    def units(self, share: int = WHOLE) -> int:
+        """Whole things in a scope that has so many parts of the whole."""
+        return share // self.grain
+
 
 def budgets_of(package_rates: Mapping[str, float], set_ups: float, patience: float) -> tuple[Budget, ...]:
     """Of a site's limits, in an order that all gateways share. `patience`: the longest that a set-up may be
     out, seconds. A further budget is one more record here."""
     out = [Budget(budget_of(package), "rate") for package in sorted(package_rates)]
-    if set_ups >= 1:
-        out.append(Budget(SET_UPS, "count", patience, max(1, WHOLE // int(set_ups))))
+    if set_ups >= 1:  # the last one, and never the one that is left out
+        out = [*out[: MOST_BUDGETS - 1], Budget(SET_UPS, "count", patience, grain_of(int(set_ups)))]
     return tuple(out[:MOST_BUDGETS])
 
 
+def parts_used(budget: Budget, share: float) -> int:
+    """`share`: of the whole, 0 to 1. Where things are counted, whole ones."""
+    if budget.grain == 1:
+        return min(WHOLE, math.ceil(share * WHOLE - ROUNDING))
+    return min(budget.units(), round(share * WHOLE / budget.grain)) * budget.grain
+
+
+def parts_wanted(budget: Budget, share: float) -> int:
+    """As `parts_used`; of a thing that is wanted in part, the whole one."""
+    return min(budget.units(), math.ceil(share * WHOLE / budget.grain - ROUNDING)) * budget.grain
+
+
 def loan_of(lease: float) -> float:
     """Seconds. Long enough that most owners that die are replaced before what they lent ends (a lease from
     their last renewal, and an election), short enough that what dead borrowers had is lent again soon."""
     return OF_LEASE * lease
 
 
-def own_parts(own_part: float, stated: int) -> int:
-    """What each stated gateway has though it hears nothing. `own_part`: of the whole, 0 to 1."""
-    return int(own_part * WHOLE) // max(1, stated)
-
-
 def digest_of(budgets: Sequence[Budget], own_part: float, names: Sequence[str]) -> bytes:
     """Four bytes that two gateways share where they divide the same budgets among the same gateways."""
     words = [f"{b.name} {b.unit}" for b in budgets]
--- a/ledgehitch/budgets/ledger.py
+++ b/ledgehitch/budgets/ledger.py
@@ -37,9 +37,9 @@
 
 
 class Ledger:
-    def __init__(self, budgets: Sequence[Budget], pool: int) -> None:
+    def __init__(self, budgets: Sequence[Budget], pool: Sequence[int]) -> None:
         """`pool`: parts of each budget that may be lent."""
-        self.budgets, self.pool = tuple(budgets), pool
+        self.budgets, self.pool = tuple(budgets), tuple(pool)
         self.takers: dict[int, dict[int, Taker]] = {}  # by member, by life
         self.taken: dict[int, list[int]] = {}  # by member, of each budget
         self.sums = [0] * len(self.budgets)
@@ -81,7 +81,7 @@
             mine = one.taken[budget] if one is not None else 0
         else:
             mine = self.taken[member][budget] if member in self.taken else 0
-        return max(0, self.pool - self.sums[budget] + mine)
+        return max(0, self.pool[budget] - self.sums[budget] + mine)
 
     def _counted(self, now: float, member: int) -> None:
         lives = self.takers.get(member, {})
@@ -124,22 +124,35 @@
     return out
 
 
-def divided(pool: int, own: int, wanted: Mapping[int, int], grain: int = 1) -> dict[int, int]:
+def divided(pool: int, own: Mapping[int, int], wanted: Mapping[int, int], grain: int = 1,
+            first: Sequence[int] = ()) -> dict[int, int]:  # fmt: skip
     """Loans by what is wanted, own part included. What nobody needs is lent in equal parts, so that a need
-    that jumps has room at once. Where things are counted, own part and loan together are whole ones."""
-    out = filled(pool, {m: max(0, w - own) for m, w in wanted.items()})
-    left = pool - sum(out.values())
-    if out:
-        out = {m: parts + left // len(out) for m, parts in out.items()}
-        left -= left // len(out) * len(out)
+    that jumps has room at once. Of what is counted they are whole things; `first`: who is to have one where
+    not all can."""
+    needs = {m: max(0, w - own.get(m, 0)) for m, w in wanted.items()}
     if grain > 1:
-        short = {}
-        for member, parts in out.items():
-            short[member] = max(0, wanted[member] - own - parts)
-            rest = (own + parts) % grain
-            out[member], left = parts - min(rest, parts), left + min(rest, parts)
-        for member in sorted(out, key=lambda m: (-short[m], -wanted[m], m)):
-            lift = grain - (own + out[member]) % grain
-            if lift <= left:
-                out[member], left = out[member] + lift, left - lift
-    return out
+        whole = {m: -(-need // grain) for m, need in needs.items()}
+        order = first or sorted(needs, key=lambda m: (-needs[m], m))
+        return {m: things * grain for m, things in whole_ones(pool // grain, whole, order).items()}
+    out = filled(pool, needs)
+    left = pool - sum(out.values())
+    return {m: parts + left // len(out) for m, parts in out.items()}
+
+
+def whole_ones(things: int, needs: Mapping[int, int], first: Sequence[int]) -> dict[int, int]:
+    """As `filled`, in whole things: what one level for all leaves over goes, one to each, to the first who
+    need more; what nobody needs to all alike, and what is left of that to the first."""
+    out, left = dict[int, int](), things
+    order = sorted(needs, key=lambda m: (needs[m], m))
+    for place, member in enumerate(order):
+        level = left // (len(order) - place)
+        if needs[member] > level:
+            short = set(order[place:])
+            left -= level * len(short)
+            lifted = {m for m, _ in zip((m for m in first if m in short), range(left), strict=False)}
+            return out | {m: level + (m in lifted) for m in order[place:]}
+        out[member] = needs[member]
+        left -= needs[member]
+    each, more = divmod(left, max(1, len(out)))
+    places = {m: place for place, m in enumerate(first)}
+    return {m: parts + each + (places[m] < more) for m, parts in out.items()}
--- a/ledgehitch/budgets/lender.py
+++ b/ledgehitch/budgets/lender.py
@@ -6,10 +6,11 @@
 it knows what is held, and waits for nothing but what lives that are over may have left under way.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from ledgehitch.budgets.facts import Budget
 from ledgehitch.budgets.ledger import Ledger, Loan, divided
+from ledgehitch.budgets.turns import Turns
 from ledgehitch.budgets.words import Words
 from ledgehitch.owners.facts import RATES
 
@@ -19,14 +20,15 @@
 
 
 class Lender:
-    def __init__(self, now: float, term: int, budgets: Sequence[Budget], own: int, pool: int,
-                 members: Iterable[int], digests: Sequence[bytes], loan: float, former: float = 0.0,
-                 bound: float = RATES) -> None:  # fmt: skip
-        """`now`: when the duty was won. `own`: parts that each of the `members` that count has without a
-        loan; `pool`: what may be lent. `digests`: of the versions of the site that borrowers may go by.
-        `loan`: seconds; `former`: of a former lender's loans, where these were longer. `bound`: by which two
-        clocks' rates may differ."""
-        self.term, self.own, self.digests, self.loan = term, own, tuple(digests), loan
+    def __init__(self, now: float, term: int, budgets: Sequence[Budget],
+                 own: Mapping[int, Sequence[int]], pool: Sequence[int], members: Iterable[int],
+                 digests: Sequence[bytes], loan: float, former: float = 0.0, bound: float = RATES
+                 ) -> None:  # fmt: skip
+        """`now`: when the duty was won. `own`: parts of each budget that a gateway has without a loan, by its
+        number; `pool`: what of each may be lent, to `members`. `digests`: of the versions of the site that
+        borrowers may go by. `loan`: seconds; `former`: of a former lender's loans, where these were longer.
+        `bound`: by which two clocks' rates may differ."""
+        self.term, self.own, self.digests, self.loan = term, dict(own), tuple(digests), loan
         self.counted = loan * (1.0 + bound)  # how long what a borrower calls `loan` lasts here
         self.budgets, self.members = tuple(budgets), frozenset(members)
         self.ledger = Ledger(budgets, pool)
@@ -36,16 +38,17 @@
         self.silent = set(self.members)  # who has not spoken under this term
         self.wanted: dict[int, tuple[float, tuple[int, ...]]] = {}
         self.targets: list[dict[int, int]] = [{} for _ in self.budgets]
+        self.turns = [Turns(term, loan) for _ in self.budgets]
         self.counts: dict[str, int] = {}
         self._number = 0
         self._divided_at = -1e18
 
-    def of(self, budgets: Sequence[Budget], own: int, pool: int, members: Iterable[int],
-           digests: Sequence[bytes]) -> None:  # fmt: skip
+    def of(self, budgets: Sequence[Budget], own: Mapping[int, Sequence[int]], pool: Sequence[int],
+           members: Iterable[int], digests: Sequence[bytes]) -> None:  # fmt: skip
         """The same budgets of other wholes, or a change of the list that has settled. What was lent is known,
         and numbers go on: guards against a book that begins anew within a term, whose loans nobody takes."""
         self.budgets = self.ledger.budgets = tuple(budgets)
-        self.own, self.ledger.pool, self.digests = own, pool, tuple(digests)
+        self.own, self.ledger.pool, self.digests = dict(own), tuple(pool), tuple(digests)
         self.members = frozenset(members)
 
     def wants(self, now: float, member: int, words: Words) -> Words | None:
@@ -67,9 +70,12 @@
         if fresh or now - self._divided_at >= AGAIN * self.loan:
             self._divide(now)
         loans = []
-        for i in range(len(self.budgets)):
+        for i, budget in enumerate(self.budgets):
             parts = min(self.targets[i].get(member, 0), self.ledger.free(now, member, words.life, i))
-            loans.append(min(parts, words.loans[i]) if now < self.waits[i] else parts)
+            parts = min(parts, words.loans[i]) if now < self.waits[i] else parts
+            loans.append(parts // budget.grain * budget.grain)
+            if loans[i]:
+                self.turns[i].begins(now, member)
         self._number += 1
         loan = Loan(self._number, tuple(loans), now + self.counted)
         if not self.ledger.lent(now, member, words.life, loan):
@@ -83,15 +89,19 @@
         self.wanted = {m: w for m, w in sorted(self.wanted.items()) if now - w[0] < self.loan}
         for i, budget in enumerate(self.budgets):
             wanted = {m: w[i] for m, (_, w) in self.wanted.items()}
-            new = divided(self.ledger.pool, self.own, wanted, budget.grain)
-            if self._moved(self.targets[i], new):
+            own = {m: self.own[m][i] for m in wanted if m in self.own}
+            first = self.turns[i].order(now, wanted, own, self.targets[i]) if budget.grain > 1 else ()
+            new = divided(self.ledger.pool[i], own, wanted, budget.grain, first)
+            if self._moved(i, self.targets[i], new):
                 self.targets[i] = new
+            if budget.grain > 1:
+                self.turns[i].divided(now, wanted, own, self.targets[i])
 
-    def _moved(self, old: dict[int, int], new: dict[int, int]) -> bool:
+    def _moved(self, budget: int, old: dict[int, int], new: dict[int, int]) -> bool:
         """Guards against flutter: loans that chance alone would move stay where they are."""
         if old.keys() != new.keys():
             return True
-        least = self.ledger.pool // (GRAINS * max(1, len(self.members)))
+        least = self.ledger.pool[budget] // (GRAINS * max(1, len(self.members)))
         return any(abs(new[m] - parts) > max(NOISE * parts, least) for m, parts in old.items())
 
     def told(self, now: float) -> list[dict[str, object]]:
@@ -101,7 +111,7 @@
             self.ledger.free(now, -1, 0, i)
             lent = {m: t[i] for m, t in sorted(self.ledger.taken.items()) if t[i]}
             wanted = {m: w[i] for m, (_, w) in sorted(self.wanted.items())}
-            out.append({"budget": budget.name, "pool": self.ledger.pool, "lent": lent, "wanted": wanted,
+            out.append({"budget": budget.name, "pool": self.ledger.pool[i], "lent": lent, "wanted": wanted,
                         "waits": round(max(0.0, self.waits[i] - now), 3)})  # fmt: skip
         return out
 
--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -10,7 +10,16 @@
 import structlog
 
 from ledgehitch.budgets.borrower import Borrower
-from ledgehitch.budgets.facts import ASKS, WHOLE, Budget, budgets_of, digest_of, loan_of
+from ledgehitch.budgets.facts import (
+    ASKS,
+    WHOLE,
+    Budget,
+    budgets_of,
+    digest_of,
+    loan_of,
+    parts_used,
+    parts_wanted,
+)
 from ledgehitch.budgets.lender import Lender
 from ledgehitch.budgets.parts import OwnPart, lent_by
 from ledgehitch.budgets.words import BadWords, Words, read, written
@@ -40,8 +49,9 @@
         self.lists: Lists = owning.owners.memory.lists  # by which it borrows and lends now
         self.bad: dict[str, int] = {}
         self.trouble = ""  # why it has its own part alone
-        self.own = OwnPart(owning.now(), self.lists)
-        self._told: tuple[float, float] = (-1.0, -1.0)
+        self.share = WHOLE  # parts of the whole that the scope has in which it lends and borrows
+        self.own = OwnPart(owning.now(), self.lists, owning.owners.memory.me, (), self.share)
+        self._told: tuple[tuple[int, ...], float] = ((), -1.0)
         self.placed(site)
         owning.more = self._heard
         doorman.look = self._look
@@ -52,13 +62,15 @@
         other budgets are borrowed anew."""
         d, before = site.door, [(x.name, x.unit) for x in self.budgets]
         self.budgets = budgets_of(d.package_rates, d.set_ups, self.patience)
+        self.own.placed(self.budgets, self.share)
         if before and before == [(x.name, x.unit) for x in self.budgets]:
             self.borrower.budgets = self.budgets
             self._goes_on()
             return
         self.lender = None
         life = secrets.randbits(32)
-        self.borrower = Borrower(self.budgets, 0, life, self._digests(), self.loan)
+        nothing = (0,) * len(self.budgets)
+        self.borrower = Borrower(self.budgets, nothing, life, self._digests(), self.loan)
 
     def _digests(self) -> tuple[bytes, ...]:
         """Of the versions of the site that may be about, this gateway's own first."""
@@ -92,7 +104,9 @@
         if (b.own, b.until if left else 0.0) != self._told:
             self._told = b.own, b.until if left else 0.0
             lent = {x.name: b.loans[i] / WHOLE for i, x in enumerate(b.budgets)} if left else {}
-            self.doorman.shared(mono, b.own / WHOLE, lent, mono + left)
+            own = {x.name: b.own[i] / WHOLE for i, x in enumerate(b.budgets)}
+            rest = next((own[x.name] for x in b.budgets if x.unit == "rate"), 0.0)
+            self.doorman.shared(mono, rest, lent, mono + left, own)
 
     def _ask(self) -> None:
         while True:
@@ -111,8 +125,8 @@
         if why or not b.budgets:
             return
         used, wanted = self.doorman.needs(time.monotonic())
-        parts = [{k: min(WHOLE, int(share * WHOLE)) for k, share in some.items()} for some in (used, wanted)]
-        words = b.asks(now, term, *parts)
+        words = b.asks(now, term, {x.name: parts_used(x, used.get(x.name, 0.0)) for x in b.budgets},
+                       {x.name: parts_wanted(x, wanted.get(x.name, 0.0)) for x in b.budgets})  # fmt: skip
         if words is None:
             return
         self.doorman.needs_told()
@@ -153,7 +167,7 @@
             self._listed()
             if self.lender is None or self.lender.term != term:
                 self.lender = self._lends(term)
-                log.info("lends", term=term, pool=self.lender.ledger.pool / WHOLE)
+                log.info("lends", term=term, pool=[parts / WHOLE for parts in self.lender.ledger.pool])
             self.loop.sleep(self.loan / ASKS / LOOKS)
 
     def _lends(self, term: int) -> Lender:
@@ -161,9 +175,9 @@
         return Lender(self.owning.now(), term, self.budgets, *self._lent_by(), self._digests(), self.loan,
                       former)  # fmt: skip
 
-    def _lent_by(self) -> tuple[int, int, set[int]]:
+    def _lent_by(self) -> tuple[dict[int, tuple[int, ...]], tuple[int, ...], set[int]]:
         numbers = {name: n for n, name in enumerate(self.names)}
-        return lent_by(self.lists, self.owning.owners.memory.gone, numbers)
+        return lent_by(self.budgets, self.lists, self.owning.owners.memory.gone, numbers, self.share)
 
     def doing(self) -> str:
         if self.lender is None:
@@ -183,8 +197,8 @@
         lends = self.lender is not None and self.owning.owns(BUDGETS) == self.lender.term
         used = self.doorman.uses()
         held = b.holds(now)
-        mine = {x.name: {"own": b.own, "loan": b.loans[i] if held else 0, "wanted": b.wanted[i],
-                         "used": min(WHOLE, int(used.get(x.name, 0.0) * WHOLE)), "unit": x.unit}
+        mine = {x.name: {"own": b.own[i], "loan": b.loans[i] if held else 0, "wanted": b.wanted[i],
+                         "used": parts_used(x, used.get(x.name, 0.0)), "unit": x.unit}
                 for i, x in enumerate(b.budgets)}  # fmt: skip
         return {
             "whole": WHOLE, "budgets": mine, "loan_left": round(max(0.0, b.until - now), 3) if held else 0.0,
--- a/ledgehitch/door/decide.py
+++ b/ledgehitch/door/decide.py
@@ -24,7 +24,6 @@
 STEP = 1.0  # seconds between two looks at whether the least valuable are turned away at once
 CALM = 5  # looks in which nobody was pressed until they are let in again
 ROOM = 1.25  # times the set-ups at once of lately that are wanted of the fleet's limit: they swing
-ROUNDING = 1e-6  # of one set-up, by which parts of the whole may fall short of a whole one
 PRESSED = 3  # of a value that found no turn in such a time, from which those worth less make room
 
 
@@ -101,19 +100,23 @@
         self._asked = {p: self._asked.get(p, Asked()) for p in package_rates}
         self.set_ups = set_ups
 
-    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float) -> None:
-        """This gateway's part of the fleet's limits: what it has of its own, what is lent up to `until`."""
+    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float,
+               by_budget: Mapping[str, float] | None = None) -> None:  # fmt: skip
+        """This gateway's part of the fleet's limits: what it has of its own, what is lent up to `until`.
+        `by_budget`: its own part of limits of which that is another."""
         self.by_package.gather(now, self.part)
-        self.part.told(own, lent, until)
+        self.part.told(own, lent, until, by_budget)
 
     def needs(self, now: float) -> tuple[dict[str, float], dict[str, float]]:
         """Of the whole of each of the fleet's limits, what is in use here and what could be: the most set-ups
-        at once since `needs_told`."""
+        at once since `needs_told`, and none where there was none: a set-up that may be begun here can not be
+        begun elsewhere."""
         used, wanted = self.uses(), dict[str, float]()
         for package, a_second in self.by_package.a_second.items():
             wanted[budget_of(package)] = self._asked[package].at(now) / a_second
         if self.set_ups:
-            wanted[SET_UPS] = min(ROOM * self._most + 1.0, self.limit.limit) / self.set_ups
+            most = min(ROOM * self._most + 1.0, self.limit.limit) if self._most else 0.0
+            wanted[SET_UPS] = most / self.set_ups
         return used, wanted
 
     # ---- what happens --------------------------------------------------------------------------------------
@@ -205,8 +208,7 @@
         """Of all limits on set-ups at once, the one place where they meet."""
         room = self.limit.room(len(self.out))
         if self.set_ups:
-            mine = int(self.set_ups * self.part.share(now, SET_UPS) + ROUNDING)
-            room = min(room, mine - len(self.out))
+            room = min(room, self.part.things(now, SET_UPS, int(self.set_ups)) - len(self.out))
         return room
 
     def _over(self, one: Waiting, why: str, wait: float) -> None:
--- a/ledgehitch/gateway/doorman.py
+++ b/ledgehitch/gateway/doorman.py
@@ -73,10 +73,12 @@
         if isinstance(self.door, Door):
             self.door.limited(client_rate, client_burst, package_rates, set_ups)
 
-    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float) -> None:
-        """This gateway's part of the fleet's limits, and up to when what is lent of it is in force."""
+    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float,
+               by_budget: Mapping[str, float] | None = None) -> None:  # fmt: skip
+        """This gateway's part of the fleet's limits, and up to when what is lent of it is in force;
+        `by_budget`: its own part of limits of which that is not `own`."""
         if isinstance(self.door, Door):
-            self.door.shared(now, own, lent, until)
+            self.door.shared(now, own, lent, until, by_budget)
 
     def needs(self, now: float) -> tuple[dict[str, float], dict[str, float]]:
         return self.door.needs(now) if isinstance(self.door, Door) else ({}, {})
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -17,6 +17,8 @@
 
 from ledgehitch import __version__
 from ledgehitch.brain import Gateway
+from ledgehitch.budgets.facts import WHOLE, budgets_of
+from ledgehitch.budgets.units import own_parts
 from ledgehitch.config import Site, facts_of
 from ledgehitch.config.site import lends, rack_name, stated
 from ledgehitch.door.decide import Door
@@ -48,6 +50,17 @@
     return ring_in(Path(site.peer_key_file)) if site.peer_key_file else []
 
 
+def own_shares(site: Site, name: str) -> tuple[float, dict[str, float]]:
+    """Of the whole of the fleet's limits, what a gateway has though it hears nothing: of any, and of those of
+    which that is another. Where nothing is lent, all of it is divided among all."""
+    lent = lends(site)
+    names = stated(site) if lent else tuple(g.name for g in site.gateways)
+    part, patience = site.budgets.own_part if lent else 1.0, max(p.patience for p in site.packages)
+    budgets = budgets_of(site.door.package_rates, site.door.set_ups, patience)
+    own = {b.name: own_parts(b, part, names).get(name, 0) / WHOLE for b in budgets}
+    return part / len(names), own
+
+
 class Running:
     """A gateway that serves. `build` within a task; `stop` ends it."""
 
@@ -84,8 +97,6 @@
             door = Door(time.monotonic(), chance, values, targets, terms.may_advise, terms.longest_advice,
                         gateways=terms.gateways)  # fmt: skip
             kept_door = Keep(state_dir / f"{name}.door", private=True) if state_dir is not None else None
-            if lends(site):  # nobody's part is larger than what needs nobody, until a daemon borrows
-                door.shared(time.monotonic(), site.budgets.own_part / len(stated(site)), {}, 0.0)
             self.carrier.doorman = Doorman(door, kept_door, site.door.order or ORDER)
             self._limit(site)
         front.tokens = Tokens(name, state_dir)
@@ -160,6 +171,9 @@
         d, doorman = site.door, self.carrier.doorman
         if doorman is not None:
             doorman.limited(d.client_rate, d.client_burst, d.package_rates, d.set_ups)
+            if doorman.look is None:  # nobody's part is larger than what needs nobody, until a daemon borrows
+                rest, own = own_shares(site, self.name)
+                doorman.shared(time.monotonic(), rest, {}, 0.0, own)
             self.limited(site)
             self.carrier.stir()
 
--- a/ledgehitch/model/day.py
+++ b/ledgehitch/model/day.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from ledgehitch.budgets.facts import WHOLE, budgets_of
+from ledgehitch.budgets.units import own_parts
 from ledgehitch.config import Day, Site
 from ledgehitch.config.site import facts_of
 from ledgehitch.door.decide import Door
@@ -204,6 +206,9 @@
         door = Door(self.agenda.now, random.Random(f"{seed}/door"), values, targets, terms.may_advise,
                     terms.longest_advice, gateways=terms.gateways)  # fmt: skip
         door.limited(d.client_rate, d.client_burst, d.package_rates, d.set_ups)
+        budgets = budgets_of(d.package_rates, d.set_ups, max(p.patience for p in packages))
+        own = {b.name: own_parts(b, 1.0, tuple(self._ordinals))[name] / WHOLE for b in budgets}
+        door.shared(self.agenda.now, 1.0 / terms.gateways, {}, 0.0, own)
         if name in self.kept_doors:
             door.thawed(self.agenda.now, self.kept_doors[name])
         return door
