--- a/ledgehitch/budgets/borrower.py
+++ b/ledgehitch/budgets/borrower.py
@@ -19,9 +19,9 @@
 class Borrower:
     def __init__(self, budgets: Sequence[Budget], own: Sequence[int], life: int, digests: Sequence[bytes],
                  loan: float) -> None:  # fmt: skip
-        """`own`: parts of each budget that need nobody. `life`: a number of this life, drawn anew. `digests`: of its version
-        of the site, and of the one before while a change is not settled: a lender that goes by that one
-        counts it, too. `loan`: seconds at most."""
+        """`own`: parts of each budget that need nobody. `life`: a number of this life, drawn anew. `digests`:
+        of its version of the site, and of the one before while a change is not settled: a lender that goes by
+        that one counts it, too. `loan`: seconds at most."""
         self.loan, self.period = loan, loan / ASKS
         self.budgets, self.own, self.life, self.digests = tuple(budgets), tuple(own), life, tuple(digests)
         self.number_of = {b.name: i for i, b in enumerate(self.budgets)}
@@ -78,8 +78,8 @@
         self.wanted, self._ask_at = mine, now + self.period
         held, lent = list[int](), self.holds(now)
         for i, budget in enumerate(self.budgets):
-            beyond = max(0, min(WHOLE, used.get(budget.name, 0)) - self.own[i]) if budget.unit != "rate" else 0
-            held.append(max(beyond, self.loans[i] if lent else 0))
+            beyond = min(WHOLE, used.get(budget.name, 0)) - self.own[i] if budget.unit != "rate" else 0
+            held.append(max(0, beyond, self.loans[i] if lent else 0))
         self._sequence += 1
         self._asked[self._sequence] = now
         if len(self._asked) > MOST_ASKED:
--- a/ledgehitch/budgets/parts.py
+++ b/ledgehitch/budgets/parts.py
@@ -75,10 +75,11 @@
 
 def lent_by(budgets: Sequence[Budget], lists: Lists, gone: Set[str], numbers: Mapping[str, int],
             share: int = WHOLE) -> tuple[dict[int, tuple[int, ...]], tuple[int, ...], set[int]]:  # fmt: skip
-    """Own parts of each gateway by its number in `numbers`, what may be lent of each budget, and which gateways
-    count; `gone`: declared gone for good. While a change of the list is not settled own parts are the smaller
-    ones of both versions, the larger sum of them is not lent, and the gateways of both count: its majority is
-    one of both, so that nobody else lends by either. `share`: parts of the whole that this list's scope has."""
+    """Own parts of each gateway by its number in `numbers`, what may be lent of each budget, and which
+    gateways count; `gone`: declared gone for good. While a change of the list is not settled own parts are
+    the smaller ones of both versions, the larger sum of them is not lent, and the gateways of both count: its
+    majority is one of both, so that nobody else lends by either. `share`: parts of the whole that this list's
+    scope has."""
     members = {numbers.get(name, NOBODYS) for name in {*lists.current, *lists.former} - gone}
     own = {numbers[name]: parts for name, parts in smallest_own(budgets, lists, share=share).items()
            if name in numbers}  # fmt: skip
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -174,7 +174,7 @@
     old, new = OwnPart(0.0, three, "a", [RATE]), OwnPart(0.0, three, "a", [RATE])
 
     def third(whole: float) -> tuple[int]:
-        return (int(whole / 3 * WHOLE),)
+        return (int(whole * WHOLE) // 3,)
 
     assert old.at(longest + 1.0, True, had=True) == third(0.3)
     assert new.at(10.0, False, had=False) == (0,) and new.at(20.0, True, had=False) == (0,)
