--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -2,7 +2,8 @@
 static parts and beside a divider that sees all; bytes, lender's time and largest message; states explored;
 and random scripts of real daemons.
 
-`python -m benchmarks.budgets [PART ...]`: deaths, own, uneven, bytes, states, joins, scripts; all if none.
+`python -m benchmarks.budgets [PART ...]`: deaths, own, cut_off, uneven, bytes, states, joins, halves,
+scripts; all if none.
 Networks and gateways are simulated, but for the scripts' daemons; owners, borrowers, lender and the door's
 rates are the classes that gateways run.
 """
@@ -322,6 +323,39 @@
     return (int(fields[11]) + int(fields[12])) / 100.0
 
 
+def halves(gateways: int = 6, set_ups: int = 30, seconds: int = 30) -> dict[str, Any]:
+    """Real daemons in two halls that are cut from each other: of the fleet's rate, what is let in before, by
+    each half while it lasts (after loans are over), and after it has healed."""
+    out: dict[str, Any] = {"gateways": gateways, "set_ups": set_ups, "seconds": seconds}
+    door = {"on": True, "package_rates": {"recorded": 20.0}, "set_ups": float(set_ups)}
+
+    def script(rig: FleetRig) -> None:
+        def used(last: float, by: Sequence[str] = ()) -> float:
+            now = time.monotonic()
+            return round(rig.let_in(now - last, now, by) / last / 20.0, 3)
+
+        rig.start_all()
+        rig.owner(BUDGETS, within=60.0)
+        rig.viewers()
+        rig.until(lambda: used(4.0) >= 0.9, 60.0, 0.5)
+        rig.loop.sleep(5.0)
+        out["before"] = used(5.0)
+        rig.cut("hall z0")
+        rig.loop.sleep(10.0 + seconds)
+        for hall in ("hall z0", "hall z1"):
+            out[f"cut: {hall}"] = used(seconds, rig.whom(hall))
+        out["cut"] = used(seconds)
+        rig.heal()
+        rig.loop.sleep(20.0)
+        out["healed, 10 to 20 s after"] = used(10.0)
+
+    with tempfile.TemporaryDirectory() as directory:
+        rig = FleetRig(Path(directory), gateways, halls=2, hosts=9, rate=60.0, watch=0.3, door=door)
+        rig.run(script)
+        out["broken"] = [f"{b.promise}: {b.what}" for b in rig.over_budget()]
+    return out
+
+
 def scripts(first: int = 1, number: int = 20, seconds: float = 30.0) -> dict[str, Any]:
     """Random scripts of five real daemons whose viewers ask for three times what the fleet may let in: kills,
     stops, cuts, bad wires. Their seeds are printed."""
@@ -352,7 +386,7 @@
 def main(parts: Sequence[str]) -> None:
     calls: dict[str, Callable[..., Any]] = {
         "deaths": deaths, "own": own, "uneven": uneven, "bytes": sizes, "states": states,
-        "joins": joins, "scripts": scripts}  # fmt: skip
+        "joins": joins, "halves": halves, "scripts": scripts}  # fmt: skip
     for part in parts or tuple(calls):
         name, *numbers = part.split(":")
         print(json.dumps({part: calls[name](*map(int, numbers))}), flush=True)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -114,6 +114,27 @@
     assert rig.over_budget() == []
 
 
+def test_halves_that_are_cut_from_each_other_let_in_by_own_units_on_both_sides(tmp_path: Path) -> None:
+    """Of thirty set-ups at once a tenth is three: fewer than gateways, and some on each side have one."""
+
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        rig.owner("budgets")
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
+        rig.cut("hall z0")
+        rig.until(lambda: all(alone(rig, n) for n in rig.names), 60.0)
+        own = {n: part(rig, n, "set_ups") * 30.0 for n in rig.names}
+        assert sorted(round(units, 3) for units in own.values()) == [0, 0, 0, 1, 1, 1], own
+        since = time.monotonic()
+        halves = [rig.whom("hall z0"), rig.whom("hall z1")]
+        rig.until(lambda: all(rig.let_in(since, by=half) >= 3 for half in halves), 60.0, 0.5)
+
+    rig = lending(tmp_path, 6, halls=2)
+    rig.run(script)
+    assert rig.over_budget() == []
+
+
 def test_a_limit_that_is_halved_by_a_reload_counts_at_once(tmp_path: Path) -> None:
     def script(rig: FleetRig) -> Any:
         rig.start_all()
--- /dev/null
+++ b/tests/test_whole_units.py
@@ -0,0 +1,297 @@
+"""What is counted goes out in whole units: own parts, loans, turns, the door; sums stay within the whole."""
+
+import math
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ledgehitch.budgets.borrower import Borrower
+from ledgehitch.budgets.facts import ASKS, WHOLE, Budget, budgets_of, loan_of, parts_used, parts_wanted
+from ledgehitch.budgets.ledger import divided
+from ledgehitch.budgets.lender import Lender
+from ledgehitch.budgets.parts import OwnPart, lent_by
+from ledgehitch.budgets.units import lent_beside, may_be_lent, own_parts, smallest_own, spread
+from ledgehitch.config.site import GatewayRecord
+from ledgehitch.door.part import MOST_COUNTED, Part, grain_of, things
+from ledgehitch.door.rates import SET_UPS, PackageRates
+from ledgehitch.gateway.serve import own_shares
+from ledgehitch.owners.facts import Lists, promise_of
+from tests.rig import site
+
+T, LOAN, DIGEST = 1000.0, 5.0, b"same"
+PERIOD = LOAN / ASKS
+RATE = Budget("offers.live", "rate")
+wholes = st.one_of(st.integers(1, 700), st.integers(1, MOST_COUNTED), st.integers(MOST_COUNTED + 1, 10**6))
+shares = st.one_of(st.just(WHOLE), st.integers(1, WHOLE))
+parts_of_it = st.one_of(st.sampled_from([0.0, 0.05, 0.1, 0.25, 0.29, 1.0]), st.floats(0.0, 1.0))
+
+
+def count(whole: int) -> Budget:
+    return budgets_of({}, whole, 3.0)[0]
+
+
+def names_of(number: int) -> tuple[str, ...]:
+    return tuple(f"g{n}" for n in range(number))
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(wholes, parts_of_it, st.integers(1, 560), shares)
+def test_own_units_and_pool_are_whole_and_never_above_the_scopes_part(
+    whole: int, own_part: float, gateways: int, share: int
+) -> None:
+    budget = count(whole)
+    own = own_parts(budget, own_part, names_of(gateways), share)
+    pool = may_be_lent(budget, own_part, share)
+    assert sum(own.values()) + pool <= share and pool >= 0
+    assert all(parts % budget.grain == 0 for parts in [*own.values(), pool])
+    if budget.grain > 1:
+        units = share // budget.grain
+        have = sum(own.values()) // budget.grain
+        assert have == (min(units, max(1, int(own_part * units + 1e-9))) if own_part else 0)
+        assert max(own.values()) - min(own.values()) <= budget.grain
+        assert have + pool // budget.grain >= units - 1, "one unit at most is nobody's"
+        if share == WHOLE:
+            assert units == whole
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(wholes, st.lists(st.integers(0, WHOLE), max_size=30))
+def test_doors_that_hold_any_parts_of_a_whole_let_in_no_more_than_it_together(
+    whole: int, cuts: list[int]
+) -> None:
+    edges = [0, *sorted(cuts), WHOLE]
+    parts = [b - a for a, b in zip(edges, edges[1:], strict=False)]
+    assert sum(things(p, whole) for p in parts) <= whole
+    for each in range(0, whole, max(1, whole // 7)):
+        told = Part(0.0)
+        told.told(0.0, {}, 0.0, {SET_UPS: each * grain_of(whole) / WHOLE})
+        if whole <= MOST_COUNTED:
+            assert told.things(T, SET_UPS, whole) == each, "a whole unit counts as one"
+            assert parts_used(count(whole), each / whole) >= each * grain_of(whole)
+            assert parts_wanted(count(whole), each / whole) >= each * grain_of(whole)
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(wholes, parts_of_it, st.sets(st.integers(0, 40), min_size=1), st.sets(st.integers(0, 40), min_size=1),
+       parts_of_it, shares, st.randoms(use_true_random=False))  # fmt: skip
+def test_while_a_list_changes_any_mixture_of_versions_is_within_what_is_not_lent(
+    whole: int, own_part: float, now: set[int], before: set[int], former_part: float, share: int,
+    chance: random.Random
+) -> None:  # fmt: skip
+    """Each gateway goes by the former version, or by both; the lender lends by both."""
+    budgets = [RATE, count(whole)]
+    current, former = (tuple(f"g{n}" for n in sorted(some)) for some in (now, before))
+    lists = Lists(current, former, own_part=own_part, former_own_part=former_part)
+    by_both = smallest_own(budgets, lists, share=share)
+    old = Lists(former, own_part=former_part, former_own_part=former_part)
+    by_former = smallest_own(budgets, old, share=share)
+    pool = lent_beside(budgets, lists, share)
+    for _ in range(5):
+        mixed = [chance.choice([by_both[n], by_former[n] if n in former else by_both[n]]) for n in by_both]
+        for i in range(2):
+            assert sum(parts[i] for parts in mixed) + pool[i] <= share
+    # Settled: those who have heard, and those who have not yet. What the version before had lent may be in
+    # force at first: a newcomer waits for it (`OwnPart.at`).
+    settled = lists._replace(former=())
+    for surely, names, most in ((False, current, lent_beside(budgets, settled, share)),
+                                (True, former, lent_beside(budgets, old, share))):  # fmt: skip
+        after = smallest_own(budgets, settled, surely, share)
+        for i in range(2):
+            own = sum(max(parts[i], by_both[n][i]) for n, parts in after.items() if n in names)
+            assert own + most[i] <= share
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.integers(1, 900), st.integers(1, 900), parts_of_it, st.integers(1, 40),
+       st.randoms(use_true_random=False))  # fmt: skip
+def test_while_a_whole_changes_by_a_reload_the_sum_is_within_the_larger_one(
+    one: int, other: int, own_part: float, gateways: int, chance: random.Random
+) -> None:
+    names = names_of(gateways)
+    for lender, grain in ((one, grain_of(one)), (other, grain_of(other))):
+        left, total = may_be_lent(count(lender), own_part), 0
+        for name in names:
+            whole = chance.choice([one, other])
+            loan = chance.choice([0, left, chance.randint(0, left)]) // grain * grain
+            left -= loan
+            total += things(own_parts(count(whole), own_part, names)[name] + loan, whole)
+        assert total <= max(one, other)
+
+
+def test_who_has_an_own_unit_is_the_same_at_every_gateway_and_only_more_as_units_rise() -> None:
+    names = names_of(550)
+    before = spread(0, SET_UPS, names)
+    for units in range(1, 1200):
+        now = spread(units, SET_UPS, names)
+        assert sum(now.values()) == units and sum(now[n] - before[n] for n in names) == 1
+        assert all(now[n] >= before[n] for n in names)
+        before = now
+    assert spread(30, SET_UPS, names) == spread(30, SET_UPS, tuple(reversed(names)))
+    assert spread(30, SET_UPS, names) != spread(30, "other", names)
+    five = own_parts(count(5000), 0.1, names)
+    assert sorted(set(five.values())) == [0, WHOLE // 5000] and sum(five.values()) == WHOLE // 10
+
+
+def test_an_own_unit_waits_until_what_the_last_life_or_holder_began_is_over() -> None:
+    budgets = [RATE, Budget(SET_UPS, "count", 3.0, WHOLE // 10)]
+    lists = Lists(("a", "b"), lease=6.0, former_lease=6.0, own_part=0.2, former_own_part=0.2)
+    lag, longest = promise_of(3.0), promise_of(loan_of(6.0))
+    one = OwnPart(T, lists, "a", budgets)
+    assert one.at(T + lag - 0.01, True, had=True) == (WHOLE // 10, 0)
+    assert one.at(T + lag, True, had=True) == (WHOLE // 10, WHOLE // 10)
+    new = OwnPart(T, lists, "a", budgets)
+    assert new.at(T + 1.0, True, had=False) == (0, 0)
+    assert new.at(T + 1.0 + longest, True, had=False) == (WHOLE // 10, 0)
+    assert new.at(T + 1.0 + longest + lag, True, had=False) == (WHOLE // 10, WHOLE // 10)
+    # A unit that comes with a change of the list, and goes with one at once.
+    names = names_of(6)
+    first, *_, last = sorted(names, key=lambda n: -own_parts(budgets[1], 0.1, names)[n])
+    six = Lists(names, own_part=0.1, former_own_part=0.1)
+    five = six._replace(current=tuple(n for n in names if n != first))
+    heir = next(n for n, parts in own_parts(budgets[1], 0.1, five.current).items() if parts)
+    gains, loses = OwnPart(T, six, heir, budgets), OwnPart(T, five, heir, budgets)
+    gains.listed(T + 100.0, five._replace(former=names))
+    assert gains.at(T + 150.0, True, had=True)[1] == 0
+    gains.listed(T + 200.0, five)
+    assert gains.at(T + 200.0 + lag - 0.01, True, had=True)[1] == 0
+    assert gains.at(T + 200.0 + lag, True, had=True)[1] == WHOLE // 10
+    assert loses.at(T + 99.0, True, had=True)[1] == WHOLE // 10
+    loses.listed(T + 100.0, six._replace(former=five.current))
+    assert loses.at(T + 100.0, True, had=True)[1] == 0
+    assert last not in (first, heir)
+    # A lower whole counts at once.
+    one.placed([RATE, Budget(SET_UPS, "count", 3.0, WHOLE // 4)])
+    assert one.at(T + 300.0, True, had=True)[1] == (WHOLE // 4 if own_parts(count(4), 0.2, "ab")["a"] else 0)
+
+
+def test_the_lender_lends_a_scopes_share_beside_its_own_parts() -> None:
+    budgets, names = [RATE, count(30)], names_of(3)
+    numbers = {name: n for n, name in enumerate(names)}
+    lists = Lists(names, own_part=0.1, former_own_part=0.1)
+    own, pool, members = lent_by(budgets, lists, frozenset(), numbers, WHOLE // 2)
+    assert pool == (WHOLE // 2 - WHOLE // 20, 13 * (WHOLE // 30)) and members == {0, 1, 2}, "13 of 15"
+    assert sum(parts[0] for parts in own.values()) <= WHOLE // 20
+    assert sorted(parts[1] // (WHOLE // 30) for parts in own.values()) == [0, 0, 1]
+
+
+# ---- whose turn it is --------------------------------------------------------------------------------------
+
+
+class Asking:
+    """Borrowers of one count and a lender, that ask in turns and hear each other at once."""
+
+    def __init__(self, gateways: int, units: int) -> None:
+        self.budget = Budget(SET_UPS, "count", 0.2, WHOLE // units)
+        self.lender = Lender(T - 100.0, 1, [self.budget], {}, [units * self.budget.grain], range(gateways),
+                             [DIGEST], LOAN)  # fmt: skip
+        self.borrowers = [Borrower([self.budget], [0], me + 1, [DIGEST], LOAN) for me in range(gateways)]
+        self.now = T
+
+    def round(self, wanted: dict[int, int]) -> list[int]:
+        """All ask once, within a period; gives the units that each has then."""
+        for me, b in enumerate(self.borrowers):
+            self.now += PERIOD / len(self.borrowers)
+            b._ask_at = -1e18
+            words = b.asks(self.now, 1, {}, {SET_UPS: wanted.get(me, 0) * self.budget.grain})
+            assert words is not None
+            answer = self.lender.wants(self.now, me, words)
+            assert answer is not None and b.lent(self.now, answer)
+            assert sum(self.units()) <= WHOLE // self.budget.grain
+        return self.units()
+
+    def units(self) -> list[int]:
+        held = [b.part(self.now, SET_UPS) for b in self.borrowers]
+        assert all(parts % self.budget.grain == 0 for parts in held)
+        return [parts // self.budget.grain for parts in held]
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(st.integers(1, 14), st.integers(1, 6), st.randoms(use_true_random=False))
+def test_of_many_who_go_on_asking_for_few_units_each_has_one_in_its_turn(
+    gateways: int, units: int, chance: random.Random
+) -> None:
+    some = Asking(gateways, units)
+    most = {me: chance.randint(1, 8) for me in range(gateways)}
+    within = math.ceil(gateways / units) * (LOAN + 5 * PERIOD)
+    last = dict.fromkeys(range(gateways), some.now)
+    for _ in range(200):
+        held = some.round({me: chance.randint(1, wants) for me, wants in most.items()})
+        for me, has in enumerate(held):
+            if has:
+                last[me] = some.now
+            assert some.now - last[me] <= within + PERIOD, (me, gateways, units)
+
+
+def test_units_go_to_those_who_want_most_and_idle_ones_hold_none() -> None:
+    some = Asking(10, 3)
+    wanted = {m: units * some.budget.grain for m, units in {1: 1, 4: 9, 5: 9, 7: 9}.items()}
+    first = some.lender.turns[0].order(T, wanted, {}, {})
+    loans = divided(WHOLE, {}, wanted, some.budget.grain, first)
+    assert loans == {1: 0, 4: WHOLE // 3, 5: WHOLE // 3, 7: WHOLE // 3}
+    for _ in range(4):
+        held = some.round({4: 9, 5: 9, 7: 9})
+    assert held == [0, 0, 0, 0, 1, 1, 0, 1, 0, 0]
+    for _ in range(5):
+        held = some.round({1: 1, 2: 1})  # the others have nothing to do any more
+    assert held[1] >= 1 and held[2] >= 1 and sum(held) == 3
+    for _ in range(5):
+        held = some.round({0: 1, 3: 1, 8: 1})
+    assert [held[0], held[3], held[8]] == [1, 1, 1]
+
+
+def test_who_wants_one_unit_keeps_it_for_a_turn_though_others_come_to_want_more() -> None:
+    some = Asking(4, 1)
+    for _ in range(3):
+        held = some.round({0: 1})
+    assert held == [1, 0, 0, 0]
+    began = some.now
+    while some.units()[0]:
+        some.round({0: 1, 1: 50, 2: 40})
+    assert some.now - began <= LOAN + PERIOD, "not for longer where others wait"
+    for _ in range(4):
+        held = some.round({0: 1, 1: 50, 2: 40})
+    assert held == [0, 1, 0, 0]
+
+
+def test_equal_ones_take_their_turns_in_another_order_under_another_lender() -> None:
+    firsts = set()
+    for term in range(1, 5):
+        some = Asking(4, 1)
+        some.lender = Lender(T - 100.0, term, [some.budget], {}, [WHOLE], range(4), [DIGEST], LOAN)
+        order = some.lender.turns[0].order(T, dict.fromkeys(range(4), WHOLE), {}, {})
+        firsts.add(order[0])
+    assert firsts == {0, 1, 2, 3}
+
+
+# ---- where nothing is lent ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("set_ups", [1, 2, 7, 100, 6000])
+def test_a_site_that_lends_nothing_divides_its_set_ups_in_whole_ones(set_ups: int) -> None:
+    some = site()
+    gateways = [GatewayRecord(name=f"g{n}", at="127.0.0.1:1") for n in range(9)]
+    door = msgspec.structs.replace(some.door, set_ups=float(set_ups))
+    some = msgspec.structs.replace(some, gateways=gateways, door=door)
+    each = []
+    for g in gateways:
+        rest, own = own_shares(some, g.name)
+        part = Part(1.0)
+        part.told(rest, {}, 0.0, own)
+        each.append(part.things(T, SET_UPS, set_ups))
+        assert rest == pytest.approx(1 / 9)
+    assert sum(each) == set_ups and max(each) - min(each) <= 1
+
+
+def test_a_small_rate_lets_one_in_after_its_time_and_at_most_one_at_each_of_many_at_once() -> None:
+    """Of two a second, 550 gateways have a 275th each: one lets somebody in every 275 s. All that have been
+    idle for so long let one in each: 550 at once, as the page of budgets says."""
+    own = own_parts(RATE, 1.0, names_of(550))["g0"] / WHOLE
+    part, rates = Part(own), PackageRates()
+    rates.changed({"live": 2.0})
+    assert rates.wait(T, "live", part) == pytest.approx(275.0, rel=1e-3)
+    let = [at for at in range(5, 1500, 5) if not rates.wait(T + at, "live", part)]
+    assert len(let) == 5 and all(275 <= b - a <= 280 for a, b in zip([0, *let], let, strict=False))
+    assert rates.wait(T + 9000.0, "live", part) == 0.0 and rates.wait(T + 9000.0, "live", part) > 200.0
