--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -20,13 +20,22 @@
 
 from benchmarks.owners import FRAME, Crowd, shaken
 from ledgehitch.budgets.borrower import Borrower
-from ledgehitch.budgets.facts import WHOLE, Budget, digest_of, loan_of
+from ledgehitch.budgets.facts import (
+    WHOLE,
+    Budget,
+    budgets_of,
+    digest_of,
+    loan_of,
+    parts_used,
+    parts_wanted,
+)
 from ledgehitch.budgets.lender import Lender
 from ledgehitch.budgets.units import may_be_lent, own_parts
 from ledgehitch.budgets.words import FIRST, Words, read, written
+from ledgehitch.door.decide import ROOM
 from ledgehitch.door.limits import Asked
 from ledgehitch.door.part import Part
-from ledgehitch.door.rates import PackageRates, budget_of
+from ledgehitch.door.rates import SET_UPS, PackageRates, budget_of
 from ledgehitch.owners.facts import BUDGETS
 from ledgehitch.owners.words import NOBODY
 from ledgehitch.rehearsal.fleet import FleetRig
@@ -34,16 +43,23 @@
 
 PACKAGE = "live"
 UNIT = Budget(budget_of(PACKAGE), "rate")
+TAKES = 0.05  # seconds of a set-up
 
 
 class Sharing(Crowd):
     """Members that ask for loans beside electing their owner; offers come to each by chance."""
 
     def __init__(self, members: int, a_second: float, own_part: float = 0.1, seed: int = 1, loss: float = 0.0,
-                 static: bool = False) -> None:  # fmt: skip
+                 static: bool = False, set_ups: int = 0) -> None:  # fmt: skip
+        """`set_ups`: at once, of all; 0: no limit. One takes `TAKES` seconds, and nobody waits for one."""
         names = tuple(f"g{n}" for n in range(members))
-        self.digest, self.pool = digest_of([UNIT], own_part, names), may_be_lent(UNIT, own_part)
-        self.own = own_parts(UNIT, own_part, names)[names[0]]  # a rate's: the same of all
+        self.budgets = tuple(b for b in budgets_of({PACKAGE: a_second}, set_ups, TAKES))
+        self.digest = digest_of(self.budgets, own_part, names)
+        self.pool = [may_be_lent(b, own_part) for b in self.budgets]
+        each = [own_parts(b, own_part, names) for b in self.budgets]
+        self.own = {n: tuple(own[name] for own in each) for n, name in enumerate(names)}
+        self.set_ups, self.out = set_ups, dict[int, list[float]]()  # ends of set-ups, by gateway
+        self.most = dict.fromkeys(range(members), 0)  # set-ups wanted at once since it asked last
         self.static, self.a_second = static, a_second
         self.borrowers: dict[int, Borrower] = {}
         self.parts: dict[int, Part] = {}
@@ -69,8 +85,10 @@
         super().start(n, disk)
         if n not in self.borrowers:
             life = self.chance.getrandbits(32)
-            self.borrowers[n] = Borrower([UNIT], [self.own], life, [self.digest], loan_of(self.lease))
-            self.parts[n] = Part(1.0 / self.n if self.static else self.own / WHOLE)
+            self.borrowers[n] = Borrower(self.budgets, self.own[n], life, [self.digest], loan_of(self.lease))
+            self.parts[n] = Part(1.0 / self.n)
+            if not self.static:
+                self._tell(n)
             self.rates_of[n], self.asked[n] = PackageRates(), Asked()
             self.rates_of[n].changed({PACKAGE: self.a_second})
 
@@ -90,13 +108,32 @@
             self.asked[n].asked(self.now)
             if not self.single.wait(self.now, PACKAGE, self.all_of_it):
                 self.best.append(self.now)
-            if not self.rates_of[n].wait(self.now, PACKAGE, self.parts[n]):
+            if not self.rates_of[n].wait(self.now, PACKAGE, self.parts[n]) and self._set_up(n):
                 self.let.append((self.now, n))
         if self.static:
             return
         for n in live:
             self._asks(n)
-        self.over = max(self.over, sum(b.part(self.now, UNIT.name) for b in self.borrowers.values()) / WHOLE)
+        for budget in self.budgets:
+            parts = sum(b.part(self.now, budget.name) for b in self.borrowers.values())
+            self.over = max(self.over, parts / WHOLE)
+
+    def _set_up(self, n: int) -> bool:
+        """Whether one may be begun at this gateway now, and has been."""
+        if not self.set_ups:
+            return True
+        out = self.out[n] = [end for end in self.out.get(n, []) if end > self.now]
+        self.most[n] = max(self.most[n], len(out) + 1)
+        if len(out) >= self.parts[n].things(self.now, SET_UPS, self.set_ups):
+            return False
+        out.append(self.now + TAKES)
+        return True
+
+    def _tell(self, n: int) -> None:
+        b = self.borrowers[n]
+        lent = {x.name: b.loans[i] / WHOLE for i, x in enumerate(self.budgets)}
+        own = {x.name: b.own[i] / WHOLE for i, x in enumerate(self.budgets)}
+        self.parts[n].told(0.0, lent, b.until, own)
 
     def _asks(self, n: int) -> None:
         one, b = self.all[n], self.borrowers[n]
@@ -104,15 +141,21 @@
         owner, term = one.owner_of(self.now, BUDGETS)
         if owner == n and (n not in self.lenders or self.lenders[n].term != term):
             loan = loan_of(self.lease)
-            own = {m: (self.own,) for m in range(self.n)}
-            self.lenders[n] = Lender(self.now, term, [UNIT], own, [self.pool], range(self.n), [self.digest],
-                                     loan)  # fmt: skip
+            self.lenders[n] = Lender(self.now, term, self.budgets, self.own, self.pool, range(self.n),
+                                     [self.digest], loan)  # fmt: skip
         if owner == NOBODY:
             return
-        wanted = min(WHOLE, int(self.asked[n].at(self.now) / self.a_second * WHOLE))
-        words = b.asks(self.now, term, {}, {UNIT.name: wanted})
+        wanted = {UNIT.name: min(WHOLE, int(self.asked[n].at(self.now) / self.a_second * WHOLE))}
+        used = dict[str, int]()
+        if self.set_ups:
+            most = self.most[n] * ROOM + 1.0 if self.most[n] else 0.0
+            wanted[SET_UPS] = parts_wanted(self.budgets[1], min(1.0, most / self.set_ups))
+            out = sum(end > self.now for end in self.out.get(n, []))
+            used[SET_UPS] = parts_used(self.budgets[1], out / self.set_ups)
+        words = b.asks(self.now, term, used, wanted)
         if words is None:
             return
+        self.most[n] = 0
         if owner == n:
             self._taken(n, self._answer(n, n, words))
         else:
@@ -138,7 +181,7 @@
         b = self.borrowers[n]
         if words is not None and b.lent(self.now, words):
             self.rates_of[n].gather(self.now, self.parts[n])
-            self.parts[n].told(b.own[0] / WHOLE, {UNIT.name: b.loans[0] / WHOLE}, b.until)
+            self._tell(n)
 
     def _hears(self, to: int, sender: int, data: bytes) -> None:
         if data[0] < FIRST:
@@ -225,6 +268,29 @@
     return out
 
 
+def cut_off(set_ups: int = 30, seconds: float = 20.0) -> dict[str, Any]:
+    """Of the fleet's rate, what is let in by those who are cut off and by the rest, where set-ups at once are
+    few: what is of its own is a fraction of a rate, and whole set-ups."""
+    out: dict[str, Any] = {"set_ups": set_ups}
+    for members, number in ((6, 3), (20, 9), (20, 10)):
+        some = Sharing(members, min(400.0, 20.0 * members), set_ups=set_ups)
+        some.settled()
+        before = some.in_use(some.now - 5.0, some.now)
+        lender = some.owners(BUDGETS)[0]
+        cut = set([n for n in range(members) if n != lender][:number])
+        some.part(cut)
+        some.run(20.0 + seconds, 0.05)
+        few = sum(n in cut and t >= some.now - seconds for t, n in some.let) / seconds / some.a_second
+        out[f"{number} of {members} cut off"] = {
+            "before": round(before, 3), "by them": round(few, 4),
+            "by the rest": round(some.in_use(some.now - seconds, some.now) - few, 4),
+            "own units: theirs, the rest's": [sum(some.parts[n].things(1e9, SET_UPS, set_ups) for n in ns)
+                                              for ns in (cut, set(range(members)) - cut)],
+            "most_parts": round(some.over, 6),
+        }  # fmt: skip
+    return out
+
+
 def uneven(members: int = 40) -> dict[str, Any]:
     """One gateway in ten gets half of the load; then the load jumps to others. Beside parts of 1/n, and one
     that lets in for all by the same rate. By load, as a part of the whole."""
@@ -385,7 +451,7 @@
 
 def main(parts: Sequence[str]) -> None:
     calls: dict[str, Callable[..., Any]] = {
-        "deaths": deaths, "own": own, "uneven": uneven, "bytes": sizes, "states": states,
+        "deaths": deaths, "own": own, "cut_off": cut_off, "uneven": uneven, "bytes": sizes, "states": states,
         "joins": joins, "halves": halves, "scripts": scripts}  # fmt: skip
     for part in parts or tuple(calls):
         name, *numbers = part.split(":")
--- a/ledgehitch/budgets/facts.py
+++ b/ledgehitch/budgets/facts.py
@@ -6,10 +6,10 @@
 
 from blake3 import blake3
 
-from ledgehitch.door.part import WHOLE, grain_of
+from ledgehitch.door.part import WHOLE as WHOLE
+from ledgehitch.door.part import grain_of
 from ledgehitch.door.rates import SET_UPS, budget_of
 
-__all__ = ["WHOLE", "Budget"]
 OWN_PART = 0.1  # of the whole that is not lent; `docs/budgets.md` has the table it was chosen by
 OF_LEASE = 1.25  # of a lease that a loan lasts, from when the borrower asked
 ASKS = 8  # questions of a borrower in a loan's time
