--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,11 +1,13 @@
 """The page on capacity: kept results, fits, tables made from them."""
 
+import math
 from pathlib import Path
 
 import pytest
 
 from ledgehitch.config import BadInput
 from ledgehitch.scale.facts import Kept, Machine, Point, read_all, read_kept, write_kept
+from ledgehitch.scale.slopes import ONE_POINT, NoSlope, fitted, headroom, two_sizes_only
 
 
 def point(size: float, **figures: float) -> Point:
@@ -56,3 +58,46 @@
         read_kept(path)
     with pytest.raises(BadInput, match="no directory of kept results"):
         read_all(tmp_path / "none")
+
+
+# ---- slopes ------------------------------------------------------------------------------------------------
+
+
+def test_a_line_through_points_that_lie_on_one_is_that_line() -> None:
+    line = fitted([(100, 250.0), (200, 450.0), (400, 850.0)])
+    assert (line.slope, line.intercept) == (pytest.approx(2.0), pytest.approx(50.0))
+    assert line.largest == pytest.approx(0.0, abs=1e-9) and line.rms == pytest.approx(0.0, abs=1e-9)
+    assert line.sizes == (100, 200, 400) and line.points == 3
+    assert line.at(550) == pytest.approx(1150.0)
+    assert line.beyond(550) == pytest.approx(1.375) and line.beyond(300) == 1.0
+
+
+def test_points_beside_the_line_are_its_residual() -> None:
+    # By hand: means 2 and 4, slope ((-1)(-3) + 0 + (1)(1)) / 2 = 2, so the line passes 2, 4, 6.
+    line = fitted([(1, 1.0), (2, 6.0), (3, 5.0)])
+    assert (line.slope, line.intercept) == (pytest.approx(2.0), pytest.approx(0.0))
+    assert line.largest == pytest.approx(2.0 / 4.0)  # 6 where the line has 4; the others are off by 1
+    assert line.rms == pytest.approx((6.0 / 3.0) ** 0.5 / 4.0)
+
+
+def test_several_points_at_one_size_count_each_and_weigh_the_line() -> None:
+    line = fitted([(1, 0.0), (1, 2.0), (3, 5.0), (3, 5.0)])
+    assert (line.slope, line.intercept) == (pytest.approx(2.0), pytest.approx(-1.0))
+    assert line.points == 4 and two_sizes_only(line)
+
+
+@pytest.mark.parametrize(("points", "told"), [
+    ([(100, 1.0)], ONE_POINT), ([(100, 1.0), (100, 3.0)], ONE_POINT), ([], "not measured"),
+    ([(1, 1.0), (2, math.nan)], "no number"), ([(1, 1.0), (math.inf, 2.0)], "no number"),
+])  # fmt: skip
+def test_nothing_is_worked_out_from_one_size_or_from_no_number(
+    points: list[tuple[float, float]], told: str
+) -> None:
+    with pytest.raises(NoSlope, match=told):
+        fitted(points)
+
+
+def test_headroom_is_allowed_over_needed() -> None:
+    assert headroom(0.014, 0.028) == pytest.approx(0.5)
+    assert headroom(24_000, 8_000) == pytest.approx(3.0)
+    assert headroom(1.0, 0.0) == math.inf
