--- a/ledgehitch/cli/main.py
+++ b/ledgehitch/cli/main.py
@@ -29,6 +29,7 @@
     "config": ("config", "config"),
     "quality": ("quality", "quality"),
     "lab": ("lab", "lab"),
+    "scale": ("scale", "scale"),
 }
 
 
--- /dev/null
+++ b/ledgehitch/scale/hollow.py
@@ -0,0 +1,220 @@
+"""A process of hollow gateways: the classes of control that a daemon runs, without viewers and servers.
+
+Each has its own socket, keys, state files and tasks, as in a daemon; a stand-in for its doorman says what it
+needs. To others it is a member like any.
+"""
+
+import gc
+import json
+import os
+import signal
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from ledgehitch.config import Site
+from ledgehitch.config.site import lends
+from ledgehitch.daemon.budgeting import Budgeting
+from ledgehitch.daemon.membership import Membership
+from ledgehitch.daemon.owning import Owning, Work
+from ledgehitch.door.rates import SET_UPS, budget_of
+from ledgehitch.gateway.doorman import Doorman
+from ledgehitch.gateway.serve import peer_ring
+from ledgehitch.http import Refused, Request, Response, Server
+from ledgehitch.loop import Event, Loop, Task, endpoint
+from ledgehitch.owners.facts import BUDGETS, DUTIES
+from ledgehitch.proof.tape import Tape
+from ledgehitch.scale.relay import answer
+
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class StatedNeeds(Doorman):
+    """Says for a gateway without viewers what its door would: always the same share of each whole limit."""
+
+    def __init__(self, site: Site, share: float) -> None:
+        """`share`: of the whole fleet's limits, what this one wants."""
+        self.look: Callable[[float], None] | None = None
+        self.wanted = {budget_of(package): share for package in site.door.package_rates}
+        if site.door.set_ups:
+            self.wanted[SET_UPS] = share
+        self.part: dict[str, float] = {}
+
+    def needs(self, now: float) -> tuple[dict[str, float], dict[str, float]]:
+        return self.uses(), self.wanted
+
+    def needs_told(self) -> None:
+        """Nothing is counted since."""
+
+    def uses(self) -> dict[str, float]:
+        return {name: min(share, self.part.get(name, 0.0)) for name, share in self.wanted.items()
+                if name == SET_UPS}  # fmt: skip
+
+    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float) -> None:
+        self.part = {name: own + lent.get(name, 0.0) for name in self.wanted}
+
+
+class Noted:
+    """The work of a duty, with a line on the tape when it begins and when it ends."""
+
+    def __init__(self, loop: Loop, tape: Tape, name: str, duty: str, work: Work | None = None) -> None:
+        self.loop, self.tape, self.name, self.duty, self.work = loop, tape, name, duty, work
+
+    def run(self, term: int) -> None:
+        self._note("won", term)
+        try:
+            if self.work is not None:
+                self.work.run(term)
+            Event(self.loop).wait()
+        finally:
+            self._note("lost", term)
+
+    def _note(self, what: str, term: int) -> None:
+        self.tape.write(what, gateway=self.name, duty=self.duty, term=term)
+        self.tape.flush()
+
+    def doing(self) -> str:
+        return self.work.doing() if self.work is not None else ""
+
+
+@dataclass
+class Live:
+    """A hollow gateway that runs. `over`: set with whether it says farewell."""
+
+    membership: Membership
+    owning: Owning
+    over: Event
+    task: Task
+
+
+class Hollow:
+    def __init__(self, loop: Loop, site: Site, names: list[str], state: Path, tape: Tape, seed: int,
+                 share: float) -> None:  # fmt: skip
+        self.loop, self.site, self.state, self.tape, self.share = loop, site, state, tape, share
+        self.names, self.seed, self.ring = names, seed, peer_ring(site)
+        self.lives = dict.fromkeys(names, 0)
+        self.live: dict[str, Live] = {}
+        self.home = loop.current
+        self.empty = rss()  # bytes before the first member
+
+    # ---- members -------------------------------------------------------------------------------------------
+
+    def start(self, name: str) -> None:
+        """As a daemon puts it together; waits until it hears."""
+        if name in self.live:
+            return
+        self.lives[name] += 1
+        begun = Event(self.loop)
+        self.loop.spawn(self._run, name, begun, name=name, owner=self.home)
+        begun.wait()
+
+    def _run(self, name: str, begun: Event) -> None:
+        task, over = self.loop.current, Event(self.loop)
+        assert task is not None
+        seed = hash_of(self.seed, name, self.lives[name])
+        try:
+            membership = Membership(self.loop, self.site, name, self.ring, self.state, seed + 4)
+            owning = Owning(self.loop, self.site, name, membership, self.state, seed + 5)
+            owning.serves = lambda: True
+            budgeting: Budgeting | None = None
+            if lends(self.site):
+                needs = StatedNeeds(self.site, self.share)
+                budgeting = Budgeting(self.loop, self.site, owning, membership, needs, seed + 6)
+            for duty in DUTIES:
+                owning.work[duty] = Noted(self.loop, self.tape, name, duty,
+                                          budgeting if duty == BUDGETS else None)  # fmt: skip
+            self.live[name] = Live(membership, owning, over, task)
+        finally:
+            begun.set()
+        farewell = over.wait()
+        if farewell:
+            owning.resign()
+            membership.leave(True)
+        # A kill: first its socket, so that nothing that follows is heard by others.
+        membership.close()
+        if budgeting is not None:
+            budgeting.close()
+        owning.close()
+
+    def stop(self, name: str, farewell: bool) -> None:
+        """Killed where it says no farewell; its state files stay."""
+        if (one := self.live.pop(name, None)) is not None:
+            one.over.set(farewell)
+            one.task.wait()
+
+    # ---- what is asked of the process ----------------------------------------------------------------------
+
+    def handle(self, request: Request) -> Response:
+        told = msgspec.json.decode(request.body) if request.body else {}
+        match request.path:
+            case "/start":
+                for name in told["names"]:
+                    self.start(name)
+            case "/stop":
+                for name in told["names"]:
+                    self.stop(name, told["farewell"])
+            case "/owners":
+                return answer({duty: n for n, one in self.live.items() for duty in DUTIES
+                               if one.owning.owners.owns(one.owning.now(), duty)})  # fmt: skip
+            case "/views":
+                return answer({"wrong": self.wrong(told["up"])})
+            case "/state":
+                slow = sum(one.membership.members.lags() for one in self.live.values())
+                refused: dict[str, int] = {}
+                for one in self.live.values():
+                    for why, n in one.membership.frames.refused.items():
+                        refused[why] = refused.get(why, 0) + n
+                return answer({"live": len(self.live), "memory": rss(), "empty": self.empty, "slow": slow,
+                               "refused": refused, "failed": self.loop.failed,
+                               **self.loop.lag.taken()})  # fmt: skip
+            case _:
+                raise Refused(404, f"no such call: {request.path}")
+        return answer({"t": time.monotonic()})
+
+    def wrong(self, groups: list[str]) -> int:
+        """How many beliefs are wrong, over all members here. `groups`: a letter for each gateway, of who can
+        hear each other; "-" for one that is down. A member should take for there those of its group alone."""
+        total = 0
+        for one in self.live.values():
+            mine = groups[one.membership.members.me]
+            for n, entry in one.membership.members.roster.entries.items():
+                total += (entry.status == "alive") != (groups[n] == mine)
+        return total
+
+
+def hash_of(seed: int, name: str, life: int) -> int:
+    """A seed of its own for each life of each member."""
+    return seed * 1_000_003 + sum(ord(c) * 131**i for i, c in enumerate(name)) * 17 + life * 7919
+
+
+def rss() -> int:
+    """Bytes of this process that are in memory."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * PAGE
+
+
+def run_hollow(site: Site, names: list[str], state: Path, control: Path, tape: Path, seed: int,
+               share: float) -> int:  # fmt: skip
+    """Runs until SIGTERM; members begin when they are told to."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(2_000, 4, 1_000)  # as a daemon has it
+    loop, lines = Loop(), Tape(tape)
+
+    def main() -> int:
+        over = Event(loop)
+        restore = loop.on_signals([signal.SIGTERM, signal.SIGINT], over.set)
+        hollow = Hollow(loop, site, names, state, lines, seed, share)
+        Server(loop, endpoint(f"unix:{control}"), hollow.handle)
+        print(json.dumps({"control": str(control)}), flush=True)
+        over.wait()
+        restore()
+        return 0
+
+    try:
+        return int(loop.run(main))
+    finally:
+        lines.close()
--- a/ledgehitch/standins/wires.py
+++ b/ledgehitch/standins/wires.py
@@ -56,6 +56,8 @@
         self.waiting: list[Step] = []
         self.lent_late = 0.0  # seconds that each answer of a lender waits on its way
         self.datagrams = self.steps = self._on_their_way = 0
+        # Told of each datagram that set out ("out", by whom) and that was handed over ("in", to whom).
+        self.seen: Callable[[str, int, bytes], None] | None = None
         self._let_go = Event(loop)
         self._client = Client(loop)
         self._servers: list[Server] = []
@@ -66,12 +68,15 @@
             self.loop.spawn(self._carry, names, name, Datagrams(self.loop, via), to, name=f"wire to {name}")
 
     def _carry(self, names: list[str], name: str, socket: Datagrams, to: Endpoint) -> None:
+        number = names.index(name)
         while True:
             data, _ = socket.receive()
             sender = ENDS.unpack_from(data, 4)[0] if len(data) >= 8 else len(names)
             if sender >= len(names) or self._on_their_way >= MOST_ON_THEIR_WAY:
                 continue
             self.datagrams += 1
+            if self.seen is not None:
+                self.seen("out", sender, data)
             loan = self._of_budgets(data)
             if loan is not None and loan.kind == "want":
                 self.tape.write("want", who=names[sender], to=name, term=loan.term, life=loan.life,
@@ -83,6 +88,8 @@
                     self.tape.write("lent", who=names[sender], to=name, term=loan.term, life=loan.life,
                                     sequence=loan.sequence, number=loan.number, seconds=loan.seconds,
                                     loans=loan.loans)  # fmt: skip
+                if self.seen is not None:
+                    self.seen("in", number, data)
                 socket.send(data, to)
 
             for late in self.cuts.arrives(names[sender], name):
