--- a/ledgehitch/scale/hollow.py
+++ b/ledgehitch/scale/hollow.py
@@ -7,6 +7,7 @@
 import gc
 import json
 import os
+import random
 import signal
 import time
 from collections.abc import Callable, Mapping
@@ -114,7 +115,7 @@
     def _run(self, name: str, begun: Event) -> None:
         task, over = self.loop.current, Event(self.loop)
         assert task is not None
-        seed = hash_of(self.seed, name, self.lives[name])
+        seed = seed_of(self.seed, name, self.lives[name])
         try:
             membership = Membership(self.loop, self.site, name, self.ring, self.state, seed + 4)
             owning = Owning(self.loop, self.site, name, membership, self.state, seed + 5)
@@ -185,9 +186,9 @@
         return total
 
 
-def hash_of(seed: int, name: str, life: int) -> int:
+def seed_of(seed: int, name: str, life: int) -> int:
     """A seed of its own for each life of each member."""
-    return seed * 1_000_003 + sum(ord(c) * 131**i for i, c in enumerate(name)) * 17 + life * 7919
+    return random.Random(f"{seed}/{name}/{life}").getrandbits(32)
 
 
 def rss() -> int:
