--- a/ledgehitch/scale/hollow.py
+++ b/ledgehitch/scale/hollow.py
@@ -63,14 +63,17 @@
 
     def __init__(self, loop: Loop, tape: Tape, name: str, duty: str, work: Work | None = None) -> None:
         self.loop, self.tape, self.name, self.duty, self.work = loop, tape, name, duty, work
+        self.owned = False
 
     def run(self, term: int) -> None:
+        self.owned = True
         self._note("won", term)
         try:
             if self.work is not None:
                 self.work.run(term)
             Event(self.loop).wait()
         finally:
+            self.owned = False
             self._note("lost", term)
 
     def _note(self, what: str, term: int) -> None:
@@ -86,7 +89,7 @@
     """A hollow gateway that runs. `over`: set with whether it says farewell."""
 
     membership: Membership
-    owning: Owning
+    work: dict[str, "Noted"]
     over: Event
     task: Task
 
@@ -124,10 +127,10 @@
             if lends(self.site):
                 needs = StatedNeeds(self.site, self.share)
                 budgeting = Budgeting(self.loop, self.site, owning, membership, needs, seed + 6)
-            for duty in DUTIES:
-                owning.work[duty] = Noted(self.loop, self.tape, name, duty,
-                                          budgeting if duty == BUDGETS else None)  # fmt: skip
-            self.live[name] = Live(membership, owning, over, task)
+            work = {duty: Noted(self.loop, self.tape, name, duty, budgeting if duty == BUDGETS else None)
+                    for duty in DUTIES}  # fmt: skip
+            owning.work.update(work)
+            self.live[name] = Live(membership, work, over, task)
         finally:
             begun.set()
         farewell = over.wait()
@@ -158,8 +161,8 @@
                 for name in told["names"]:
                     self.stop(name, told["farewell"])
             case "/owners":
-                return answer({duty: n for n, one in self.live.items() for duty in DUTIES
-                               if one.owning.owners.owns(one.owning.now(), duty)})  # fmt: skip
+                return answer({duty: name for name, one in self.live.items()
+                               for duty, work in one.work.items() if work.owned})  # fmt: skip
             case "/views":
                 return answer({"wrong": self.wrong(told["up"])})
             case "/state":
--- a/ledgehitch/scale/plan.py
+++ b/ledgehitch/scale/plan.py
@@ -120,12 +120,8 @@
 
 def seats(plan: Plan) -> list[Seat]:
     """All members in the order of the site: zones one after the other, real members spread over them, hollow
-    processes holding members of all zones. The one that should lend to the others is real, so that what a
-    lender takes is seen at a process of its own."""
-    n, real = plan.members, set[int]()
-    if plan.real:
-        lender = rank(BUDGETS, [f"g{i}" for i in range(n)])[0]
-        real = {(lender + j * n // plan.real) % n for j in range(plan.real)}
+    processes holding members of all zones."""
+    n, real = plan.members, _real(plan)
     region_of = {zone: region for region, some in plan.regions.items() for zone in some}
     found, hollow = list[Seat](), 0
     in_zone = dict[str, int]()
@@ -140,6 +136,22 @@
     return found
 
 
+def _real(plan: Plan) -> set[int]:
+    """The numbers of the real members. Those that should lend to all and to their regions are among them, so
+    that what a lender takes is seen at a process of its own; the others fill up zones."""
+    zones = [i * plan.zones // plan.members for i in range(plan.members)]
+    order = rank(BUDGETS, [f"g{i}" for i in range(plan.members)])
+    firsts = [order[0]]
+    for some in plan.regions.values():
+        firsts += [i for i in order if f"z{zones[i]}" in some][:1]
+    real = set(list(dict.fromkeys(firsts))[: plan.real])
+    while len(real) < min(plan.real, plan.members):
+        have = [zones[i] for i in sorted(real)]
+        free = [i for i in range(plan.members) if i not in real]
+        real.add(min(free, key=lambda i: (have.count(zones[i]), i)))
+    return real
+
+
 def meant(who: str, all_of: list[Seat], owners: Mapping[str, str] | None = None) -> list[str]:
     """The members that a fault names. `owners`: by duty, where it names one of them. Raises `BadInput`."""
     kind, _, which = who.partition(" ")
