--- a/ledgehitch/cli/scale.py
+++ b/ledgehitch/cli/scale.py
@@ -56,6 +56,18 @@
     sys.exit(0 if came.good() else 1)
 
 
+@scale.command()
+@click.option("--docs", type=click.Path(path_type=Path), default=Path("docs"), show_default=True)
+@click.option("--check", is_flag=True, help="Writes nothing; exit code 1 where the page is another.")
+def report(docs: Path, check: bool) -> None:
+    """Makes the tables of DOCS/CAPACITY.md from DOCS/capacity: kept results and the target."""
+    from ledgehitch.scale.report import PAGE, written
+
+    same = written(docs, check)
+    click.echo(f"{docs / PAGE}: {'as it was' if same else 'another' if check else 'written'}")
+    sys.exit(1 if check and not same else 0)
+
+
 def _show(kept: Kept) -> None:
     table = Table("phase", "role", "mechanism", "kind", "figures", box=None)
     for p in kept.points:
