--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -57,7 +57,7 @@
         self.loop, self.name = loop, name
         self.lines: list[Stream] = []
         self.plays: list[str] = []
-        self.rates = 0
+        self.rates = self.tests = 0
         self.listener = Listener(loop, endpoint("127.0.0.1:0"))
         loop.spawn(self._serve, name=name)
 
@@ -76,6 +76,7 @@
                         self.plays.append(tag)
                         stream.send(hostline.written("STARTED", tag, {"load": "x0:0.1;active:1"}, None, BLOB))
                     elif verb == "ECHO":
+                        self.tests += 1
                         stream.send(hostline.written("ECHOED", tag, {"load": "x0:0.1;active:1"}, 1))
                     elif verb == "RATE":
                         self.rates += 1
@@ -179,7 +180,14 @@
         self._point("set-ups", took, cpu_s_per_set_up=round((cpu_of(pid) - cpu) / self.clients, 7))
         self.loop.sleep(4.0)  # what came with the set-ups is over
 
+        tests = sum(h.tests for h in self.hosts)
         idle = self._cpu_a_second(pid, 10.0)
+        lines = [len(h.lines) for h in self.hosts if h.plays]
+        told: dict[str, float] = {"connections": sum(lines) / len(lines),
+                                  "messages_per_s": (sum(h.tests for h in self.hosts) - tests) / 10.0 / HOSTS}
+        self.points.append(
+            Point(role="server", mechanism="connections", phase="idle", size=1, size_unit="gateways",
+                  figures=told, load1=load_now(), seconds=10.0))  # fmt: skip
         held = (memory_of(pid) - bare) / self.clients
         self._point("idle", 10.0, cpu_s_per_s=round(idle, 5), bytes_per_connection=round(held),
                     memory_bytes=memory_of(pid) - bare)  # fmt: skip
--- a/ledgehitch/scale/needs.py
+++ b/ledgehitch/scale/needs.py
@@ -14,7 +14,7 @@
 from ledgehitch.scale.slopes import Line, NoSlope, fitted, headroom
 from ledgehitch.scale.target import Failure, Target
 
-Unit = Literal["core", "bytes", "bytes/s", "s", "messages/s"]
+Unit = Literal["core", "bytes", "bytes/s", "s", "messages/s", "connections"]
 NONE_YET = "none yet"
 UNMEASURED = "not measured"
 ENOUGH = 0.90  # of the whole let in while regions are apart: what the mechanism for it has to reach
@@ -215,4 +215,5 @@
         return "confirmed" if now <= 0.01 else "corrected"
     if before.low / before.by <= now <= before.high * before.by:
         return "confirmed"
-    return f"corrected: {now / (before.high if now > before.high else before.low):.1f} times it"
+    times = now / (before.high if now > before.high else before.low)
+    return f"corrected: {times:.2g} times it"
--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -60,7 +60,7 @@
         return scaled(value, unit.replace("bytes", "B"))
     if unit == "s":
         return f"{digits(value)} s" if value >= 1.0 else scaled(value, "s")
-    return f"{digits(value)} {unit}".strip()
+    return f"{digits(value)} {unit}".strip()  # a plain count, or one of things
 
 
 def percent(value: float) -> str:
--- a/ledgehitch/scale/tables.py
+++ b/ledgehitch/scale/tables.py
@@ -58,7 +58,8 @@
 )  # fmt: skip
 
 Limit = Callable[[Target], float]
-OF_CONTROL: dict[str, tuple[str, Unit, Limit]] = {
+OF_CONTROL: dict[str, tuple[str, Unit, Limit | None]] = {
+    "messages_out_per_s": ("messages out", "messages/s", None),
     "cpu_s_per_s": ("CPU", "core", lambda t: t.control.cpu_s_per_s),
     "bytes_per_s": ("bytes out and in, with heads", "bytes/s", lambda t: t.control.bytes_per_s),
     "memory_bytes": ("memory", "bytes", lambda t: t.control.memory_bytes),
@@ -81,20 +82,23 @@
           "zone-lost": "a zone lost", "region-lost": "a region lost",
           "regions-apart": "regions apart"}  # fmt: skip
 GATEWAYS_CONTROL = "gateway's control"
+LIMITED = ("cpu_s_per_s", "bytes_per_s", "memory_bytes")
 CONTROL = (
     *_control(GATEWAYS_CONTROL, "virtual", "membership", "quiet", "membership, virtual time, quiet",
-              ("cpu_s_per_s", "bytes_per_s"), MEMBERS),
+              ("cpu_s_per_s", "bytes_per_s", "messages_out_per_s"), MEMBERS),
     *_control(GATEWAYS_CONTROL, "virtual", "membership", "sixth-killed", "membership, virtual time, a sixth "
               "killed at once", ("cpu_s_per_s", "bytes_per_s"), MEMBERS),
     *_control(GATEWAYS_CONTROL, "virtual", "membership", "start-of-all", "membership, virtual time, start of "
               "all", ("cpu_s_per_s", "bytes_per_s"), MEMBERS),
     *_control(GATEWAYS_CONTROL, "virtual", "owners", "quiet", "leases, virtual time, quiet",
-              ("cpu_s_per_s", "bytes_per_s"), OWNERS),
+              ("cpu_s_per_s", "bytes_per_s", "messages_out_per_s"), OWNERS),
     *_control(GATEWAYS_CONTROL, "virtual", "owners", "start-of-all", "leases, virtual time, start of all",
               ("cpu_s_per_s", "bytes_per_s"), OWNERS),
     *[need for phase, words in PHASES.items()
       for need in _control(GATEWAYS_CONTROL, "real", "all", phase, f"all of it, real members, {words}",
-                           tuple(OF_CONTROL), ALL)],
+                           LIMITED, ALL)],
+    *_control(GATEWAYS_CONTROL, "real", "all", "quiet", "all of it, real members, quiet",
+              ("messages_out_per_s",), ALL),
     Need(GATEWAYS_CONTROL, "a changed site checked by each, CPU",
          Select("call", "control", "configuration", "check"), "cpu_s_per_change", "core",
          lambda t: float(t.gateways), f"each evaluates all of it (`config/`); what carries a change to all: "
@@ -115,7 +119,7 @@
          Select("virtual", "owner", "budgets", "quiet"), "lender_cpu_s_per_s", "core",
          lambda t: float(t.gateways), BUDGETS, lambda t: t.control.cpu_s_per_s),
     *_control("owner of duties", "real", "all", "quiet", "a real owner, all of its control, quiet",
-              tuple(OF_CONTROL), OWNERS, "owner"),
+              (*LIMITED, "messages_out_per_s"), OWNERS, "owner"),
     *_control("owner of duties", "hollow", "all", "quiet", "a hollow owner, all of its control, quiet",
               ("bytes_per_s",), OWNERS, "owner"),
     Need("owner of duties", "an owner killed, until there is another (a bound of two leases and a second)",
@@ -142,8 +146,10 @@
     Need(PATH, "one whole list read, the loop stands still, s",
          Select("call", "discovery", "list", "whole-list"), "read_cpu_s", "s",
          lambda t: float(t.readings.servers), "`gateway/roll.py`, `brain.py`", lambda t: t.delivery_within_s),
-    Need("server", "connections and set-ups of all gateways, CPU", Select("real", "server", "connections",
-         "idle"), "cpu_s_per_s", "core", lambda t: float(t.gateways), "servers are not ours"),
+    Need("server", "connections from all gateways", Select("real", "server", "connections", "idle"),
+         "connections", "connections", lambda t: float(t.gateways), "servers are not ours"),
+    Need("server", "tests from all gateways", Select("real", "server", "connections", "idle"),
+         "messages_per_s", "messages/s", lambda t: float(t.gateways), "servers are not ours"),
     Need("operator's tool", "`fleet status` of all, time",
          Select("call", "operator", "fleet-status", "status"), "seconds", "s",
          lambda t: float(t.gateways), "`fleet/carry.py`", lambda t: t.readings.tool_within_s),
