--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -200,7 +200,7 @@
         out[name] = seconds, each(crowd.bytes, crowd.messages, cpu() - began, size, seconds)
 
     phase("start-of-all", 25.0)
-    crowd.run(15.0)
+    crowd.run(75.0)  # guards against news of the start in what is to be quiet: at 400 it is not over in 40 s
     phase("quiet", 30.0)
     dead = list(range(0, size, 6))
     for n in dead:
--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -42,10 +42,12 @@
         rig.owner("budgets", within=90.0)
         rig.loop.sleep(3.0 * rig.lease)
     began = time.monotonic()
-    rig.by_fleet("--settle", "1")
+    # Viewers ask for three times what is let in: most are refused, which must not stop the plan.
+    rig.by_fleet("--settle", "1", "--worse", "1", "--failures", "5", "--back-within", "60")
     rig.until(lambda: rig.plan() in ("ended", "stopped"), 400.0, 0.5)
     if rig.plan() != "ended":
-        raise SystemExit(f"the plan of restarts is {rig.plan()}")
+        print(f"restarts: not measured, the plan is {rig.plan()}: {rig.fleet('plan', 'status')[1]}")
+        return
     rig.loop.sleep(2.0 * rig.lease)
     spans["restarted"] = began, time.monotonic(), GATEWAYS
 
--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -57,7 +57,8 @@
     if unit == "core":
         return f"{digits(100.0 * value)}% of a core" if value < 10.0 else f"{digits(value)} cores"
     if unit in ("bytes", "bytes/s"):
-        return scaled(value, unit.replace("bytes", "B"))
+        words = unit.replace("bytes", "B")
+        return scaled(value, words) if abs(value) >= 1.0 else f"{digits(value)} {words}"
     if unit == "s":
         return f"{digits(value)} s" if value >= 1.0 else scaled(value, "s")
     return f"{digits(value)} {unit}".strip()  # a plain count, or one of things
@@ -91,7 +92,8 @@
     formula, residual = row.why or "-", "-"
     if row.line is not None:
         one = "s" if need.unit == "core" else need.unit
-        formula = f"{shown(row.line.intercept, one)} + {shown(row.line.slope, one)} x {unit}"
+        sign = "-" if row.line.slope < 0.0 else "+"
+        formula = f"{shown(row.line.intercept, one)} {sign} {shown(abs(row.line.slope), one)} x {unit}"
         residual = f"{percent(row.line.largest)}, {percent(row.line.rms)}"
         if two_sizes_only(row.line):
             residual = "two sizes: none"
--- a/ledgehitch/scale/tables.py
+++ b/ledgehitch/scale/tables.py
@@ -78,8 +78,8 @@
 
 MEMBERS, OWNERS, BUDGETS = "membership (`members/`)", "leases (`owners/`)", "loans (`budgets/`)"
 ALL = "membership, leases, budgets together (`daemon/`)"
-PHASES = {"quiet": "quiet", "restarts": "a day's restarts in ten minutes", "rack-lost": "a rack lost",
-          "zone-lost": "a zone lost", "region-lost": "a region lost",
+PHASES = {"start": "start of all", "quiet": "quiet", "restarts": "a day's restarts in ten minutes",
+          "rack-lost": "a rack lost", "zone-lost": "a zone lost", "region-lost": "a region lost",
           "regions-apart": "regions apart"}  # fmt: skip
 GATEWAYS_CONTROL = "gateway's control"
 LIMITED = ("cpu_s_per_s", "bytes_per_s", "memory_bytes")
