--- a/benchmarks/cut.py
+++ b/benchmarks/cut.py
@@ -71,7 +71,8 @@
                        **{"door": DOOR, **more})  # fmt: skip
         rig.run(lambda rig: script(rig, seconds, seen))
         times, cut, heal = let_in(rig), seen["cut"], seen["heal"]
-        over = len(rig.over_budget())
+        broken = rig.over_budget()
+        over = len(broken)
         lease = rig.lease
     windows = [share(times, cut + s, cut + s + 5.0) for s in range(0, int(heal - cut) - 4)]
     # From here on to the heal no five seconds had less: the end of the worst window that is below.
@@ -91,6 +92,8 @@
     }
     if below and below[-1] >= int(heal - cut):
         del figures["enough_from_s"]  # never
+    for b in broken:
+        print(f"BROKEN: {b.promise}: {b.what}")
     print(json.dumps(figures))
     point = Point(role="owner", mechanism="budgets", phase="equal-split", size=GATEWAYS,
                   size_unit="gateways", figures=figures, load1=load_now(), seconds=seconds)  # fmt: skip
--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -58,10 +58,19 @@
         rig = FleetRig(Path(directory), GATEWAYS, halls=2, hosts=9, rate=3 * RATE, watch=0.3, lease=lease,
                        length=900.0, door=DOOR)  # fmt: skip
         rig.run(lambda rig: script(rig, spans))
-        times, over = let_in(rig), len(rig.over_budget())
+        times, broken = let_in(rig), rig.over_budget()
+    for b in broken:
+        print(f"BROKEN: {b.promise}: {b.what}", flush=True)
+    over = len(broken)
     since, until, _ = spans.pop("nothing")
     usual = sum(since <= t < until for t in times) / (until - since)  # a second, of all
     points = []
+    if "restarted" in spans:
+        began, until, _ = spans["restarted"]
+        told = {"seconds": round(until - began - 2.0 * lease, 1)}
+        points.append(Point(role="operator", mechanism="fleet-restart", phase="restart", size=GATEWAYS,
+                            size_unit="gateways", figures=told, load1=load_now(),
+                            seconds=round(until - began, 1)))  # fmt: skip
     for phase, (since, until, met) in spans.items():
         got = sum(since <= t < until for t in times)
         lost = max(0.0, (until - since) - got / usual)  # seconds of the whole
