--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -186,6 +186,22 @@
     return table(heads, rows)
 
 
+def deaths_table(book: Book, target: Target) -> str:
+    rows = []
+    for name, result in book.kept.items():
+        for p in result.points:
+            f = p.figures
+            if p.mechanism == SPLIT.mechanism and "lost_gateway_s" in f:
+                rows.append((name, p.phase.replace("-", " "), shown(f["lost_gateway_s"], "s"),
+                             percent(f["share"]), shown(p.seconds, "s"), shown(f["lease_s"], "s"),
+                             f"{f.get('windows_over_the_whole', 0):g}", digits(p.load1)))  # fmt: skip
+    if not rows:
+        return "Not measured yet."
+    heads = ("kept as", "what", "lost, of one gateway's part", "let in meanwhile, of what was before", "over",
+             "lease", "breaches of a budget, whole run", "load")  # fmt: skip
+    return table(heads, rows)
+
+
 def beside_table(book: Book, target: Target) -> str:
     """Hollow members beside real ones in the same run, by phase and size."""
     rows = []
@@ -224,7 +240,7 @@
 
 TABLES: dict[str, Callable[[Book, Target], str]] = {
     "target": target_table, "failures": failures_table, "headroom": headroom_table, "before": before_table,
-    "split": split_table, "beside": beside_table, "kept": kept_table,
+    "split": split_table, "deaths": deaths_table, "beside": beside_table, "kept": kept_table,
 }  # fmt: skip
 
 
