--- a/ledgehitch/scale/needs.py
+++ b/ledgehitch/scale/needs.py
@@ -17,6 +17,7 @@
 Unit = Literal["core", "bytes", "bytes/s", "s", "messages/s", "connections"]
 NONE_YET = "none yet"
 UNMEASURED = "not measured"
+FALLS = "its line falls to nothing before the size: nothing is worked out"
 ENOUGH = 0.90  # of the whole let in while regions are apart: what the mechanism for it has to reach
 
 
@@ -114,7 +115,10 @@
     line, needed, why = None, None, ""
     try:
         line = fitted(points)
-        needed = max(0.0, line.at(size)) * need.times(target)
+        if line.at(size) > 0.0:
+            needed = line.at(size) * need.times(target)
+        else:
+            why = FALLS
     except NoSlope as missing:
         why = str(missing)
         there = book.at(need.select, need.figure, size)
--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -65,7 +65,7 @@
 
 
 def percent(value: float) -> str:
-    return f"{digits(100.0 * value)}%" if value >= 0.0005 else "0%"
+    return f"{digits(100.0 * value)}%"
 
 
 def sizes_of(sizes: Iterable[float]) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,6 +13,7 @@
 from ledgehitch.config import BadInput
 from ledgehitch.scale.facts import Kept, Machine, Point, read_all, read_kept, write_kept
 from ledgehitch.scale.needs import (
+    FALLS,
     Before,
     Book,
     Need,
@@ -185,6 +186,12 @@
     assert row.needed is None and row.why == "not measured"
 
 
+def test_a_line_that_falls_to_nothing_before_the_size_gives_no_figure() -> None:
+    book = Book({"one": kept(point(100, cpu_s_per_s=0.02), point(200, cpu_s_per_s=0.01))})
+    row = worked_out(need(), book, read_target(TARGET))
+    assert row.line is not None and row.needed is None and row.room is None and row.why == FALLS
+
+
 def test_worst_headroom_comes_first_and_what_was_not_measured_last() -> None:
     book = Book({"one": kept(point(100, cpu_s_per_s=0.01), point(550, cpu_s_per_s=0.02))})
     needs = [need(figure="memory_bytes"), need(None), need(0.2), need(0.01), need(0.03)]
