Scale run: the start of all may be spread; a process starts its members in one turn

550 members begun at once did not come up within 60 s at load 31 (failed trial): each greets all others until they answer, 302,000 greetings a round, and on one machine all of it is carried by 8 cores.

--- a/ledgehitch/scale/hollow.py
+++ b/ledgehitch/scale/hollow.py
@@ -106,16 +106,20 @@
 
     # ---- members -------------------------------------------------------------------------------------------
 
-    def start(self, name: str) -> None:
-        """As a daemon puts it together; waits until it hears."""
-        if name in self.live:
-            return
-        self.lives[name] += 1
-        begun = Event(self.loop)
-        self.loop.spawn(self._run, name, begun, name=name, owner=self.home)
-        begun.wait()
+    def start(self, names: list[str]) -> None:
+        """All in one turn of the loop, so that none is doubted while it waits for its turn; returns when they
+        hear."""
+        all_begun = []
+        for name in names:
+            if name not in self.live:
+                self.lives[name] += 1
+                all_begun.append(Event(self.loop))
+                self.loop.spawn(self._run, name, all_begun[-1], name=name, owner=self.home)
+        for begun in all_begun:
+            begun.wait()
 
     def _run(self, name: str, begun: Event) -> None:
+        """As a daemon puts it together."""
         task, over = self.loop.current, Event(self.loop)
         assert task is not None
         seed = seed_of(self.seed, name, self.lives[name])
@@ -155,8 +159,7 @@
         told = msgspec.json.decode(request.body) if request.body else {}
         match request.path:
             case "/start":
-                for name in told["names"]:
-                    self.start(name)
+                self.start(told["names"])
             case "/stop":
                 for name in told["names"]:
                     self.stop(name, told["farewell"])
--- a/ledgehitch/scale/plan.py
+++ b/ledgehitch/scale/plan.py
@@ -14,6 +14,7 @@
 
 MOST_PROCESSES = 300  # of a run, with the copies that write votes to disk
 LONGEST = 3600.0  # seconds of a run
+START = "start"  # the phase before all others
 
 # What a run takes at most, by measurement on loopback with room to spare: for the refusal of a plan alone.
 HOLLOW_PROCESS = 80e6  # bytes of a process without members
@@ -77,7 +78,8 @@
     rack: Annotated[int, msgspec.Meta(ge=1)] = 16  # members of a rack
     regions: dict[Name, list[Name]] = {}
     lease: Annotated[float, msgspec.Meta(ge=0.5, le=600)] = 10.0
-    settle: Annotated[float, msgspec.Meta(gt=0, le=300)] = 30.0  # seconds from the start of all to the phases
+    start_over: Annotated[float, msgspec.Meta(ge=0, le=300)] = 0.0  # seconds in which all begin; 0: at once
+    settle: Annotated[float, msgspec.Meta(gt=0, le=300)] = 30.0  # seconds of the start, before the phases
     load: Load = Load()
     phases: Annotated[list[Phase], msgspec.Meta(min_length=1, max_length=40)]
 
@@ -196,8 +198,12 @@
                 wrong(f"regions.{region}", f"zone {zone!r} is in two regions")
     if plan.regions and (lone := [z for z in zones if z not in given]):
         wrong("regions", f"zone {lone[0]!r} is in none of them")
+    if plan.start_over > plan.settle:
+        wrong("start_over", f"{plan.start_over:g} s, the start is over after {plan.settle:g} s")
     all_of, names = seats(plan), list[str]()
     for i, phase in enumerate(plan.phases):
+        if phase.name == START:
+            wrong(f"phases[{i}].name", f"{START!r} is the name of the start of all")
         if phase.name in names:
             wrong(f"phases[{i}].name", f"{phase.name!r} is named twice")
         names.append(phase.name)
--- a/ledgehitch/scale/play.py
+++ b/ledgehitch/scale/play.py
@@ -15,14 +15,13 @@
 from ledgehitch.owners.facts import BUDGETS, DUTIES
 from ledgehitch.scale.facts import Kept, Point, kept_now, load_now
 from ledgehitch.scale.judge import Term, differences, over, rates, right_again, terms_of, without_owner
-from ledgehitch.scale.plan import Phase, Plan, Step, check
+from ledgehitch.scale.plan import START, Phase, Plan, Step, check
 from ledgehitch.scale.relay import MECHANISMS
 from ledgehitch.scale.rig import BARE, ScaleRig, this_machine
 
 HEADS = 28  # bytes of IPv4 and UDP around each datagram
 LOOKS = 1.0  # seconds between two looks at everybody's views
 WAITS = 180.0  # seconds that all may take to be right after the start, beyond the plan's
-START = "start"
 log = structlog.get_logger("scale")
 
 
@@ -84,7 +83,17 @@
 
     def _start_all(self) -> None:
         self.touched.update(s.name for s in self.rig.seats)
-        self.rig.start_members([s.name for s in self.rig.seats])
+        names, over = [s.name for s in self.rig.seats], self.plan.start_over
+        if not over:
+            self.rig.start_members(names)
+            return
+        self.chance.shuffle(names)
+        begun, tasks = time.monotonic(), []
+        for i, name in enumerate(names):
+            self.rig.loop.sleep(max(0.0, begun + i * over / len(names) - time.monotonic()))
+            tasks.append(self.rig.loop.spawn(self.rig.start_members, [name], name=f"start {name}"))
+        for task in tasks:
+            task.wait()
 
     def _all_right(self) -> None:
         """Guards against phases that begin while the start is not over."""
