--- a/ledgehitch/scale/rig.py
+++ b/ledgehitch/scale/rig.py
@@ -307,9 +307,14 @@
         return found
 
     def wrong_views(self) -> int:
-        """Beliefs of all that run, hollow and real, which are wrong now."""
+        """Beliefs of all that run, hollow and real, which are wrong now. Real ones are asked where the others'
+        are right."""
         groups = self.groups()
         total = sum(int(self.tell(p, "/views", {"up": groups})["wrong"]) for p in self.hollow_running())
+        if total:
+            return total
+        if BARE in self.children:
+            self.asked(f"{BARE}/{BARE}", "/v1/state")  # so that being asked is no cost of control
         for name in self.names:
             if name in self.down:
                 continue
