Control: what each word costs no longer rises with the members, three places

Found by a profile of 120 hollow members in one process (load 19): no owner after 45 s, 27.9 s of CPU in 30 s; of it 3.0 of 16 s in Owners.dirty (a record with all lives built twice a word), 0.75 s in Members.alive (a set of all, each time), 0.4 s in digest_of. Lives are copied when one has changed, the set of those alive is kept until news comes, digests are kept by list. What is left at a start: each greeting must be on disk before it is answered, by a fork (10 ms each at 140 MB).

--- a/ledgehitch/members/decide.py
+++ b/ledgehitch/members/decide.py
@@ -70,6 +70,7 @@
         self._periods = 0
         self._doubts: dict[int, float] = {}  # suspects and those away: until when
         self._due: deque[Decision] = deque()
+        self._alive: set[int] | None = None  # None: to be made anew
         self._noted(now, [])
 
     # ---- what happens --------------------------------------------------------------------------------------
@@ -220,6 +221,8 @@
         for news in self.roster.news:
             self._spread[news.member] = 0
         self.roster.news = []
+        if changed:
+            self._alive = None
         for member, _, status in changed:
             self._due.append(Became(member, status))
             self._doubts.pop(member, None)
@@ -236,8 +239,10 @@
         return self.slow >= SLOWEST // 2
 
     def alive(self) -> set[int]:
-        """Others that nobody doubts."""
-        return {n for n, e in self.roster.entries.items() if n != self.me and e.status == "alive"}
+        """Others that nobody doubts. Not to be changed: asked before each decision on owners."""
+        if self._alive is None:
+            self._alive = {n for n, e in self.roster.entries.items() if n != self.me and e.status == "alive"}
+        return self._alive
 
     def told(self) -> dict[int, Status]:
         return {n: e.status for n, e in sorted(self.roster.entries.items()) if n != self.me}
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -1,6 +1,7 @@
 """Duties, and the figures that the promises rest on. Times are seconds of the gateway's own clock."""
 
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from typing import NamedTuple
 
 from blake3 import blake3
@@ -29,7 +30,8 @@
     return stated // 2 + 1
 
 
-def digest_of(names: Sequence[str], lease: float, own_part: float = 0.0) -> bytes:
+@lru_cache(maxsize=32)  # it goes with each word, and takes as long as there are gateways
+def digest_of(names: tuple[str, ...], lease: float, own_part: float = 0.0) -> bytes:
     """Four bytes that two versions of a site share where they state the same gateways in the same order,
     leases of the same length, and the same own part of the fleet's budgets. An own part of 1 is what programs
     had that lent nothing: their digest did not name it."""
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -29,6 +29,7 @@
         self.lives: dict[str, tuple[int, int]] = {}
         if self.intact:
             self.lives = {n: (int(a), int(b)) for n, (a, b) in held["lives"].items() if n in stated}
+        self._lives_told: dict[str, list[int]] | None = None  # as they are in a record; None: to be made anew
         self.lists = _lists(stated, lease, own_part, held if self.intact else {})
         # A promise of the last life may have been longer than those of now.
         before = float(held["lease"]) if self.intact else 0.0
@@ -47,10 +48,13 @@
         self.settles_at = 1e18
 
     def record(self) -> dict[str, Any]:
+        # Guards against a cost of each word that rises with the members: records are held against each other.
+        if self._lives_told is None:
+            self._lives_told = {n: list(pair) for n, pair in self.lives.items()}
         return {
             "version": VERSION, "life": self.life,
             "votes": {d: [v.term, v.member] for d, v in self.voters.items()},
-            "fence": dict(self.fence.highest), "lives": {n: list(pair) for n, pair in self.lives.items()},
+            "fence": dict(self.fence.highest), "lives": self._lives_told,
             "current": list(self.lists.current), "former": list(self.lists.former),
             "lease": self.lists.lease, "former_lease": self.lists.former_lease,
             "own_part": self.lists.own_part, "former_own_part": self.lists.former_own_part,
@@ -70,7 +74,7 @@
         if known[1] == nonce and known[0] == life:
             return 0
         if life > known[0]:
-            self.lives[member] = life, nonce
+            self.lives[member], self._lives_told = (life, nonce), None
         return known[0]
 
     def answered(self, now: float, member: str, known_life: int, intact: bool, terms: tuple[int, ...]
--- a/ledgehitch/scale/rig.py
+++ b/ledgehitch/scale/rig.py
@@ -307,8 +307,8 @@
         return found
 
     def wrong_views(self) -> int:
-        """Beliefs of all that run, hollow and real, which are wrong now. Real ones are asked where the others'
-        are right."""
+        """Beliefs of all that run, hollow and real, which are wrong now. Real ones are asked where
+        the others' are right."""
         groups = self.groups()
         total = sum(int(self.tell(p, "/views", {"up": groups})["wrong"]) for p in self.hollow_running())
         if total:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -175,3 +175,19 @@
         assert second.told()["g0"] == "alive"
 
     loop.run(main)
+
+
+def test_who_is_held_for_alive_is_always_what_the_roster_says() -> None:
+    """It is kept between changes: each decision on owners asks for it."""
+    crowd = Crowd(12, loss=0.3)
+    for step in range(60):
+        if step == 20:
+            crowd.stop(3)
+        if step == 45:
+            crowd.start(3)
+        crowd.run(1.0)
+        for n, one in crowd.all.items():
+            if one is not None:
+                fresh = {m for m, e in one.roster.entries.items() if m != n and e.status == "alive"}
+                assert one.alive() == fresh
+    assert any(status == "dead" for *_, status in crowd.became)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -448,3 +448,14 @@
     assert f"ledgehitch.{entry}" in loaded and "ledgehitch.brain" in loaded
     for off in ("members", "owners", "budgets", "halls", "daemon", "fleet", "scale", "regions"):
         assert f"ledgehitch.{off}" not in loaded
+
+
+def test_a_record_has_all_lives_that_were_greeted_and_an_earlier_one_stays_as_it_was() -> None:
+    memory = Memory(T, "a", tuple("abc"), DUTIES, 10.0, None, 1)
+    before = memory.record()
+    memory.greeted_by("b", 3, 7)
+    between = memory.record()
+    assert memory.greeted_by("b", 3, 7) == 0 and memory.record() == between
+    memory.greeted_by("c", 1, 9)
+    assert [r["lives"] for r in (before, between, memory.record())] == [
+        {}, {"b": [3, 7]}, {"b": [3, 7], "c": [1, 9]}]  # fmt: skip
