--- a/ledgehitch/scale/play.py
+++ b/ledgehitch/scale/play.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from ledgehitch.config import BadInput
 from ledgehitch.loop import Task
 from ledgehitch.owners.facts import BUDGETS, DUTIES
 from ledgehitch.scale.facts import Kept, Point, kept_now, load_now
@@ -83,15 +84,17 @@
 
     def _start_all(self) -> None:
         self.touched.update(s.name for s in self.rig.seats)
-        names, over = [s.name for s in self.rig.seats], self.plan.start_over
+        over = self.plan.start_over
         if not over:
-            self.rig.start_members(names)
+            self.rig.start_members([s.name for s in self.rig.seats])
             return
-        self.chance.shuffle(names)
+        # By process: who begins together is greeted together, and others note it on disk together. One by one
+        # each of so many would have all others write a file, on one machine.
+        waves = [[s.name for s in self.rig.seats if s.process == k] for k in range(-1, self.plan.processes)]
         begun, tasks = time.monotonic(), []
-        for i, name in enumerate(names):
-            self.rig.loop.sleep(max(0.0, begun + i * over / len(names) - time.monotonic()))
-            tasks.append(self.rig.loop.spawn(self.rig.start_members, [name], name=f"start {name}"))
+        for i, some in enumerate(waves):
+            self.rig.loop.sleep(max(0.0, begun + i * over / len(waves) - time.monotonic()))
+            tasks.append(self.rig.loop.spawn(self.rig.start_members, some, name=f"start {i}"))
         for task in tasks:
             task.wait()
 
@@ -337,6 +340,8 @@
     rig = ScaleRig(directory, plan)
     play = Play(rig)
     rig.play(play)
+    if len(play.played) <= len(plan.phases):
+        raise BadInput(f"plan {plan.name}: stopped by a signal, nothing is kept")
     terms = terms_of(rig.told_events(), play.played[-1].after.t)
     figures = Figures(rig, terms)
     for p in play.played:
--- a/ledgehitch/scale/rig.py
+++ b/ledgehitch/scale/rig.py
@@ -113,9 +113,13 @@
     # ---- processes -----------------------------------------------------------------------------------------
 
     def play(self, script: Any) -> Any:
-        """Starts what all need, runs the script as the loop's first task, and ends all processes."""
+        """Starts what all need, runs the script as the loop's first task, and ends all processes: after a
+        signal too, else they would outlive it."""
 
         def main() -> Any:
+            task = self.loop.current
+            assert task is not None
+            restore = self.loop.on_signals([signal.SIGTERM, signal.SIGINT], lambda _: task.cancel())
             try:
                 self.state.mkdir(parents=True, exist_ok=True)
                 self.start_world()
@@ -129,6 +133,7 @@
             finally:
                 self.end()
                 self._states.cleanup()
+                restore()
 
         return self.loop.run(main)
 
@@ -137,8 +142,8 @@
         listed.write_text("\n".join(members))
         self.lives[name] = self.lives.get(name, 0) + 1
         tape = self.tapes / f"{name}-{self.lives[name]}.tape"
-        self._start(name, "scale", kind, "--site", f"{self.directory}/site.json", "--names", str(listed),
-                    "--control", str(self.state / f"{name}.control"), "--tape", str(tape), "--seed",
+        self._start(name, "--log-level", "warning", "scale", kind, "--site", f"{self.directory}/site.json",
+                    "--names", str(listed), "--control", str(self.state / f"{name}.control"), "--tape", str(tape), "--seed",
                     str(self.wanted.seed), *words)  # fmt: skip
 
     def start_hollow(self, name: str) -> None:
