--- a/ledgehitch/scale/rig.py
+++ b/ledgehitch/scale/rig.py
@@ -143,8 +143,8 @@
         self.lives[name] = self.lives.get(name, 0) + 1
         tape = self.tapes / f"{name}-{self.lives[name]}.tape"
         self._start(name, "--log-level", "warning", "scale", kind, "--site", f"{self.directory}/site.json",
-                    "--names", str(listed), "--control", str(self.state / f"{name}.control"), "--tape", str(tape), "--seed",
-                    str(self.wanted.seed), *words)  # fmt: skip
+                    "--names", str(listed), "--control", str(self.state / f"{name}.control"),
+                    "--tape", str(tape), "--seed", str(self.wanted.seed), *words)  # fmt: skip
 
     def start_hollow(self, name: str) -> None:
         """A process of hollow members, none of which has begun."""
