--- a/ledgehitch/scale/hollow.py
+++ b/ledgehitch/scale/hollow.py
@@ -1,7 +1,8 @@
 """A process of hollow gateways: the classes of control that a daemon runs, without viewers and servers.
 
 Each has its own socket, keys, state files and tasks, as in a daemon; a stand-in for its doorman says what it
-needs. To others it is a member like any.
+needs. To others it is a member like any. What a member does not need is not loaded: each vote is written by a
+copy of the process, and the copy costs by its size.
 """
 
 import gc
@@ -23,8 +24,8 @@
 from ledgehitch.daemon.owning import Owning, Work
 from ledgehitch.door.rates import SET_UPS, budget_of
 from ledgehitch.gateway.doorman import Doorman
-from ledgehitch.gateway.serve import peer_ring
 from ledgehitch.http import Refused, Request, Response, Server
+from ledgehitch.keys.store import ring_in
 from ledgehitch.loop import Event, Loop, Task, endpoint
 from ledgehitch.owners.facts import BUDGETS, DUTIES
 from ledgehitch.proof.tape import Tape
@@ -98,7 +99,7 @@
     def __init__(self, loop: Loop, site: Site, names: list[str], state: Path, tape: Tape, seed: int,
                  share: float) -> None:  # fmt: skip
         self.loop, self.site, self.state, self.tape, self.share = loop, site, state, tape, share
-        self.names, self.seed, self.ring = names, seed, peer_ring(site)
+        self.names, self.seed, self.ring = names, seed, ring_in(Path(site.peer_key_file))
         self.lives = dict.fromkeys(names, 0)
         self.live: dict[str, Live] = {}
         self.home = loop.current
