--- a/ledgehitch/scale/hollow.py
+++ b/ledgehitch/scale/hollow.py
@@ -1,7 +1,8 @@
 """A process of hollow gateways: the classes of control that a daemon runs, without viewers and servers.
 
 Each has its own socket, keys, state files and tasks, as in a daemon; a stand-in for its doorman says what it
-needs. To others it is a member like any.
+needs. To others it is a member like any. What a member does not need is not loaded: each vote is written by a
+copy of the process, and the copy costs by its size.
 """
 
 import gc
@@ -23,8 +24,8 @@
 from ledgehitch.daemon.owning import Owning, Work
 from ledgehitch.door.rates import SET_UPS, budget_of
 from ledgehitch.gateway.doorman import Doorman
-from ledgehitch.gateway.serve import peer_ring
 from ledgehitch.http import Refused, Request, Response, Server
+from ledgehitch.keys.store import ring_in
 from ledgehitch.loop import Event, Loop, Task, endpoint
 from ledgehitch.owners.facts import BUDGETS, DUTIES
 from ledgehitch.proof.tape import Tape
@@ -98,7 +99,7 @@
     def __init__(self, loop: Loop, site: Site, names: list[str], state: Path, tape: Tape, seed: int,
                  share: float) -> None:  # fmt: skip
         self.loop, self.site, self.state, self.tape, self.share = loop, site, state, tape, share
-        self.names, self.seed, self.ring = names, seed, peer_ring(site)
+        self.names, self.seed, self.ring = names, seed, ring_in(Path(site.peer_key_file))
         self.lives = dict.fromkeys(names, 0)
         self.live: dict[str, Live] = {}
         self.home = loop.current
@@ -106,16 +107,20 @@
 
     # ---- members -------------------------------------------------------------------------------------------
 
-    def start(self, name: str) -> None:
-        """As a daemon puts it together; waits until it hears."""
-        if name in self.live:
-            return
-        self.lives[name] += 1
-        begun = Event(self.loop)
-        self.loop.spawn(self._run, name, begun, name=name, owner=self.home)
-        begun.wait()
+    def start(self, names: list[str]) -> None:
+        """All in one turn of the loop, so that none is doubted while it waits for its turn; returns when they
+        hear."""
+        all_begun = []
+        for name in names:
+            if name not in self.live:
+                self.lives[name] += 1
+                all_begun.append(Event(self.loop))
+                self.loop.spawn(self._run, name, all_begun[-1], name=name, owner=self.home)
+        for begun in all_begun:
+            begun.wait()
 
     def _run(self, name: str, begun: Event) -> None:
+        """As a daemon puts it together."""
         task, over = self.loop.current, Event(self.loop)
         assert task is not None
         seed = seed_of(self.seed, name, self.lives[name])
@@ -155,8 +160,7 @@
         told = msgspec.json.decode(request.body) if request.body else {}
         match request.path:
             case "/start":
-                for name in told["names"]:
-                    self.start(name)
+                self.start(told["names"])
             case "/stop":
                 for name in told["names"]:
                     self.stop(name, told["farewell"])
--- a/ledgehitch/scale/play.py
+++ b/ledgehitch/scale/play.py
@@ -11,18 +11,18 @@
 
 import structlog
 
+from ledgehitch.config import BadInput
 from ledgehitch.loop import Task
 from ledgehitch.owners.facts import BUDGETS, DUTIES
 from ledgehitch.scale.facts import Kept, Point, kept_now, load_now
 from ledgehitch.scale.judge import Term, differences, over, rates, right_again, terms_of, without_owner
-from ledgehitch.scale.plan import Phase, Plan, Step, check
+from ledgehitch.scale.plan import START, Phase, Plan, Step, check
 from ledgehitch.scale.relay import MECHANISMS
 from ledgehitch.scale.rig import BARE, ScaleRig, this_machine
 
 HEADS = 28  # bytes of IPv4 and UDP around each datagram
 LOOKS = 1.0  # seconds between two looks at everybody's views
 WAITS = 180.0  # seconds that all may take to be right after the start, beyond the plan's
-START = "start"
 log = structlog.get_logger("scale")
 
 
@@ -84,7 +84,19 @@
 
     def _start_all(self) -> None:
         self.touched.update(s.name for s in self.rig.seats)
-        self.rig.start_members([s.name for s in self.rig.seats])
+        over = self.plan.start_over
+        if not over:
+            self.rig.start_members([s.name for s in self.rig.seats])
+            return
+        # By process: who begins together is greeted together, and others note it on disk together. One by one
+        # each of so many would have all others write a file, on one machine.
+        waves = [[s.name for s in self.rig.seats if s.process == k] for k in range(-1, self.plan.processes)]
+        begun, tasks = time.monotonic(), []
+        for i, some in enumerate(waves):
+            self.rig.loop.sleep(max(0.0, begun + i * over / len(waves) - time.monotonic()))
+            tasks.append(self.rig.loop.spawn(self.rig.start_members, some, name=f"start {i}"))
+        for task in tasks:
+            task.wait()
 
     def _all_right(self) -> None:
         """Guards against phases that begin while the start is not over."""
@@ -328,6 +340,8 @@
     rig = ScaleRig(directory, plan)
     play = Play(rig)
     rig.play(play)
+    if len(play.played) <= len(plan.phases):
+        raise BadInput(f"plan {plan.name}: stopped by a signal, nothing is kept")
     terms = terms_of(rig.told_events(), play.played[-1].after.t)
     figures = Figures(rig, terms)
     for p in play.played:
