--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -89,7 +89,10 @@
 
 def _headroom(row: Row, book: Book, numbers: dict[str, int]) -> tuple[str, ...]:
     need, unit = row.need, book.unit(row.need.select)
-    formula, residual = row.why or "-", "-"
+    formula, residual = "-", "-"
+    if row.line is None and row.sizes:
+        there = book.at(need.select, need.figure, row.sizes[0])
+        formula = f"{shown(there, 's' if need.unit == 'core' else need.unit)} at {row.sizes[0]:,g}; {row.why}"
     if row.line is not None:
         one = "s" if need.unit == "core" else need.unit
         sign = "-" if row.line.slope < 0.0 else "+"
