--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -90,11 +90,11 @@
 def _headroom(row: Row, book: Book, numbers: dict[str, int]) -> tuple[str, ...]:
     need, unit = row.need, book.unit(row.need.select)
     formula, residual = "-", "-"
+    one = "s" if need.unit == "core" and need.often else need.unit  # seconds each time, or of each second
     if row.line is None and row.sizes:
         there = book.at(need.select, need.figure, row.sizes[0])
-        formula = f"{shown(there, 's' if need.unit == 'core' else need.unit)} at {row.sizes[0]:,g}; {row.why}"
+        formula = f"{shown(there, one)} at {row.sizes[0]:,g}; {row.why}"
     if row.line is not None:
-        one = "s" if need.unit == "core" else need.unit
         sign = "-" if row.line.slope < 0.0 else "+"
         formula = f"{shown(row.line.intercept, one)} {sign} {shown(abs(row.line.slope), one)} x {unit}"
         residual = f"{percent(row.line.largest)}, {percent(row.line.rms)}"
