--- a/ledgehitch/members/decide.py
+++ b/ledgehitch/members/decide.py
@@ -70,6 +70,7 @@
         self._periods = 0
         self._doubts: dict[int, float] = {}  # suspects and those away: until when
         self._due: deque[Decision] = deque()
+        self._alive: set[int] | None = None  # None: to be made anew
         self._noted(now, [])
 
     # ---- what happens --------------------------------------------------------------------------------------
@@ -128,11 +129,10 @@
             # Guards against a gateway that stood still doubting those whose answers wait in its socket.
             self._probe, self.slow = None, min(SLOWEST, self.slow + 1)
             self._doubts = {n: until + PERIOD for n, until in self._doubts.items()}
-        for member, until in sorted(self._doubts.items()):
-            if now >= until:
-                del self._doubts[member]
-                self.counts["deaths"] += 1
-                self._noted(now, self.roster.doubt(now, member, "dead"))
+        for member in sorted(n for n, until in self._doubts.items() if now >= until):
+            del self._doubts[member]
+            self.counts["deaths"] += 1
+            self._noted(now, self.roster.doubt(now, member, "dead"))
         probe = self._probe
         if probe is not None and probe[3] < TRIES and now >= self._next_try(probe):
             self._try_again(now, probe)
@@ -208,18 +208,21 @@
         some = [News(self.me, own.incarnation, own.status)]
         if entries[to].status != "alive":
             some.append(News(to, entries[to].incarnation, entries[to].status))
-        for member in sorted(self._spread, key=lambda n: (self._spread[n], n))[: MOST_NEWS - 2]:
+        most = SPREAD * math.ceil(math.log2(self.stated + 1))
+        for times, member in sorted(zip(self._spread.values(), self._spread, strict=True))[: MOST_NEWS - 2]:
             if member not in (self.me, to):
                 some.append(News(member, entries[member].incarnation, entries[member].status))
-            self._spread[member] += 1
-        most = SPREAD * math.ceil(math.log2(self.stated + 1))
-        self._spread = {n: times for n, times in self._spread.items() if times < most}
+            self._spread[member] = times + 1
+            if times + 1 >= most:
+                del self._spread[member]
         return tuple(some)
 
     def _noted(self, now: float, changed: list[News]) -> None:
         for news in self.roster.news:
             self._spread[news.member] = 0
         self.roster.news = []
+        if changed:
+            self._alive = None
         for member, _, status in changed:
             self._due.append(Became(member, status))
             self._doubts.pop(member, None)
@@ -236,8 +239,10 @@
         return self.slow >= SLOWEST // 2
 
     def alive(self) -> set[int]:
-        """Others that nobody doubts."""
-        return {n for n, e in self.roster.entries.items() if n != self.me and e.status == "alive"}
+        """Others that nobody doubts. Not to be changed: asked before each decision on owners."""
+        if self._alive is None:
+            self._alive = {n for n, e in self.roster.entries.items() if n != self.me and e.status == "alive"}
+        return self._alive
 
     def told(self) -> dict[int, Status]:
         return {n: e.status for n, e in sorted(self.roster.entries.items()) if n != self.me}
