Regions: stated in the site, an owner of budgets in each, shares that change carefully

A site may state regions (zones, share, gone). A daemon of such a site carries out two scopes: the duties of all by a majority of all stated gateways, budgets by a majority of its region's, with votes in a file each and frames told apart by the duty's number. Owning's work for one scope is a class of its own, Scope.

A site without regions has the digests, files and words that it had.

--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -13,6 +13,7 @@
 from rich.table import Table
 
 from ledgehitch.config import BadInput, Site, read_site
+from ledgehitch.config.site import stated
 from ledgehitch.daemon.facts import PlanCall, PlanWords
 from ledgehitch.fleet.carry import WITHIN, Caller, Work, trusted
 from ledgehitch.fleet.found import Found, Target, counted
@@ -29,6 +30,7 @@
 from ledgehitch.http.client import TLS
 from ledgehitch.keys.store import Keys
 from ledgehitch.loop import Loop, TimedOut
+from ledgehitch.regions.facts import regions_of
 
 GOOD = ("answered", "slow", "draining")
 
@@ -41,7 +43,7 @@
             raise BadInput(f"no gateway {name!r}, known are {', '.join(known)}")
     out = []
     for g in site.gateways:
-        if g.name not in only if only else g.gone:
+        if g.name not in (only or stated(site)):
             continue
         if admin_dir is not None:
             at = f"unix:{admin_dir / g.name}.admin"
@@ -105,6 +107,9 @@
         return [read_owners(name, status, body) if status else Said(name, None, body.decode())
                 for name, status, body, _ in self.asked("GET", "/v1/owners")]  # fmt: skip
 
+    def regions(self) -> dict[str, str]:
+        return {g: r.name for r in regions_of(self.site) for g in r.gateways}
+
     def planned(self, call: PlanCall) -> dict[str, Any]:
         """An operator's word at the owner of `restarts`, wherever that is now; it may take a lease to be
         found."""
@@ -277,7 +282,7 @@
     """Who does the work that one gateway at a time does for all. Exit code 1 where a duty has no owner that
     is known."""
     said = work.said()
-    found = owned(said)
+    found = owned(said, work.regions())
     if as_json:
         answers = {s.name: s.state if s.state is not None else {"silent": s.why} for s in said}
         click.echo(msgspec.json.encode({"duties": found, "gateways": answers}).decode())
--- a/ledgehitch/config/change.py
+++ b/ledgehitch/config/change.py
@@ -113,6 +113,10 @@
         return "rule 4 is reckoned by it: wrong figures push cold media hosts over"
     if path[0] == "gateways" and path[-1] == "gone" and new:
         return "it must not run: others stop counting its vote and lend its part; restart all others"
+    if path[0] == "regions" and path[-1] == "gone" and new:
+        return "none of its gateways may run: the others get its share; restart all others"
+    if path[0] == "regions":
+        return "owners and shares of regions change: restart all gateways, few at a time"
     if path[0] == "gateways" and (old is None or new is None):
         return "every gateway's part of shared limits changes: restart all of them, few at a time"
     return ""
--- a/ledgehitch/config/compiled.py
+++ b/ledgehitch/config/compiled.py
@@ -11,7 +11,7 @@
 
 from ledgehitch.config.evaluate import Vertex
 from ledgehitch.config.read import BadInput
-from ledgehitch.config.site import Site, check
+from ledgehitch.config.site import Site, check, wrong_regions
 from ledgehitch.config.syntax import SCHEMA, At, Mistake
 
 
@@ -86,6 +86,11 @@
     raw = site_data(data, cells, titles)
     try:
         loaded.site = msgspec.convert(raw, Site)
+        for spot, reason in wrong_regions(loaded.site):
+            wrong(spot, reason)
+        if mistakes:
+            loaded.site = None
+            return
         check(loaded.site, "site")
     except (msgspec.ValidationError, BadInput) as problem:
         mistakes.append(Mistake(At(next(iter(loaded.texts), ""), 1, 1), str(problem)))
@@ -119,6 +124,7 @@
         "titles": titles,
         "packages": [{"name": name, **p} for name, p in data["packages"].items()],
         "gateways": [{"name": name, **g} for name, g in data["gateways"].items()],
+        "regions": [{"name": name, **r} for name, r in data.get("regions", {}).items()],
         "hosts": sorted(hosts, key=lambda h: int(h["cell"])),
         "list_at": data["list_at"],
         "peer_key_file": data["peer_key_file"],
--- a/ledgehitch/config/site.py
+++ b/ledgehitch/config/site.py
@@ -4,7 +4,8 @@
 is told; the records themselves are not kept by it.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from fractions import Fraction
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -99,6 +100,16 @@
     gone: bool = False  # for good: an operator vouches that it does not run; its number stays taken
 
 
+class RegionRecord(Record, kw_only=True, frozen=True):
+    """Zones that may be cut off from the others together. Stated shares are of the whole of each of the
+    fleet's budgets; without one it goes by the number of gateways."""
+
+    name: Name
+    zones: list[str]
+    share: Annotated[float, msgspec.Meta(gt=0, le=1)] | None = None
+    gone: bool = False  # as a whole: an operator vouches that none of its gateways runs
+
+
 class HostRecord(Record, kw_only=True, frozen=True):
     name: Name
     at: str
@@ -142,6 +153,7 @@
     terms: TermsRecord = TermsRecord()
     titles: dict[Name, Title]
     gateways: Annotated[list[GatewayRecord], msgspec.Meta(min_length=1)]
+    regions: list[RegionRecord] = []  # empty: the whole site is one
     hosts: list[HostRecord] = []  # what the stand-ins run; gateways learn theirs from the list service
     list_at: str
     peer_key_file: str = ""
@@ -151,8 +163,39 @@
 
 
 def stated(site: Site) -> tuple[str, ...]:
-    """The gateways that count: those that nobody declared gone."""
-    return tuple(g.name for g in site.gateways if not g.gone)
+    """The gateways that count: those that nobody declared gone, nor their region."""
+    lost = {zone for r in site.regions if r.gone for zone in r.zones}
+    return tuple(g.name for g in site.gateways if not g.gone and g.zone not in lost)
+
+
+def wrong_regions(site: Site) -> Iterator[tuple[tuple[str, ...], str]]:
+    """What is wrong with a site's regions: where, with a region by its name, and why."""
+    zone_of = {g.name: g.zone for g in site.gateways}
+    region_of: dict[str, str] = {}
+    for n, r in enumerate(site.regions):
+        at = ("regions", r.name)
+        if r.name in [before.name for before in site.regions[:n]]:
+            yield (*at, "name"), f"{r.name!r} is named twice"
+        if not r.zones:
+            yield (*at, "zones"), "a region has a zone at least"
+        for i, zone in enumerate(r.zones):
+            if zone in region_of:
+                yield (*at, "zones", str(i)), f"zone {zone!r} is in region {region_of[zone]!r} already"
+            elif zone not in zone_of.values():
+                yield (*at, "zones", str(i)), f"no gateway is in zone {zone!r}: a region has gateways"
+            region_of.setdefault(zone, r.name)
+    for name, zone in zone_of.items() if site.regions else ():
+        if zone not in region_of:
+            yield ("gateways", name, "zone"), f"zone {zone!r} is in no region, while others are in one"
+    some = [r for r in site.regions if r.share is not None]
+    for r in site.regions if some else ():
+        if r.share is None:
+            yield ("regions", r.name), f"it has no share, while {some[0].name!r} states one"
+    whole = sum(Fraction(str(r.share)) for r in some)
+    if whole > 1:
+        yield ("regions", some[-1].name, "share"), f"shares come to {float(whole):g}, more than the whole"
+    if site.regions and all(r.gone for r in site.regions):
+        yield ("regions",), "all of them are declared gone"
 
 
 def lends(site: Site) -> bool:
@@ -208,6 +251,8 @@
     for name in site.door.package_rates:
         if name not in [p.name for p in site.packages]:
             wrong(f"door.package_rates.{name}", "no such package is sold")
+    for place, reason in wrong_regions(site):
+        wrong(".".join(place), reason)
     if not stated(site):
         wrong("gateways", "all of them are declared gone")
     if site.terms.extra_free is not None and not site.terms.extra_window:
--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -37,7 +37,7 @@
         self.loan = loan_of(site.owners.lease)
         self.lender: Lender | None = None
         self.budgets: tuple[Budget, ...] = ()
-        self.lists: Lists = owning.owners.memory.lists  # by which it borrows and lends now
+        self.lists: Lists = owning.of(BUDGETS).owners.memory.lists  # by which it borrows and lends now
         self.bad: dict[str, int] = {}
         self.trouble = ""  # why it has its own part alone
         self.own = OwnPart(owning.now(), self.lists)
@@ -68,7 +68,7 @@
 
     def _listed(self) -> None:
         """A change of the list that has settled, or has begun to be one: loans go on by what is left."""
-        lists = self.owning.owners.memory.lists
+        lists = self.owning.of(BUDGETS).owners.memory.lists
         if lists != self.lists:
             self.lists = lists
             self.own.listed(self.owning.now(), lists)
@@ -85,8 +85,8 @@
         """Before anybody is let in: a loan that ended while the process stood still is over."""
         self._listed()
         now, b = self.owning.now(), self.borrower
-        b.clock(self.owning.owners.clock_good)
-        owners = self.owning.owners
+        owners = self.owning.of(BUDGETS).owners
+        b.clock(owners.clock_good)
         b.own = self.own.at(now, owners.joined(now), owners.memory.intact or owners.memory.begun)
         left = b.until - now if b.holds(now) else 0.0
         if (b.own, b.until if left else 0.0) != self._told:
@@ -101,7 +101,7 @@
             self.loop.sleep(self.loan / ASKS / LOOKS * self.chance.uniform(0.9, 1.1))
 
     def _once(self) -> None:
-        now, b, owners = self.owning.now(), self.borrower, self.owning.owners
+        now, b, owners = self.owning.now(), self.borrower, self.owning.of(BUDGETS).owners
         owner, term = owners.owner_of(now, BUDGETS)
         why = ("nobody is known to lend" if owner == NOBODY else
                "it does not count among the others yet" if not owners.joined(now) else "")  # fmt: skip
@@ -163,7 +163,7 @@
 
     def _lent_by(self) -> tuple[int, int, set[int]]:
         numbers = {name: n for n, name in enumerate(self.names)}
-        return lent_by(self.lists, self.owning.owners.memory.gone, numbers)
+        return lent_by(self.lists, self.owning.of(BUDGETS).owners.memory.gone, numbers)
 
     def doing(self) -> str:
         if self.lender is None:
--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -6,15 +6,16 @@
 import random
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, Protocol
 
 import msgspec
 import structlog
 
+from ledgehitch.budgets.facts import loan_of
 from ledgehitch.budgets.words import FIRST as OF_BUDGETS
-from ledgehitch.config import Site
+from ledgehitch.config import BadInput, Site
 from ledgehitch.config.site import stated
 from ledgehitch.daemon.membership import Membership
 from ledgehitch.loop import Event, Loop, forked
@@ -22,12 +23,15 @@
 from ledgehitch.loop.timers import Timer
 from ledgehitch.owners.clock import Clock
 from ledgehitch.owners.decide import Keep, Lost, Owners, Renewed, Send, Won
-from ledgehitch.owners.facts import DUTIES
+from ledgehitch.owners.facts import DUTIES, promise_of
 from ledgehitch.owners.memory import Memory
 from ledgehitch.owners.words import BadWords, read, written
 from ledgehitch.quality.keep import Keep as File
+from ledgehitch.regions.facts import OF_A_REGION, WHOLE, Region, digest_of, region_of, regions_of
+from ledgehitch.regions.shares import begun
 
 DISK_AGAIN = 1.0  # seconds until a disk that took nothing is tried again
+NO_SHARE = "others may still use the share of its region"
 log = structlog.get_logger("owners")
 
 
@@ -38,70 +42,23 @@
     def doing(self) -> str: ...
 
 
-class Owning:
-    def __init__(self, loop: Loop, site: Site, name: str, membership: Membership, directory: Path, seed: int
-                 ) -> None:  # fmt: skip
-        self.loop, self.name, self.membership = loop, name, membership
-        self.file = File(directory / f"{name}.owners", private=True, synced=True)
-        self.clock = Clock(self._boottime(), time.monotonic())
-        now, names = self._boottime(), tuple(membership.names)
-        gone = frozenset(g.name for g in site.gateways if g.gone)
-        memory = Memory(now, name, stated(site), DUTIES, site.owners.lease, self._held(),
-                        secrets.randbits(32), own_part=site.budgets.own_part, gone=gone)  # fmt: skip
-        self.owners = Owners(now, names.index(name), names, memory, random.Random(seed))
-        self.work: dict[str, Work] = {}
-        self.at_work: dict[str, Task] = {}
+class Scope:
+    """The duties of one scope, all gateways or those of a region: words out, and a file of their votes."""
+
+    def __init__(self, owning: "Owning", region: str, file: File, owners: Owners) -> None:
+        """`region`: empty for the duties of all."""
+        self.owning, self.loop, self.region = owning, owning.loop, region
+        self.file, self.owners = file, owners
         self.disk = ""  # why it took nothing the last time
-        self.bad: dict[str, int] = {}
-        self.home = loop.current
+        self.writing: Event | None = None  # set when what is on its way to the disk is there, or is not
         self._timer: Timer | None = None
         self._disk_again = 0.0
-        self._writing: Event | None = None  # set when what is on its way to the disk is there, or is not
-        self.serves: Callable[[], bool] = lambda: False  # whether this gateway takes viewings now
-        self.more: Callable[[int, bytes], None] | None = None  # words of borrowers and lenders
-        membership.more = self._heard
-        self.pull()
-
-    @staticmethod
-    def _boottime() -> float:
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-    def _held(self) -> Any:
-        """What the file holds; one that does not read counts as lost, and is said."""
-        try:
-            held = self.file.read()
-            if isinstance(held, dict):
-                # Guards against a file whose sum is right and whose fields are not: of another program.
-                Memory(0.0, self.name, (self.name,), DUTIES, 1.0, held, 0)
-                return held
-        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as wrong:
-            log.error("the votes that were kept do not read, they count as lost", why=repr(wrong))
-        return None
-
-    def now(self) -> float:
-        now = self._boottime()
-        good = self.clock.read(now, time.monotonic())
-        if good != self.owners.clock_good:
-            log.error("the clock", good=good)
-        self.owners.clock(now, good)
-        return now
-
-    def _heard(self, sender: int, body: bytes) -> None:
-        if body[0] >= OF_BUDGETS:
-            if self.more is not None:
-                self.more(sender, body)
-            return
-        try:
-            self.owners.heard(self.now(), sender, read(body))
-        except BadWords as why:
-            self.bad[str(why)] = self.bad.get(str(why), 0) + 1
-            return
-        self.pull()
 
     def pull(self) -> None:
-        now = self.now()
-        self._fitness()
-        while self._writing is None and (decision := self.owners.decide(now)) is not None:
+        own = self.owning
+        now = own.now()
+        own.look(self)
+        while self.writing is None and (decision := self.owners.decide(now)) is not None:
             match decision:
                 case Send():
                     self._send(decision)
@@ -109,25 +66,23 @@
                     if self._disk_again > time.monotonic():
                         self.owners.not_kept(now)
                         break
-                    self._writing = Event(self.loop)
-                    self.loop.spawn(self._keep, record, then, name="votes to disk", owner=self.home)
+                    self.writing = Event(self.loop)
+                    self.loop.spawn(self._keep, record, then, name="votes to disk", owner=own.home)
                 case Won(duty, term):
-                    log.info("won", duty=duty, term=term)
-                    self._begin(duty, term)
+                    log.info("won", duty=duty, term=term, **self._told())
+                    own.begin(duty, term)
                 case Renewed(duty, term, left):
-                    log.warning("renewed late", duty=duty, term=term, left=round(left, 3))
+                    log.warning("renewed late", duty=duty, term=term, left=round(left, 3), **self._told())
                 case Lost(duty, term, why, late):
-                    log.warning("lost", duty=duty, term=term, why=why, late=round(late, 3))
-                    self._end(duty)
+                    log.warning("lost", duty=duty, term=term, why=why, late=round(late, 3), **self._told())
+                    own.end(duty)
         if self._timer is not None:
             self.loop.timers.cancel(self._timer)
         wait = max(0.005, self.owners.wake_at(now) - now, self._disk_again - time.monotonic())
         self._timer = self.loop.call_at(time.monotonic() + min(wait, 3600.0), self.pull)
 
-    def _fitness(self) -> None:
-        members = self.membership.members
-        why = "drains" if not self.serves() else "slow itself" if members.lags() else ""
-        self.owners.may(members.alive(), not why, why)
+    def _told(self) -> dict[str, str]:
+        return {"region": self.region} if self.region else {}
 
     def _keep(self, record: dict[str, Any], then: tuple[Send, ...]) -> None:
         """Written, synced, moved into its place; or nothing is said that rests on it. A copy of the process
@@ -140,18 +95,18 @@
             except OSError as problem:
                 os._exit(problem.errno or 5)
 
-        code, writing = 5, self._writing
+        code, writing = 5, self.writing
         try:
             code = forked(self.loop, put)
         finally:
-            self._writing = None
+            self.writing = None
             assert writing is not None
             writing.set()
         if code:
             if not self.disk:
                 log.error("the disk takes no vote: none is given", why=os.strerror(abs(code)))
             self.disk, self._disk_again = os.strerror(abs(code)), time.monotonic() + DISK_AGAIN
-            self.owners.not_kept(self.now())
+            self.owners.not_kept(self.owning.now())
         else:
             if self.disk:
                 log.info("the disk takes votes again")
@@ -162,65 +117,214 @@
         self.pull()
 
     def _send(self, send: Send) -> None:
-        self.membership.send(send.to, written(send.words))
+        self.owning.membership.send(send.to, written(send.words))
+
+    def write_out(self) -> None:
+        """Waits until what was on its way to the disk is there; nothing is decided any more after it."""
+        while self.writing is not None:
+            self.writing.wait()
+        if self._timer is not None:
+            self.loop.timers.cancel(self._timer)
+            self._timer = None
+        self.writing = Event(self.loop)
+
+
+class Owning:
+    """All scopes of this gateway, with one clock: the duties of all, and where the site has regions those of
+    its own, by the votes of the region's gateways alone."""
+
+    def __init__(self, loop: Loop, site: Site, name: str, membership: Membership, directory: Path, seed: int
+                 ) -> None:  # fmt: skip
+        self.loop, self.name, self.membership = loop, name, membership
+        self.clock = Clock(self._boottime(), time.monotonic())
+        regions, self.region = regions_of(site), region_of(site, name)
+        if regions and self.region not in [r.name for r in regions]:
+            raise BadInput(f"gateway {name}: region {self.region!r} has no gateway that is not declared gone")
+        self.regions = {g: r.name for r in regions for g in r.gateways}
+        mine = tuple(d for d in DUTIES if d in OF_A_REGION) if regions else ()
+        file = File(directory / f"{name}.owners", private=True, synced=True)
+        held = self._held(file, "")
+        rest = tuple(duty for duty in DUTIES if duty not in mine)
+        everywhere = self._scope(site, "", stated(site), rest, file, held, regions, random.Random(seed))
+        memory = everywhere.owners.memory
+        lent = loan_of(memory.lists.any_lease()) + max(p.patience for p in site.packages)
+        waits = bool(memory.lists.former) and memory.lists.regions != digest_of(regions)
+        kept = held.get("shares") if memory.intact and held is not None else None
+        shares = begun(self.region, regions, stated(site), kept, waits)
+        memory.divides(self._boottime(), shares, promise_of(lent))
+        self.scopes = [everywhere]
+        if regions:
+            inside = next(r.gateways for r in regions if r.name == self.region)
+            file = File(directory / f"{name}.owners-region", private=True, synced=True)
+            held = self._held(file, self.region)
+            self.scopes.append(self._scope(site, self.region, inside, mine, file, held, regions,
+                                           random.Random(seed + 1)))  # fmt: skip
+        self._by_number = [self.of(duty) for duty in DUTIES]
+        self.work: dict[str, Work] = {}
+        self.at_work: dict[str, Task] = {}
+        self.bad: dict[str, int] = {}
+        self.home = loop.current
+        self.serves: Callable[[], bool] = lambda: False  # whether this gateway takes viewings now
+        self.more: Callable[[int, bytes], None] | None = None  # words of borrowers and lenders
+        membership.more = self._heard
+        self.pull()
+
+    def _scope(self, site: Site, region: str, names: tuple[str, ...], duties: tuple[str, ...], file: File,
+               held: Any, regions: Sequence[Region], chance: random.Random) -> Scope:  # fmt: skip
+        now, numbered = self._boottime(), tuple(self.membership.names)
+        gone = frozenset(set(numbered) - set(stated(site)))
+        memory = Memory(now, self.name, names, duties, site.owners.lease, held, secrets.randbits(32),
+                        own_part=site.budgets.own_part, gone=gone, regions=digest_of(regions),
+                        scope=region)  # fmt: skip
+        some = set(memory.lists.current) | set(memory.lists.former)
+        members = [n for n, one in enumerate(numbered) if not region or one in some]
+        owners = Owners(now, numbered.index(self.name), numbered, memory, chance, members,
+                        [DUTIES.index(duty) for duty in duties])  # fmt: skip
+        return Scope(self, region, file, owners)
+
+    @property
+    def owners(self) -> Owners:
+        """Of the duties of all."""
+        return self.scopes[0].owners
+
+    @property
+    def disk(self) -> str:
+        return next((scope.disk for scope in self.scopes if scope.disk), "")
+
+    def of(self, duty: str) -> Scope:
+        """The scope of a duty; that of all where nobody knows it, which counts it."""
+        return next((scope for scope in self.scopes if duty in scope.owners.duties), self.scopes[0])
+
+    def share(self) -> int:
+        """Parts of WHOLE that this gateway's region may use now of each of the fleet's budgets."""
+        shares = self.owners.memory.shares
+        return WHOLE if shares is None else shares.in_force()
+
+    @staticmethod
+    def _boottime() -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def _held(self, file: File, scope: str) -> Any:
+        """What the file holds; one that does not read counts as lost, and is said."""
+        try:
+            held = file.read()
+            if isinstance(held, dict):
+                # Guards against a file whose sum is right and whose fields are not: of another program.
+                Memory(0.0, self.name, (self.name,), DUTIES, 1.0, held, 0, scope=scope)
+                if held.get("shares") is not None:
+                    begun("", (), (), held["shares"], False)
+                return held
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as wrong:
+            log.error("the votes that were kept do not read, they count as lost", why=repr(wrong))
+        return None
+
+    def now(self) -> float:
+        now = self._boottime()
+        good = self.clock.read(now, time.monotonic())
+        if good != self.owners.clock_good:
+            log.error("the clock", good=good)
+        for scope in self.scopes:
+            scope.owners.clock(now, good)
+        return now
+
+    def _heard(self, sender: int, body: bytes) -> None:
+        if body[0] >= OF_BUDGETS:
+            if self.more is not None:
+                self.more(sender, body)
+            return
+        try:
+            words = read(body)
+        except BadWords as why:
+            self.bad[str(why)] = self.bad.get(str(why), 0) + 1
+            return
+        scope = self._by_number[words.duty] if words.duty < len(self._by_number) else self.scopes[0]
+        scope.owners.heard(self.now(), sender, words)
+        scope.pull()
+
+    def pull(self) -> None:
+        for scope in self.scopes:
+            scope.pull()
+
+    def look(self, scope: Scope) -> None:
+        """What a scope goes by that others know: whether this one should own anything now."""
+        members = self.membership.members
+        why = "drains" if not self.serves() else "slow itself" if members.lags() else ""
+        scope.owners.may(members.alive(), not why, why)
+        unused = {} if self.share() else {duty: NO_SHARE for duty in OF_A_REGION}
+        scope.owners.withheld = {d: why for d, why in unused.items() if d in scope.owners.duties}
+        if scope is not self.scopes[0]:
+            behind = bool(scope.owners.memory.lists.former)
+            if self.owners.memory.behind and not behind:
+                self.loop.call_soon(self.scopes[0].pull)
+            self.owners.memory.behind = behind
 
     # ---- the work of a duty --------------------------------------------------------------------------------
 
-    def _begin(self, duty: str, term: int) -> None:
-        self._end(duty)
+    def begin(self, duty: str, term: int) -> None:
+        self.end(duty)
         if duty in self.work:
             self.at_work[duty] = self.loop.spawn(self.work[duty].run, term, name=duty, owner=self.home)
 
-    def _end(self, duty: str) -> None:
+    def end(self, duty: str) -> None:
         task = self.at_work.pop(duty, None)
         if task is not None:
             task.cancel()
 
     def owns(self, duty: str) -> int:
         """The term under which an effect may be sent now, 0 for none; looked at before each."""
-        term = self.owners.owns(self.now(), duty)
+        scope = self.of(duty)
+        term = scope.owners.owns(self.now(), duty)
         if not term:
-            self.loop.call_soon(self.pull)
+            self.loop.call_soon(scope.pull)
         return term
 
     def refused(self, duty: str, term: int, known: int, where: str) -> None:
         """A receiver refused an effect of ours."""
         log.warning("refused", duty=duty, term=term, known=known, where=where)
-        self.owners.refused(self.now(), duty, term, known, where)
-        self.pull()
+        scope = self.of(duty)
+        scope.owners.refused(self.now(), duty, term, known, where)
+        scope.pull()
 
     def takes(self, duty: str, term: int, owner: str) -> int:
         """0 where an effect that came here may be carried out: it is on disk then. Else the term known."""
-        taken = self.owners.takes(duty, term)
-        self.pull()
-        while taken and self.owners.dirty() and self._writing is not None:
-            self._writing.wait()
+        scope = self.of(duty)
+        taken = scope.owners.takes(duty, term)
+        scope.pull()
+        while taken and scope.owners.dirty() and scope.writing is not None:
+            scope.writing.wait()
             self.loop.sleep(0.0)  # who wrote goes on first
-        known = self.owners.memory.fence.known(duty)
+        known = scope.owners.memory.fence.known(duty)
         # A higher term may have come while the disk was waited for.
-        if taken and not self.owners.dirty() and known <= term:
+        if taken and not scope.owners.dirty() and known <= term:
             return 0
-        log.warning("an owner is refused", duty=duty, owner=owner, term=term, known=known, disk=self.disk)
+        log.warning("an owner is refused", duty=duty, owner=owner, term=term, known=known, disk=scope.disk)
         return max(known, 1)
 
     def resign(self) -> None:
-        self.owners.resign(self.now())
-        self.pull()
+        for scope in self.scopes:
+            scope.owners.resign(self.now())
+            scope.pull()
 
     def close(self) -> None:
         """Nothing is voted or owned any more; what was on its way to the disk is there."""
         self.membership.more = None
-        while self._writing is not None:
-            self._writing.wait()
+        for scope in self.scopes:
+            scope.write_out()
         for duty in list(self.at_work):
-            self._end(duty)
-        if self._timer is not None:
-            self.loop.timers.cancel(self._timer)
-            self._timer = None
-        self._writing = Event(self.loop)  # nothing is decided any more
+            self.end(duty)
 
     def state(self) -> dict[str, Any]:
-        out = self.owners.state(self.now())
+        """For people. Where the site has regions, each duty says whose it is, and what holds for the region's
+        own votes stands beside what holds for those of all."""
+        now, out = self.now(), self.owners.state(self.now())
+        for scope in self.scopes[1:]:
+            inside = scope.owners.state(now)
+            duties = inside.pop("duties")
+            out["duties"] |= {duty: told | {"region": scope.region} for duty, told in duties.items()}
+            out["region"] = inside | {"name": scope.region, "disk": scope.disk}
+        shares = self.owners.memory.shares
+        if shares is not None:
+            out["share"] = {"in_force": shares.in_force(), "stated": shares.stated(), "whole": WHOLE}
         for duty, told in out["duties"].items():
             told["doing"] = self.work[duty].doing() if told["mine"] and duty in self.work else ""
         frames = dict(self.membership.frames.refused)
--- a/ledgehitch/fleet/owned.py
+++ b/ledgehitch/fleet/owned.py
@@ -20,6 +20,8 @@
 
 
 class Owned(msgspec.Struct, frozen=True):
+    """`duty`: with the region in brackets where each region has an owner of its own."""
+
     duty: str
     kind: Kind
     owner: str = ""
@@ -52,14 +54,30 @@
     refused: int
     doing: str = ""
     standstill: str = ""
+    region: str = ""
 
 
-def owned(said: Sequence[Said]) -> list[Owned]:
-    """By duty. Two that say they own one are told as contradicting, though one of them may stand still and
-    not know better: its term tells which."""
+def owned(said: Sequence[Said], regions: Mapping[str, str] | None = None) -> list[Owned]:
+    """By duty, and by region where a duty is a region's. Two that say they own one are told as contradicting,
+    though one of them may stand still and not know better: its term tells which. `regions`: the region of
+    each gateway by the site."""
     heard = [s for s in said if s.state is not None]
-    duties = sorted({d for s in heard for d in _duties(s)})
-    return [_one(duty, heard, len(said)) for duty in duties]
+    scopes = sorted({(d, str(told.get("region", ""))) for s in heard for d, told in _duties(s).items()})
+    regional = {d for d, region in scopes if region}
+    scopes += [(d, region) for d in sorted(regional) for region in sorted(set((regions or {}).values()))
+               if (d, region) not in scopes]  # fmt: skip
+    out = []
+    for duty, region in sorted(scopes):
+        # A gateway that still goes by a site without regions is asked for none.
+        some = [s for s in heard if duty in _duties(s) and _duties(s)[duty].get("region", "") == region]
+        asked = [s for s in said if (regions or {}).get(s.name, "") == region] if region else said
+        one = _one(duty, some, max(len(asked), len(some)))
+        if one.kind == "nobody" and regions and not region:
+            # Said though nobody knows who hears whom: it is what regions that are apart look like.
+            why = f"it needs a majority of the gateways of all regions; {one.standstill}"
+            one = msgspec.structs.replace(one, why=why)
+        out.append(msgspec.structs.replace(one, duty=f"{duty} ({region})") if region else one)
+    return out
 
 
 def _duties(said: Said) -> Mapping[str, Any]:
@@ -98,6 +116,14 @@
         for key, word in (("disk", "its disk takes no vote: "), ("why_not", "")):
             if s.state.get(key):
                 out.append(f"{s.name}: {word}{s.state[key]}")
+        region = s.state.get("region") or {}
+        if region.get("why_not") and region["why_not"] != s.state.get("why_not"):
+            out.append(f"{s.name}: in region {region.get('name')}: {region['why_not']}")
+        share = s.state.get("share") or {}
+        if share and share.get("in_force", 0) < share.get("stated", 0):
+            part, all = share["in_force"] / share["whole"], share["stated"] / share["whole"]
+            out.append(f"{s.name}: its region uses {part:.3f} of the whole, {all:.3f} is stated: others may "
+                       "still use the rest by a former version of the site")  # fmt: skip
         if s.state.get("settled") is False:
             out.append(f"{s.name}: the list of gateways changes, a majority of both is needed")
         stale = s.state.get("frames_refused", {}).get("stale", 0)
--- a/ledgehitch/owners/decide.py
+++ b/ledgehitch/owners/decide.py
@@ -96,8 +96,11 @@
 
 
 class Owners:
-    def __init__(self, now: float, me: int, names: Sequence[str], memory: Memory, chance: random.Random
+    def __init__(self, now: float, me: int, names: Sequence[str], memory: Memory, chance: random.Random,
+                 members: Sequence[int] | None = None, numbers: Sequence[int] | None = None
                  ) -> None:  # fmt: skip
+        """`names`: of the whole site, whose numbers are its members' on the wire. `members`: those in this
+        scope, left out: all. `numbers`: of the duties on the wire, in turn; left out: from 0."""
         self.me, self.names, self.memory, self.chance = me, tuple(names), memory, chance
         self.lease = memory.lists.shortest()
         self.patient = max(PATIENT * self.lease, LEAST_PATIENT)
@@ -105,12 +108,16 @@
         self.won_within = max(WON_WITHIN * self.lease, LEAST_WON)
         self.number_of = {name: i for i, name in enumerate(self.names)}
         self.shorts = [short(name) for name in self.names]
+        self.members = sorted({me, *(range(len(self.names)) if members is None else members)})
+        self._numbers = list(range(len(memory.voters)) if numbers is None else numbers)
         self.duties = {
-            d: One(d, number, rank(d, self.names)) for number, d in enumerate(memory.voters)
+            d: One(d, number, rank(d, self.names, self.members))
+            for number, d in zip(self._numbers, memory.voters, strict=True)
         }  # fmt: skip
-        self.there: set[int] = set(range(len(self.names))) - {me}
+        self.there: set[int] = set(self.members) - {me}
         self.fit, self.clock_good = True, True
         self.why_not = ""
+        self.withheld: dict[str, str] = {}  # duties that it does not stand for now, and why
         self.counts: dict[str, int] = {}
         self._joining = not memory.joined
         self._formers: dict[str, bool] = {}  # by who answered: whether its list is still unsettled
@@ -131,6 +138,9 @@
         if not 0 <= sender < len(self.names) or sender == self.me or words.who != self.shorts[sender]:
             self._count("of another numbering of the gateways")
             return
+        if sender not in self.members:
+            self._count("of a gateway of another region")
+            return
         # Guards against a change of the list being settled on the word of one that cannot vote yet: of four,
         # two and a newcomer that waits for the third were held to be a majority, and nobody was elected.
         if words.kind not in ("greet", "greeted") or words.intact:
@@ -160,7 +170,7 @@
 
     def may(self, there: set[int], fit: bool, why_not: str = "") -> None:
         """Whom membership holds for there, and whether this one should own anything now."""
-        self.there, self.fit, self.why_not = there, fit, why_not
+        self.there, self.fit, self.why_not = there.intersection(self.members), fit, why_not
 
     def clock(self, now: float, good: bool) -> None:
         """Whether the clock goes on as it should. One that does not ends every lease here at once."""
@@ -258,7 +268,7 @@
             return
         one.known = NOBODY, words.term, -1e18
         one.stand_at = 1e18
-        if words.member == self.me and self._may_stand(now):
+        if words.member == self.me and self._may_stand(now, one):
             one.polled_at = -1e18
             self._stand(now, one)
         elif words.member != NOBODY:
@@ -302,7 +312,7 @@
         if self.memory.lists.reached([*one.polling, self.names[self.me]]):
             one.polled_at = -1e18
             self._stand(now, one)
-        elif not one.widened and len(one.polling) >= min(POLLED, len(self.names) - 1):
+        elif not one.widened and len(one.polling) >= min(POLLED, len(self.members) - 1):
             self._widen(now, one)
 
     def _poll(self, now: float, one: One) -> None:
@@ -344,7 +354,7 @@
         one.round_at, one.again_at = now, now + self.again
         # Those that granted last are asked first, so that others hear nothing of it but who owns.
         before = sorted(self._others(), key=lambda m: (-lease.asked_at.get(self.names[m], -1e18), m))
-        most = len(self._others()) if not one.won else len(self.names) // 2 + SPARE
+        most = len(self._others()) if not one.won else len(self.members) // 2 + SPARE
         there = [m for m in before if m in self.there or not one.won]
         for to in there[:most]:
             self._question(now, one, to, "ask", lease.term)
@@ -361,7 +371,7 @@
             one.again_at = 1e18  # a majority has answered
             return
         fresh = [m for m in self._others() if lease.asked_at.get(self.names[m], -1e18) >= one.round_at]
-        missing = max(0, len(self.names) // 2 - len(fresh))
+        missing = max(0, len(self.members) // 2 - len(fresh))
         late = [m for m in self._others() if m not in fresh]
         # Twice as many as are missing: at the worst losses that membership bears every second one answers.
         for to in late if not one.won else self.chance.sample(late, min(len(late), 2 * missing + SPARE)):
@@ -443,7 +453,7 @@
         for one in self.duties.values():
             if one.lease is not None:
                 self._hold(now, one)
-            elif not self._may_stand(now):
+            elif not self._may_stand(now, one):
                 one.polled_at, one.stand_at = -1e18, 1e18
             elif one.polled_at >= 0:
                 self._await_poll(now, one)
@@ -478,7 +488,9 @@
             one.polled_at = -1e18
             one.stand_at = now + self._place(one) + self.won_within * (1 + self.chance.random())
 
-    def _may_stand(self, now: float) -> bool:
+    def _may_stand(self, now: float, one: One) -> bool:
+        if one.name in self.withheld:
+            return False
         return self.fit and self.clock_good and self.memory.votes(now) and self.joined(now)
 
     def joined(self, now: float) -> bool:
@@ -515,13 +527,13 @@
         if memory.votes(now) and now >= self._greets_until:
             # Guards against a newcomer that never hears that the change which adds it is over.
             waiting = [m for m in self._others() if self._joining and self._formers.get(self.names[m])]
-        if memory.lists.former:
+        if memory.unsettled():
             waiting = [m for m in self._others() if self.names[m] not in memory.on_new]
         if not waiting:
             self._greet_at = 1e18
             return
         for to in waiting:
-            self._send(to, self._words("greet", 0, memory.nonce, 0)._replace(
+            self._send(to, self._words("greet", self._numbers[0], memory.nonce, 0)._replace(
                 life=memory.life, intact=memory.intact, terms=memory.terms()))  # fmt: skip
         self._greet_at = now + self._greet_every
         self._greet_every = min(self.lease / 4, self._greet_every * 1.5)
@@ -532,7 +544,7 @@
             known = memory.greeted_by(name, words.life, words.sequence)
             # One that is not sure of its own file says so: only what it took part in since counts.
             sound = memory.intact or (memory.confirmed and not memory.begun)
-            self._send(sender, self._words("greeted", 0, words.sequence, 0)._replace(
+            self._send(sender, self._words("greeted", self._numbers[0], words.sequence, 0)._replace(
                 life=memory.life, known_life=known, intact=sound or self._voted(),
                 terms=memory.terms()))  # fmt: skip
             return
@@ -555,7 +567,7 @@
     # ---- messages ------------------------------------------------------------------------------------------
 
     def _others(self) -> list[int]:
-        return [i for i in range(len(self.names)) if i != self.me]
+        return [i for i in self.members if i != self.me]
 
     def _words(self, kind: Kind, duty: int, sequence: int, term: int) -> Words:
         here, former = self.memory.lists.digests()
@@ -587,14 +599,16 @@
     def wake_at(self, now: float) -> float:
         if self._due or self._after:
             return now
-        at = [self._greet_at, self.memory.settles_at]
+        at = [self._greet_at, self.memory.settles_at if not self.memory.behind else 1e18]
+        if self.memory.shares is not None:
+            at.append(self.memory.shares.free_at)
         for one in self.duties.values():
             if one.lease is not None:
                 at += [one.round_at + RENEW * self.lease, one.again_at]
                 at.append(one.lease.until() if one.won else one.stood_at + self.won_within)
             elif one.polled_at >= 0:
                 at.append(one.polled_at + self.patient)
-            elif self._may_stand(now):
+            elif self._may_stand(now, one):
                 at.append(one.stand_at if one.stand_at < 1e17 else self._free_at(one))
             else:
                 at.append(max(self.memory.votes_from, now + 0.1 * self.lease))
@@ -626,6 +640,6 @@
             "waits until no promise of a former life can hold")  # fmt: skip
         return {
             "duties": self.told(now), "votes": not why, "why_not": why or ("" if self.fit else self.why_not),
-            "intact": memory.intact, "begun": memory.begun, "settled": not memory.lists.former,
+            "intact": memory.intact, "begun": memory.begun, "settled": not memory.unsettled(),
             "clock": self.clock_good, "counts": dict(sorted(self.counts.items())),
         }  # fmt: skip
--- a/ledgehitch/owners/facts.py
+++ b/ledgehitch/owners/facts.py
@@ -29,11 +29,12 @@
     return stated // 2 + 1
 
 
-def digest_of(names: Sequence[str], lease: float, own_part: float = 0.0) -> bytes:
+def digest_of(names: Sequence[str], lease: float, own_part: float = 0.0, regions: str = "") -> bytes:
     """Four bytes that two versions of a site share where they state the same gateways in the same order,
-    leases of the same length, and the same own part of the fleet's budgets. An own part of 1 is what programs
-    had that lent nothing: their digest did not name it."""
-    words = [*names, f"{lease:.3f}", *([f"{own_part:.6f}"] if own_part != 1.0 else [])]
+    leases of the same length, the same own part of the fleet's budgets, and the same regions. An own part of
+    1 is what programs had that lent nothing: their digest did not name it."""
+    words = [*names, f"{lease:.3f}", *([f"{own_part:.6f}"] if own_part != 1.0 else []),
+             *([f"regions {regions}"] if regions else [])]  # fmt: skip
     return blake3("\n".join(words).encode()).digest(4) if names else NO_LIST
 
 
@@ -41,10 +42,12 @@
     return blake3(name.encode()).digest(4)
 
 
-def rank(duty: str, names: Sequence[str]) -> list[int]:
-    """Who should own a duty, best first: by a keyed hash, so that duties spread over the members."""
+def rank(duty: str, names: Sequence[str], members: Iterable[int] | None = None) -> list[int]:
+    """Who should own a duty, best first: by a keyed hash, so that duties spread over the members. `members`:
+    numbers of those that may; left out, all."""
     key = blake3(duty.encode(), derive_key_context="ledgehitch 2026 rank of owners").digest()
-    order = {i: blake3(name.encode(), key=key).digest(8) for i, name in enumerate(names)}
+    some = range(len(names)) if members is None else members
+    order = {i: blake3(names[i].encode(), key=key).digest(8) for i in some}
     return sorted(order, key=lambda i: (order[i], i))
 
 
@@ -58,6 +61,8 @@
     former_lease: float = LEASE
     own_part: float = 0.0  # of the fleet's budgets
     former_own_part: float = 0.0
+    regions: str = ""  # which regions and shares the site states, as a digest; empty: none
+    former_regions: str = ""
 
     def shortest(self) -> float:
         """What an owner counts on: voters of either list bind themselves for at least so long."""
@@ -79,8 +84,9 @@
         return (self.current, self.former) if self.former else (self.current,)
 
     def digests(self) -> tuple[bytes, bytes]:
-        return (digest_of(self.current, self.lease, self.own_part),
-                digest_of(self.former, self.former_lease, self.former_own_part))  # fmt: skip
+        return (digest_of(self.current, self.lease, self.own_part, self.regions),
+                digest_of(self.former, self.former_lease, self.former_own_part,
+                          self.former_regions))  # fmt: skip
 
     def own_share(self, surely: bool = False) -> float:
         """Of each of the fleet's budgets, what a gateway has though it hears nothing: the least of both
--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -9,6 +9,7 @@
 
 from ledgehitch.owners.facts import STEP, TOP, Lists, majority, promise_of
 from ledgehitch.owners.votes import Fence, Voter
+from ledgehitch.regions.shares import Shares
 
 VERSION = 1
 
@@ -16,20 +17,28 @@
 class Memory:
     def __init__(self, now: float, me: str, stated: tuple[str, ...], duties: tuple[str, ...], lease: float,
                  held: Any, nonce: int, promise: float = 0.0, own_part: float = 0.0,
-                 gone: frozenset[str] = frozenset()) -> None:  # fmt: skip
+                 gone: frozenset[str] = frozenset(), regions: str = "", scope: str = "") -> None:  # fmt: skip
         """`held`: what the file gave, None where it is not whole. `nonce`: of this life, drawn anew.
         `promise`: seconds that a vote binds; left out, what the bound on clocks asks for. `own_part`: of the
         fleet's budgets; a change of it goes as a change of the list does. `gone`: who does not run, as an
-        operator vouches: nobody waits for their votes by a former list."""
-        self.me, self.nonce, self.gone = me, nonce, gone
+        operator vouches: nobody waits for their votes by a former list. `regions`: a digest of those that the
+        site states. `scope`: the region whose duties these are, empty for those of all; a file of another
+        counts as lost."""
+        self.me, self.nonce, self.gone, self.scope = me, nonce, gone, scope
         self.intact = isinstance(held, dict) and held.get("version") == VERSION
+        self.intact = self.intact and held.get("scope", "") == scope
         votes: dict[str, Any] = held["votes"] if self.intact else {}
         fence: dict[str, int] = held["fence"] if self.intact else {}
         self.life = (int(held["life"]) if self.intact else 0) + 1
         self.lives: dict[str, tuple[int, int]] = {}
         if self.intact:
             self.lives = {n: (int(a), int(b)) for n, (a, b) in held["lives"].items() if n in stated}
-        self.lists = _lists(stated, lease, own_part, held if self.intact else {})
+        self.lists = _lists(stated, lease, own_part, regions, held if self.intact else {})
+        self.shares: Shares | None = None  # of the regions; where all of them are heard, and there are any
+        self.longest_lent = 0.0  # seconds that what a lease lent may go on after it
+        # Whether another scope's list is still unsettled. Guards against gateways that say they go by a
+        # version while their region's voters still give their votes by the one before the last.
+        self.behind = False
         # A promise of the last life may have been longer than those of now.
         before = float(held["lease"]) if self.intact else 0.0
         self.promise = promise or promise_of(max(self.lists.longest(), before))
@@ -47,7 +56,14 @@
         self.settles_at = 1e18
 
     def record(self) -> dict[str, Any]:
-        return {
+        more: dict[str, Any] = {}
+        if self.lists.regions or self.lists.former_regions:
+            more |= {"regions": self.lists.regions, "former_regions": self.lists.former_regions}
+        if self.scope:
+            more["scope"] = self.scope
+        if self.shares is not None:
+            more["shares"] = self.shares.record()
+        return more | {
             "version": VERSION, "life": self.life,
             "votes": {d: [v.term, v.member] for d, v in self.voters.items()},
             "fence": dict(self.fence.highest), "lives": {n: list(pair) for n, pair in self.lives.items()},
@@ -116,18 +132,38 @@
         that may still run is waited for. Not before a majority of the current one is there: else neither
         list had an owner until it is."""
         former = self.lists.former
-        if not former or member in self.on_new or current != self.lists.digests()[0]:
+        if not self.unsettled() or member in self.on_new or current != self.lists.digests()[0]:
             return
         self.on_new.add(member)
+        if self.shares is not None:
+            self._shares_run(now)
+        if not former:
+            return
         left = len(set(former) - self.on_new - self.gone)
         enough = len(self.on_new.intersection(self.lists.current)) >= majority(len(self.lists.current))
         if enough and left < majority(len(former)) and self.settles_at > 1e17:
             self.settles_at = now + self.promise
 
+    def divides(self, now: float, shares: Shares | None, longest_lent: float) -> None:
+        """`shares` of the regions begin; None where there are none. `longest_lent`: seconds that what a
+        lender lent may go on after its lease."""
+        self.shares, self.longest_lent = shares, longest_lent
+        self._shares_run(now)
+
+    def _shares_run(self, now: float) -> None:
+        if self.shares is not None:
+            lease = promise_of(self.lists.any_lease())
+            self.shares.runs(now, self.on_new, self.gone, lease + self.longest_lent)
+
+    def unsettled(self) -> bool:
+        """Whether it matters still who goes by which list."""
+        return bool(self.lists.former) or self.shares is not None and not self.shares.known
+
     def settle(self, now: float) -> bool:
-        """Whether the former list is let go of by this."""
-        if now < self.settles_at:
-            return False
+        """Whether the former list, or the former shares of regions, are let go of by this."""
+        shared = self.shares is not None and self.shares.settle(now)
+        if now < self.settles_at or self.behind:
+            return shared
         now_on = self.lists
         # How long leases were before, and how large own parts, is kept: loans may outlast the change.
         self.lists = now_on._replace(former=())
@@ -135,17 +171,19 @@
         return True
 
 
-def _lists(stated: tuple[str, ...], lease: float, own_part: float, held: dict[str, Any]) -> Lists:
+def _lists(stated: tuple[str, ...], lease: float, own_part: float, regions: str, held: dict[str, Any]
+           ) -> Lists:  # fmt: skip
     """One change of the list at a time: a third version waits behind one that is not settled."""
-    new = Lists(stated, (), lease, lease, own_part, own_part)
+    new = Lists(stated, (), lease, lease, own_part, own_part, regions, regions)
     if not held.get("current"):
         return new
     # A file of a program that knew no own part: the part that it went by is not known, so it changes.
     own, former_own = held.get("own_part", 1.0), held.get("former_own_part", 1.0)
     old = Lists(tuple(held["current"]), tuple(held["former"]), held["lease"], held["former_lease"], own,
-                former_own)  # fmt: skip
-    if (old.current, old.lease, old.own_part) == (stated, lease, own_part):
+                former_own, held.get("regions", ""), held.get("former_regions", ""))  # fmt: skip
+    if (old.current, old.lease, old.own_part, old.regions) == (stated, lease, own_part, regions):
         return old
-    if old.former and (old.former, old.former_lease, old.former_own_part) != (stated, lease, own_part):
+    before = (old.former, old.former_lease, old.former_own_part, old.former_regions)
+    if old.former and before != (stated, lease, own_part, regions):
         return old
-    return Lists(stated, old.current, lease, old.lease, own_part, own)
+    return Lists(stated, old.current, lease, old.lease, own_part, own, regions, old.regions)
--- /dev/null
+++ b/ledgehitch/regions/facts.py
@@ -0,0 +1,69 @@
+"""Regions of a site, the scope of each duty, and fixed shares as whole numbers, so that sums are exact."""
+
+from collections.abc import Sequence
+from fractions import Fraction
+from typing import NamedTuple
+
+from blake3 import blake3
+
+from ledgehitch.config.site import Site, stated
+
+WHOLE = 1_000_000_000  # parts of every budget; `budgets/` counts in the same
+# Duties that each region has an owner of; any other is done once for all.
+OF_A_REGION = frozenset({"budgets"})
+
+
+class Region(NamedTuple):
+    """`gateways`: the stated ones, in the site's order. `share`: parts of WHOLE."""
+
+    name: str
+    share: int
+    gateways: tuple[str, ...]
+
+
+def divided(shares: Sequence[Fraction | None], gateways: Sequence[int]) -> tuple[int, ...]:
+    """Parts of WHOLE for each, never more than WHOLE together: by stated shares, or without any by the number
+    of gateways. What rounding leaves goes to the first, a part each."""
+    if any(share is None for share in shares):
+        total = sum(gateways)
+        parts = [WHOLE * n // total for n in gateways]
+        left = WHOLE - sum(parts)
+        return tuple(part + (i < left) for i, part in enumerate(parts))
+    return tuple(int(share * WHOLE) for share in shares if share is not None)
+
+
+def regions_of(site: Site) -> tuple[Region, ...]:
+    """Those that have a stated gateway; none for a site without regions. What a region had that is gone goes
+    to the others by their shares."""
+    names = set(stated(site))
+    of = {zone: r.name for r in site.regions for zone in r.zones}
+    inside = {r.name: tuple(g.name for g in site.gateways if g.name in names and of[g.zone] == r.name)
+              for r in site.regions}  # fmt: skip
+    left = [r for r in site.regions if inside[r.name]]
+    stating = [Fraction(str(r.share)) if r.share is not None else None for r in left]
+    whole = sum(Fraction(str(r.share)) for r in site.regions if r.share is not None)
+    there = sum((share for share in stating if share is not None), Fraction(0))
+    scaled = [share * whole / there if share is not None else None for share in stating]
+    parts = divided(scaled, [len(inside[r.name]) for r in left])
+    return tuple(Region(r.name, part, inside[r.name]) for r, part in zip(left, parts, strict=True))
+
+
+def region_of(site: Site, gateway: str) -> str:
+    """The region that a gateway is in, declared gone or not; empty for a site without regions."""
+    zone = next(g.zone for g in site.gateways if g.name == gateway)
+    return next((r.name for r in site.regions if zone in r.zones), "")
+
+
+def part_of(site: Site, gateway: str) -> float:
+    """Of what the site keeps as own parts, the share of one gateway."""
+    some = regions_of(site)
+    mine = next((r for r in some if gateway in r.gateways), None)
+    if not some:
+        return 1.0 / len(stated(site))
+    return mine.share / WHOLE / len(mine.gateways) if mine is not None else 0.0
+
+
+def digest_of(regions: Sequence[Region]) -> str:
+    """What two versions share that state the same regions, gateways in them and shares; empty for none."""
+    words = [f"{r.name} {r.share} {' '.join(r.gateways)}" for r in regions]
+    return blake3("\n".join(words).encode()).hexdigest(8) if regions else ""
--- a/ledgehitch/rehearsal/fleet.py
+++ b/ledgehitch/rehearsal/fleet.py
@@ -10,7 +10,8 @@
     rig.run(script)
     assert not rig.broken(whole=True)
 
-Whom a call means may be a name or a role: "owner of restarts", "hall z1", "others".
+Whom a call means may be a name or a role: "owner of restarts", "owner of budgets in north", "hall z1",
+"region north", "others".
 """
 
 import json
@@ -50,7 +51,7 @@
 runpy.run_module("ledgehitch", run_name="__main__")
 """
 # Files of a state directory, by how they end.
-KEPT = ("members", "owners", "plan", "carried", "quality", "door")
+KEPT = ("members", "owners", "owners-region", "plan", "carried", "quality", "door")
 
 
 class FleetRig(Stage):
@@ -223,16 +224,22 @@
         kind, _, which = who.partition(" ")
         if kind == "hall":
             return [g.name for g in self.site.gateways if g.zone == which]
+        if kind == "region":
+            zones = next((r.zones for r in self.site.regions if r.name == which), [])
+            return [g.name for g in self.site.gateways if g.zone in zones]
         if kind == "owner":
-            return [self.owner(which.removeprefix("of "))]
-        raise BadInput(f"{who!r} is no gateway, hall NAME or owner of DUTY")
+            duty, _, region = which.removeprefix("of ").partition(" in ")
+            return [self.owner(duty, region=region)]
+        raise BadInput(f"{who!r} is no gateway, hall NAME, region NAME or owner of DUTY (in REGION)")
 
-    def owner(self, duty: str, but: Iterable[str] = (), within: float = 30.0) -> str:
-        """Waits until one, not of `but`, says that it owns the duty, and gives its name."""
+    def owner(self, duty: str, but: Iterable[str] = (), within: float = 30.0, region: str = "") -> str:
+        """Waits until one, not of `but`, says that it owns the duty, and gives its name. `region`: of the one
+        whose gateways are asked alone."""
         found: list[str] = []
+        some = self.whom(f"region {region}") if region else self.names
 
         def seen() -> bool:
-            found[:] = [n for n in self._alive() if n not in but and self._owns(n, duty)]
+            found[:] = [n for n in self._alive() if n in some and n not in but and self._owns(n, duty)]
             return len(found) == 1
 
         self.until(seen, within)
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -446,5 +446,5 @@
                            stdin=subprocess.DEVNULL, env=environment, timeout=60)  # fmt: skip
     loaded = ended.stdout.strip().splitlines()[-1]
     assert f"ledgehitch.{entry}" in loaded and "ledgehitch.brain" in loaded
-    for off in ("members", "owners", "budgets", "halls", "daemon", "fleet"):
+    for off in ("members", "owners", "budgets", "halls", "daemon", "fleet", "scale", "regions"):
         assert f"ledgehitch.{off}" not in loaded
