--- a/ledgehitch/cli/fleet.py
+++ b/ledgehitch/cli/fleet.py
@@ -321,6 +321,9 @@
             shares = (f"{x:.3f}" for x in (f.own, f.lent, f.used, f.wanted, f.unmet))
             free = "-" if f.free is None else f"{f.free:.3f}"
             table.add_row(f.budget, f.unit, *shares, free + (f", waits {f.waits:.1f} s" if f.waits else ""))
+            for region, (share, own, lent, used) in sorted(f.regions.items()):
+                shares = (f"{x:.3f}" for x in (own, lent, used))
+                table.add_row(f"  {region}", f"share {share:.3f}", *shares)
             for name, each in sorted(f.by.items()) if by_gateway else ():
                 table.add_row(f"  {name}", "", f"{each[0]:.3f}", f"{each[1]:.3f}", "", f"{each[2]:.3f}")
         Console(highlight=False, width=None if sys.stdout.isatty() else 160).print(table)
--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -2,6 +2,7 @@
 machine sleeps, and a duty's work begun when it is won and ended when it is lost.
 """
 
+import math
 import os
 import random
 import secrets
@@ -23,7 +24,7 @@
 from ledgehitch.loop.timers import Timer
 from ledgehitch.owners.clock import Clock
 from ledgehitch.owners.decide import Keep, Lost, Owners, Renewed, Send, Won
-from ledgehitch.owners.facts import DUTIES, promise_of
+from ledgehitch.owners.facts import BUDGETS, DUTIES, promise_of
 from ledgehitch.owners.memory import Memory
 from ledgehitch.owners.words import BadWords, read, written
 from ledgehitch.quality.keep import Keep as File
@@ -200,6 +201,18 @@
         shares = self.owners.memory.shares
         return WHOLE if shares is None else shares.in_force()
 
+    def share_to_lend(self) -> int:
+        """Of which a lender of this region may go by. Guards against the own parts of gateways that still go
+        by a former, larger share: they are no part of what is lent."""
+        shares, lists = self.owners.memory.shares, self.of(BUDGETS).owners.memory.lists
+        if shares is None:
+            return WHOLE
+        mine, own = shares.in_force(), lists.most_own_part()
+        beyond = max(0, shares.before() - mine) if lists.former else 0
+        if not beyond:
+            return mine
+        return max(0, mine - math.ceil(beyond * own / (1.0 - own))) if own < 1.0 else 0
+
     @staticmethod
     def _boottime() -> float:
         return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/ledgehitch/proof/owned.py
+++ b/ledgehitch/proof/owned.py
@@ -9,7 +9,7 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -147,10 +147,29 @@
     return out
 
 
-def judged_owned(lines: Sequence[Line], names: Iterable[str] = (), most: int = 1, whole: bool = False
-                 ) -> list[Broken]:  # fmt: skip
-    """All promises on owners. `whole`: a plan of all `names` was carried to its end."""
+def one_lender_a_term(tape: Sequence[Line], regions: Mapping[str, str]) -> list[Broken]:
+    """In one region a term of budgets is used by one member alone, and nobody lends to another region.
+    `regions`: of each gateway; without any, all are one."""
+    out, by = [], dict[tuple[str, int], Line]()
+    for line in (x for x in tape if x["ev"] == "lent"):
+        here, there = regions.get(line["who"], ""), regions.get(line["to"], "")
+        if here != there:
+            out.append(Broken("each region lends for itself", f"{line['who']} of {here or 'none'} lent to "
+                              f"{line['to']} of {there or 'none'}", (line["t"],), (line.at,)))  # fmt: skip
+        first = by.setdefault((here, line["term"]), line)
+        if first["who"] != line["who"]:
+            what = f"{first['who']} and {line['who']} used term {line['term']} of budgets"
+            times, at = (first["t"], line["t"]), (first.at, line.at)
+            out.append(Broken("one owner a term", f"{what} of {here}" if here else what, times, at))
+    return out
+
+
+def judged_owned(lines: Sequence[Line], names: Iterable[str] = (), most: int = 1, whole: bool = False,
+                 regions: Mapping[str, str] | None = None) -> list[Broken]:  # fmt: skip
+    """All promises on owners. `whole`: a plan of all `names` was carried to its end. `regions`: of each
+    gateway, where the site has any."""
     steps = steps_of(lines)
     verdicts = [line for line in lines if line["ev"] == "verdict"]
     return [*fence_held(steps), *one_owner_a_term(steps, verdicts), *restarted_once(steps, names, whole),
-            *most_at_once(steps, most), *told_once(verdicts)]  # fmt: skip
+            *most_at_once(steps, most), *told_once(verdicts),
+            *one_lender_a_term(lines, regions or {})]  # fmt: skip
--- a/ledgehitch/regions/facts.py
+++ b/ledgehitch/regions/facts.py
@@ -54,15 +54,6 @@
     return next((r.name for r in site.regions if zone in r.zones), "")
 
 
-def part_of(site: Site, gateway: str) -> float:
-    """Of what the site keeps as own parts, the share of one gateway."""
-    some = regions_of(site)
-    mine = next((r for r in some if gateway in r.gateways), None)
-    if not some:
-        return 1.0 / len(stated(site))
-    return mine.share / WHOLE / len(mine.gateways) if mine is not None else 0.0
-
-
 def digest_of(regions: Sequence[Region]) -> str:
     """What two versions share that state the same regions, gateways in them and shares; empty for none."""
     words = [f"{r.name} {r.share} {' '.join(r.gateways)}" for r in regions]
--- a/ledgehitch/regions/shares.py
+++ b/ledgehitch/regions/shares.py
@@ -44,11 +44,15 @@
     def in_force(self) -> int:
         """Parts of WHOLE that this gateway's region may use."""
         share = self._share(self.current)
-        return share if self.known else min(share, self._share(self.former or ()))
+        return share if self.known else min(share, self.before())
 
     def stated(self) -> int:
         return self._share(self.current)
 
+    def before(self) -> int:
+        """By the version before."""
+        return self._share(self.former or ())
+
     def _share(self, some: Sequence[Region]) -> int:
         return next((r.share for r in some if r.name == self.mine), 0)
 
--- a/ledgehitch/rehearsal/fleet.py
+++ b/ledgehitch/rehearsal/fleet.py
@@ -30,7 +30,8 @@
 
 import msgspec
 
-from ledgehitch.budgets.facts import WHOLE, own_parts
+from ledgehitch.budgets.facts import WHOLE, budgets_of
+from ledgehitch.budgets.units import own_parts
 from ledgehitch.config import BadInput, Day, Fault, Site
 from ledgehitch.http import ConnectFailed, Interrupted
 from ledgehitch.loop import Child, Loop, TimedOut, endpoint
@@ -38,6 +39,7 @@
 from ledgehitch.proof.check import Breach, figures_of, judged_tape
 from ledgehitch.proof.owned import Broken, judged_owned
 from ledgehitch.proof.tape import lines_of
+from ledgehitch.regions.facts import regions_of
 from ledgehitch.rehearsal.play import READY_WITHIN, Stage, free_ports
 from ledgehitch.standins.cuts import Bad
 from ledgehitch.standins.receiver import Receiver
@@ -340,14 +342,22 @@
         return list(lines_of(self.tapes))
 
     def broken(self, whole: bool = False, most: int = 1) -> list[Broken]:
-        return judged_owned(self.lines(), self.names, most, whole)
+        regions = {name: r.name for r in regions_of(self.site) for name in r.gateways}
+        return judged_owned(self.lines(), self.names, most, whole, regions)
 
     def over_budget(self, site: Site | None = None) -> list[Broken]:
         """`site`: whose limits hold, where they were changed by a reload: the largest that was in force."""
         site = site or self.site
-        n = len(site.gateways)
-        wholes = Wholes(site.door.package_rates, site.door.set_ups, n, max(p.patience for p in site.packages),
-                        own_parts(site.budgets.own_part, n), WHOLE)  # fmt: skip
+        names, patience = [g.name for g in site.gateways], max(p.patience for p in site.packages)
+        budgets = budgets_of(site.door.package_rates, site.door.set_ups, patience)
+        regions = regions_of(site)
+        scopes = [(r.gateways, r.share) for r in regions] or [(tuple(names), WHOLE)]
+        each = [{name: own for some, share in scopes
+                 for name, own in own_parts(b, site.budgets.own_part, some, share).items()}
+                for b in budgets]  # fmt: skip
+        wholes = Wholes(site.door.package_rates, site.door.set_ups, len(names), patience,
+                        {name: [own.get(name, 0) for own in each] for name in names}, WHOLE,
+                        regions={r.name: (r.gateways, r.share) for r in regions})  # fmt: skip
         return judged_budgets(self.lines(), wholes)
 
     def let_in(self, since: float, until: float = float("inf"), by: Iterable[str] = ()) -> int:
--- a/tests/explore_regions.py
+++ b/tests/explore_regions.py
@@ -1,10 +1,10 @@
 """Interleavings of two small regions, for the promises of `regions/shares.py` and of owners in two scopes.
 
-Four gateways, two in each region, start anew by one version of the site or another, with their files or with
-none; they stand and ask for votes in the scope of all and in their region's, look at their lease and lend late,
-and hear by which version others go. What is not heard is a step that is not taken: so regions are cut, one way
-or both, for any time. Clocks run at different rates, within a bound that is given here as a factor of two so
-that whole steps of time show it. All classes are the ones that gateways run.
+Four gateways, two in each region, start anew by one version of the site or another, with their files or
+with none; they stand and ask for votes in the scope of all and in their region's, look at their lease and
+lend late, and hear by which version others go. What is not heard is a step that is not taken: so regions are
+cut, one way or both, for any time. Clocks run at different rates, within a bound that is given here as a
+factor of two so that whole steps of time show it. All classes are the ones that gateways run.
 
 Never: two owners of one duty in one scope at one true moment; of what lenders of both regions lent and may be
 spent still, more than the whole. Own parts are `budgets/`'s, whose exploration takes a share as given.
@@ -58,20 +58,21 @@
 
 RAISE = Corner()
 CLOCKS = Corner(rates=(FAST, 1.0, 1.0, 1.0))
-MOVE = Corner(versions=(EVEN, MOVED), standing=frozenset({0, 2, 3}), hears=frozenset({2}))
-FORGET = Corner(empty=frozenset({0}), starts=frozenset({0, 3}), hears=frozenset({0}), lives=3)
+MOVE = Corner(versions=(EVEN, MOVED), standing=frozenset({0, 2, 3}), hears=frozenset({2, 3}))
+FORGET = Corner(starts=frozenset({0, 3}), hears=frozenset({0}), lives=3)
+LOST = Corner(empty=frozenset({0, 1}), starts=frozenset({0, 1, 3}), hears=frozenset({0}))
 BACK = Corner(backwards=True, lives=3, starts=frozenset({0, 2, 3}), ends=4.0)
 FIRST = Corner(versions=(NONE, EVEN), standing=frozenset({0, 2}), for_all=frozenset({0}), ends=4.0)
 OWNED = Corner(versions=(EVEN,), standing=frozenset({0, 1, 2}), for_all=frozenset({0, 2}),
                starts=frozenset({1}), hears=frozenset(), ends=4.0)  # fmt: skip
-CORNERS = {"raise": RAISE, "clocks": CLOCKS, "move": MOVE, "forget": FORGET, "back": BACK, "first": FIRST,
-           "owned": OWNED}  # fmt: skip
+CORNERS = {"raise": RAISE, "clocks": CLOCKS, "move": MOVE, "forget": FORGET, "lost": LOST, "back": BACK,
+           "first": FIRST, "owned": OWNED}  # fmt: skip
 
 NORTH_STARTS = ("0 starts by 1", "1 starts by 1")
 NORTH_LENDS = ("0 stands for b", "0 asks 1 for b", "0 checks", "0 lends")
 SOUTH_LENDS = ("2 stands for b", "2 asks 3 for b", "2 checks", "2 lends")
 LATER = ("time passes",) * 4
-SOUTH_KNOWS = ("2 starts by 1", "3 starts by 1", "2 hears 1", "2 hears 3", *LATER)
+SOUTH_KNOWS = ("2 starts by 1", "3 starts by 1", "2 hears 1", "2 hears 3", "3 hears 2", *LATER)
 # Planted faults: the corner in which each shows, and the steps that lead near it where it lies deep.
 PLANTED: dict[str, tuple[str, tuple[str, ...]]] = {
     "a region's majority counted over all": ("owned", ("0 stands for b",)),
@@ -83,7 +84,8 @@
     "no allowance for clocks": ("clocks", (*NORTH_STARTS, *SOUTH_LENDS[:2], "3 starts by 1", "0 hears 3",
                                            "time", "2 checks")),  # fmt: skip
     "forgotten at a restart": ("forget", ("0 starts by 1", "0 starts by 1")),
-    "nothing remembered counts as known": ("forget", ("0 starts by 1 without", "time", "time")),
+    "nothing remembered counts as known": ("lost", ("0 starts by 1 without", "1 starts by 1 without",
+                                                    "time", "time")),
     "both regions count the same gateway": ("move", ("0 starts by 1", "1 starts by 1", *SOUTH_KNOWS,
                                                      *SOUTH_LENDS)),  # fmt: skip
     "one gateway votes in both regions": ("move", ("1 starts by 1", *SOUTH_KNOWS, *SOUTH_LENDS)),
@@ -360,11 +362,11 @@
             if me in some:
                 yield from _owner_steps(w, me, duty)
         lease = g.leases[OWN]
-        if me in c.standing and g.checked is None and lease is not None:
-            if _lease(lease).holds(w.clock(me)) and w.share(me):
-                new = w.copied()
-                new.up[me].checked = w.now, w.share(me)
-                yield f"{me} checks its lease", new
+        owns = lease is not None and _lease(lease).holds(w.clock(me))
+        if me in c.standing and g.checked is None and owns and w.share(me):
+            new = w.copied()
+            new.up[me].checked = w.now, w.share(me)
+            yield f"{me} checks its lease", new
         if g.checked is not None:
             new = w.copied()
             asked, share = g.checked
