--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -337,7 +337,8 @@
             out["region"] = inside | {"name": scope.region, "disk": scope.disk}
         shares = self.owners.memory.shares
         if shares is not None:
-            out["share"] = {"in_force": shares.in_force(), "stated": shares.stated(), "whole": WHOLE}
+            out["share"] = {"in_force": shares.in_force(), "stated": shares.stated(), "whole": WHOLE,
+                            "go_by_it": sorted(self.owners.memory.on_new)}  # fmt: skip
         for duty, told in out["duties"].items():
             told["doing"] = self.work[duty].doing() if told["mine"] and duty in self.work else ""
         frames = dict(self.membership.frames.refused)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -590,6 +590,7 @@
         "#Terms": sites.TermsRecord,
         "#Host": sites.HostRecord,
         "#Gateway": sites.GatewayRecord,
+        "#Region": sites.RegionRecord,
         "#Fault": days.Fault,
         "#Mix": days.Mix,
         "#Arrivals": days.Arrivals,
--- /dev/null
+++ b/tests/test_regions.py
@@ -0,0 +1,136 @@
+"""Two regions as several processes, cut from each other; judged from what crossed the sockets."""
+
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ledgehitch.config.site import RegionRecord
+from ledgehitch.proof.budgeted import Wholes, judged_budgets
+from ledgehitch.regions.facts import WHOLE
+from ledgehitch.rehearsal.fleet import FleetRig
+
+RATE, SET_UPS = 20.0, 30.0
+DOOR = {"on": True, "package_rates": {"recorded": RATE}, "set_ups": SET_UPS}
+REGIONS = ({"name": "north", "zones": ["z0"]}, {"name": "south", "zones": ["z1"]})
+WITHIN, CUT = 15.0, 20.0  # seconds until the whole is in use again, and that the regions are apart
+
+
+def rig_of(directory: Path, **more: Any) -> FleetRig:
+    """Viewers ask for three times what the fleet may let in, and watch so shortly that hosts have room."""
+    return FleetRig(directory, 6, halls=2, hosts=9, rate=3 * RATE, watch=0.3, door=DOOR, regions=REGIONS,
+                    **more)  # fmt: skip
+
+
+def used(rig: FleetRig, seconds: float = 4.0) -> float:
+    """Of the whole rate, what was let in over the last seconds, by what media hosts saw."""
+    now = time.monotonic()
+    return rig.let_in(now - seconds, now) / seconds / RATE
+
+
+def both_own(rig: FleetRig, within: float = 60.0) -> list[str]:
+    return [rig.owner("budgets", within=within, region=r) for r in ("north", "south")]
+
+
+def in_force(rig: FleetRig, name: str) -> float:
+    told = rig.asked(name, "/v1/owners")
+    return told["share"]["in_force"] / WHOLE if told else -1.0
+
+
+def test_regions_that_are_cut_from_each_other_own_their_duties_and_let_in_the_whole(tmp_path: Path) -> None:
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        both_own(rig)
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
+        rig.cut("region north")
+        cut = time.monotonic()
+        both_own(rig, 2 * rig.lease + 1.0)
+        rig.until(lambda: used(rig) >= 0.9, WITHIN, 0.5)
+        since = time.monotonic()
+        rig.loop.sleep(cut + CUT - since)
+        assert rig.let_in(since) / (time.monotonic() - since) / RATE >= 0.9, "as long as the cut lasts"
+        both_own(rig, 2 * rig.lease + 1.0)
+        code, said = rig.fleet("owners")
+        assert code == 1 and "budgets (north)" in said and "budgets (south)" in said, said
+        assert "it needs a majority of the gateways of all regions" in said, said
+        code, said = rig.fleet("budgets")
+        assert "share 0.500" in said and "nobody is known to lend" not in said, said
+        rig.heal()
+        rig.owner("restarts")
+        # Apart again, one way each, and an owner that stands still meanwhile and wakes up late.
+        for there, back in ((True, False), (False, True)):
+            rig.cut("region north", there=there, back=back)
+            stopped = rig.owner("budgets", region="north")
+            rig.still(stopped)
+            rig.owner("budgets", but=[stopped], region="north")
+            rig.goes_on(stopped)
+            both_own(rig)
+            rig.heal()
+        rig.owner("restarts")
+        # One gateway of three is lost while they are apart: nothing changes there.
+        rig.cut("region north")
+        lost = rig.owner("budgets", region="south")
+        rig.kill(lost)
+        rig.owner("budgets", but=[lost], region="south")
+        rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
+
+    rig = rig_of(tmp_path)
+    rig.run(script)
+    assert rig.over_budget() == [] and rig.broken() == []
+
+
+def test_shares_change_carefully_and_a_region_that_is_gone_leaves_its_share(tmp_path: Path) -> None:
+    north, south = ("g0", "g2", "g4"), ("g1", "g3", "g5")
+
+    def stating(rig: FleetRig, *regions: dict[str, Any]) -> None:
+        rig.site = msgspec.structs.replace(rig.site, regions=msgspec.convert(regions, list[RegionRecord]))
+        rig.write_site()
+
+    def anew(rig: FleetRig, *names: str) -> None:
+        for name in names:
+            rig.kill(name)
+            rig.start_all([name])
+
+    def script(rig: FleetRig) -> None:
+        rig.start_all()
+        rig.until(lambda: all(in_force(rig, n) == 0.5 for n in rig.names), 60.0)
+        both_own(rig)
+        rig.viewers()
+        rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
+        stating(rig, {**REGIONS[0], "share": 0.75}, {**REGIONS[1], "share": 0.25})
+        anew(rig, *north)
+        both_own(rig)
+        rig.until(lambda: all(rig.asked(n, "/v1/owners")["region"]["settled"] for n in north), 60.0)
+        assert [in_force(rig, n) for n in north] == [0.5] * 3, "the south goes by the former version"
+        code, said = rig.fleet("owners")
+        assert "its region uses 0.500 of the whole, 0.750 is stated" in said, said
+        anew(rig, "g1")  # no majority of three yet
+        assert in_force(rig, "g1") == 0.25
+        rig.until(lambda: "g1" in rig.asked("g0", "/v1/owners")["share"]["go_by_it"], 60.0)
+        rig.loop.sleep(3 * rig.lease)
+        assert [in_force(rig, n) for n in north] == [0.5] * 3
+        rig.kill("g0")
+        rig.start_all(["g0"])  # it has not forgotten for what it waits
+        assert in_force(rig, "g0") == 0.5
+        anew(rig, "g3", "g5")
+        rig.until(lambda: all(in_force(rig, n) == 0.75 for n in north), 60.0)
+        both_own(rig)
+        rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
+        # The south is lost as a whole, and an operator vouches for that.
+        for name in south:
+            rig.kill(name)
+        stating(rig, {**REGIONS[0], "share": 0.75}, {**REGIONS[1], "share": 0.25, "gone": True})
+        anew(rig, *north)
+        rig.until(lambda: all(in_force(rig, n) == 1.0 for n in north), 60.0)
+        rig.owner("budgets", region="north")
+        rig.owner("restarts")  # three of three that are stated
+        rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
+
+    rig = rig_of(tmp_path)
+    rig.run(script)
+    # Own parts were of two versions: loans and what was let in are judged.
+    patience = max(p.patience for p in rig.site.packages)
+    assert judged_budgets(rig.lines(), Wholes({"recorded": RATE}, SET_UPS, 6, patience)) == []
+    assert rig.broken() == []
