--- a/ledgehitch/proof/budgeted.py
+++ b/ledgehitch/proof/budgeted.py
@@ -121,7 +121,8 @@
                         for who, h in parts.items())  # fmt: skip
             if total > wholes.whole:
                 names = ", ".join(sorted(parts))
-                what = f"{names} had {total / wholes.whole:.3f} of budget {budget} together"
+                of_it = "its share of " if region else ""
+                what = f"{names} had {total / wholes.whole:.3f} of {of_it}budget {budget} together"
                 lines = tuple(h.line.at for h in parts.values())
                 promise = "parts are within the region's share" if region else "parts are within the whole"
                 return [Broken(promise, f"{region}: {what}" if region else what, (t,), lines)]
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,390 @@
+"""Regions without processes: what a site states, shares, owners in two scopes, what operators are told."""
+
+import random
+from fractions import Fraction
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from blake3 import blake3
+from hypothesis import given
+from hypothesis import strategies as st
+
+from benchmarks.owners import Crowd
+from ledgehitch.budgets.facts import WHOLE as OF_BUDGETS
+from ledgehitch.config import BadInput, read_site
+from ledgehitch.config.change import changes
+from ledgehitch.config.load import load_text
+from ledgehitch.config.site import GatewayRecord, RegionRecord, Site, check, stated
+from ledgehitch.fleet.owned import Said, cannot_vote, owned
+from ledgehitch.fleet.shared import Lends, Mine, Told, divided
+from ledgehitch.owners.decide import Owners
+from ledgehitch.owners.facts import BUDGETS, DUTIES, Lists, rank
+from ledgehitch.owners.memory import Memory
+from ledgehitch.owners.words import Words, written
+from ledgehitch.owners.words import read as read_words
+from ledgehitch.proof.budgeted import Wholes, judged_budgets
+from ledgehitch.proof.owned import judged_owned
+from ledgehitch.proof.tape import Line
+from ledgehitch.regions import facts, shares
+from ledgehitch.regions.facts import OF_A_REGION, WHOLE, Region, digest_of, region_of, regions_of
+from ledgehitch.regions.shares import Shares
+from tests.explore_regions import CORNERS, PLANTED, explored, walked
+from tests.rig import site as one_gateway
+from tests.test_config import GOOD, messages
+from tests.test_owners import pulled
+
+T = 1000.0
+
+
+# ---- what the promises rest on -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("name", CORNERS)
+def test_no_interleaving_has_two_owners_in_a_scope_or_regions_over_the_whole(name: str) -> None:
+    found = explored(1500, CORNERS[name])
+    assert found.states == 1500 and found.unsafe is None, found.breach
+    deeper = walked(5, 25, 30, CORNERS[name])
+    assert deeper.states > 200 and deeper.unsafe is None, deeper.breach
+
+
+@pytest.mark.parametrize("fault", PLANTED)
+def test_each_planted_fault_is_found_and_the_same_way_is_safe_without_it(fault: str) -> None:
+    corner, way = PLANTED[fault]
+    found = explored(30_000, CORNERS[corner], fault, way)
+    assert found.unsafe is not None
+    assert found.breach.startswith(("two owners of", "regions have"))
+    assert explored(min(found.states, 1500), CORNERS[corner], "", way).unsafe is None
+
+
+NORTH = Region("north", WHOLE // 2, ("g0", "g2", "g4"))
+SOUTH = Region("south", WHOLE // 2, ("g1", "g3", "g5"))
+EVEN = (NORTH, SOUTH)
+RAISED = (NORTH._replace(share=WHOLE * 3 // 4), SOUTH._replace(share=WHOLE // 4))
+
+
+def begun(mine: str, regions: tuple[Region, ...], held: Any) -> Shares:
+    found = shares.begun(mine, regions, [g for r in EVEN for g in r.gateways], held, False)
+    assert found is not None
+    return found
+
+
+def test_a_share_rises_when_no_majority_of_any_region_can_go_by_the_former_version() -> None:
+    held = Shares("north", EVEN, EVEN, True).record()
+    one = begun("north", RAISED, held)
+    assert (one.in_force(), one.stated()) == (WHOLE // 2, WHOLE * 3 // 4)
+    on_new = {"g0", "g2", "g4", "g1"}
+    one.runs(T, on_new, set(), 20.0)
+    assert one.free_at > T + 1e9, "two of three of the south may go by the former one"
+    one.runs(T, on_new | {"g3"}, set(), 20.0)
+    assert not one.settle(T + 19.9) and one.in_force() == WHOLE // 2
+    again = begun("north", RAISED, msgspec.json.decode(msgspec.json.encode(one.record())))
+    assert again.in_force() == WHOLE // 2 and again.free_at > T + 1e9, "a restart waits anew"
+    assert one.settle(T + 20.0) and one.in_force() == WHOLE * 3 // 4
+    assert begun("north", RAISED, one.record()).in_force() == WHOLE * 3 // 4
+    lower = begun("south", RAISED, Shares("south", EVEN, EVEN, True).record())
+    assert lower.in_force() == WHOLE // 4, "a lower one counts at once"
+
+
+def test_who_remembers_no_version_and_who_changes_to_a_third_has_the_least() -> None:
+    lost = begun("north", EVEN, None)
+    assert lost.in_force() == 0 and lost.stated() == WHOLE // 2
+    lost.runs(T, {"g0", "g2", "g1", "g3"}, set(), 5.0)
+    assert lost.settle(T + 5) and lost.in_force() == WHOLE // 2
+    second = begun("south", RAISED, Shares("south", EVEN, EVEN, True).record())
+    third = (NORTH._replace(share=WHOLE // 10), SOUTH._replace(share=WHOLE * 9 // 10))
+    assert begun("south", third, second.record()).in_force() == WHOLE // 4
+    assert begun("north", third, begun("north", RAISED, None).record()).in_force() == 0
+    # Back to no regions: all of it waits for both.
+    none = shares.begun("", (), ["g0", "g1"], Shares("north", EVEN, EVEN, True).record(), False)
+    assert none is not None and none.in_force() == 0 and none.stated() == WHOLE
+    assert shares.begun("", (), ["g0"], None, False) is None
+
+
+def test_a_region_that_is_declared_gone_is_not_waited_for() -> None:
+    alone = (NORTH._replace(share=WHOLE),)
+    one = begun("north", alone, Shares("north", EVEN, EVEN, True).record())
+    assert one.in_force() == WHOLE // 2
+    one.runs(T, {"g0", "g2"}, set(), 5.0)
+    assert not one.settle(T + 9)
+    one.runs(T, {"g0", "g2"}, set(SOUTH.gateways), 5.0)
+    assert one.settle(T + 14) and one.in_force() == WHOLE
+
+
+def test_a_whole_is_the_same_for_regions_and_budgets_and_duties_have_their_scopes() -> None:
+    assert WHOLE == OF_BUDGETS
+    assert [d for d in DUTIES if d in OF_A_REGION] == [BUDGETS]
+
+
+# ---- what a site states ------------------------------------------------------------------------------------
+
+
+def two_regions(*regions: RegionRecord, gone: tuple[str, ...] = ()) -> Site:
+    gateways = [GatewayRecord(name=g, at=f"127.0.0.1:{8000 + n}", zone=f"z{n % 2}", gone=g in gone)
+                for n, g in enumerate(f"g{n}" for n in range(6))]  # fmt: skip
+    return msgspec.structs.replace(one_gateway(), gateways=gateways, regions=list(regions))
+
+
+@given(st.lists(st.integers(1, 600), min_size=1, max_size=12), st.booleans(), st.integers())
+def test_shares_are_never_more_than_the_whole(gateways: list[int], stating: bool, seed: int) -> None:
+    said: list[Fraction | None] = [None] * len(gateways)
+    if stating:
+        chance = random.Random(seed)
+        cuts = sorted(chance.random() for _ in gateways)
+        said = [Fraction(str(b)) - Fraction(str(a)) for a, b in zip([0.0, *cuts], cuts, strict=False)]
+    parts = facts.divided(said, gateways)
+    assert 0 <= sum(parts) <= WHOLE and parts == facts.divided(said, gateways)
+    if not stating:
+        assert sum(parts) == WHOLE
+        assert all(abs(p - WHOLE * n / sum(gateways)) <= 1 for p, n in zip(parts, gateways, strict=True))
+
+
+def test_regions_are_read_off_a_site_and_what_is_gone_goes_to_the_others() -> None:
+    north, south = RegionRecord(name="north", zones=["z0"]), RegionRecord(name="south", zones=["z1"])
+    assert regions_of(two_regions()) == () and digest_of(()) == ""
+    site = two_regions(north, south)
+    check(site, "site")
+    assert regions_of(site) == (NORTH, SOUTH)
+    assert (region_of(site, "g3"), region_of(two_regions(), "g3")) == ("south", "")
+    fewer = regions_of(two_regions(north, south, gone=("g0", "g2")))
+    assert [(r.share, r.gateways) for r in fewer] == [(WHOLE // 4, ("g4",)), (WHOLE * 3 // 4, SOUTH.gateways)]
+    said = [msgspec.structs.replace(r, share=s) for r, s in ((north, 0.2), (south, 0.6))]
+    assert [r.share for r in regions_of(two_regions(*said))] == [WHOLE // 5, WHOLE * 3 // 5]
+    lost = two_regions(said[0], msgspec.structs.replace(said[1], gone=True))
+    assert stated(lost) == NORTH.gateways and regions_of(lost) == (NORTH._replace(share=WHOLE * 4 // 5),)
+
+
+WRONG: list[tuple[str, str, str]] = [
+    ("regions: north: zones: []", "regions.north.zones", "a region has a zone at least"),
+    ('regions: north: zones: ["a", "z9"]', "regions.north.zones.1", "no gateway is in zone 'z9'"),
+    ('regions: { north: zones: ["a", "b"], south: zones: ["b"] }', "regions.south.zones.0",
+     "zone 'b' is in region 'north' already"),
+    ('regions: north: zones: ["a"]', "gateways.g2.zone", "zone 'b' is in no region, while others are in one"),
+    ('regions: { north: { zones: ["a"], share: 50% }, south: zones: ["b"] }', "regions.south",
+     "it has no share, while 'north' states one"),
+    ('regions: { north: { zones: ["a"], share: 50.1% }, south: { zones: ["b"], share: 50% } }',
+     "regions.south.share", "shares come to 1.001, more than the whole"),
+    ('regions: { north: { zones: ["a"], gone: true }, south: { zones: ["b"], gone: true } }', "regions",
+     "all of them are declared gone"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("text, place, reason", WRONG)
+def test_wrong_regions_are_refused_with_their_place(text: str, place: str, reason: str, tmp_path: Path
+                                                    ) -> None:  # fmt: skip
+    gateways = 'gateways: { g1: { at: "127.0.0.1:82", zone: "a" }, g2: { at: "127.0.0.1:83", zone: "b" } }'
+    good = GOOD.replace('g0: { at: "127.0.0.1:8080" }', 'g0: { at: "127.0.0.1:8080", zone: "a" }')
+    said = messages(load_text(f"{good}{gateways}\n{text}\n"))
+    assert f"{place}: {reason}" in said, said
+    # And as JSON.
+    both = load_text(f'{good}{gateways}\nregions: {{ north: zones: ["a"], south: zones: ["b"] }}\n')
+    assert both.mistakes == [] and both.site is not None
+    raw = msgspec.to_builtins(both.site)
+    parts = load_text(f"{good}{gateways}\n{text}\n").data["regions"]
+    raw["regions"] = [{"name": name, **r} for name, r in parts.items()]
+    (tmp_path / "site.json").write_bytes(msgspec.json.encode(raw))
+    with pytest.raises(BadInput) as wrong:
+        read_site(tmp_path / "site.json")
+    assert str(wrong.value).startswith(f"{tmp_path}/site.json: {place}: {reason}")
+
+
+def test_a_change_of_regions_waits_for_a_restart_and_says_what_it_may_break() -> None:
+    good = GOOD.replace('g0: { at: "127.0.0.1:8080" }', 'g0: { at: "127.0.0.1:8080", zone: "a" }')
+    a, b = load_text(good), load_text(f'{good}regions: north: {{ zones: ["a"], share: 40% }}\n')
+    assert "regions" not in a.data, "the digest of a site without regions is what it was"
+    found = {c.path: c for c in changes(a.data, b.data)}
+    share = found["regions.north.share"]
+    assert share.effect == "restart" and "restart all" in share.risk
+    c = load_text(f'{good}regions: north: {{ zones: ["a"], share: 40%, gone: true }}\n')
+    assert "all of them are declared gone" in messages(c)
+    gone = {x.path: x for x in changes(b.data, c.data)}["regions.north.gone"]
+    assert gone.effect == "restart" and "none of its gateways may run" in gone.risk
+
+
+# ---- owners in two scopes ----------------------------------------------------------------------------------
+
+
+def test_a_site_without_regions_has_the_digest_the_file_and_the_words_that_it_had() -> None:
+    names = ("g0", "g1", "g2")
+    before = blake3(b"g0\ng1\ng2\n10.000\n0.100000").digest(4)
+    m = Memory(T, "g0", names, DUTIES, 10.0, None, 1, own_part=0.1)
+    assert m.lists.digests() == (before, b"\0" * 4)
+    assert sorted(m.record()) == ["current", "fence", "former", "former_lease", "former_own_part", "joined",
+                                  "lease", "life", "lives", "own_part", "version", "votes"]  # fmt: skip
+    one = Owners(T, 0, names, m, random.Random(1))
+    assert one.members == [0, 1, 2] and [d.number for d in one.duties.values()] == [0, 1, 2]
+    sent = [d for _ in range(9) if (d := one.decide(T)) is not None]
+    words = [w for d in sent for w in getattr(d, "then", ())]
+    assert words and {w.words.duty for w in words} == {0} and {len(w.words.terms) for w in words} == {3}
+    assert rank(BUDGETS, names) == rank(BUDGETS, names, [0, 1, 2])
+
+
+class TwoRegions(Crowd):
+    """The duty of a region: gateways with even numbers are in one, the others in the other."""
+
+    def start(self, n: int, disk: str) -> None:
+        if self.all.get(n) is not None:
+            return
+        mine = [m for m in range(self.n) if m % 2 == n % 2]
+        memory = Memory(self.clock(n), self.names[n], tuple(self.names[m] for m in mine), self.duties,
+                        self.lease, self.disks[n] if disk == "same" else None, self.chance.getrandbits(32),
+                        regions="even", scope=f"r{n % 2}")  # fmt: skip
+        chance = random.Random(self.chance.random())
+        self.all[n] = Owners(self.clock(n), n, self.names, memory, chance, mine, [DUTIES.index(BUDGETS)])
+        self.wakes[n] = 0.0
+
+    def owner(self, region: int) -> list[int]:
+        return [n for n in self.owners(BUDGETS) if n % 2 == region]
+
+
+def test_each_region_elects_its_owner_whatever_becomes_of_the_other_and_of_a_third_of_its_own() -> None:
+    some = TwoRegions(6, duties=(BUDGETS,))
+    some.until(lambda: bool(some.owner(0) and some.owner(1)), 60.0)
+    some.run(5.0)
+    terms = [o and o.memory.voters[BUDGETS].term for o in some.all.values()]
+    before = some.owner(0), some.owner(1)
+    some.part([0, 2, 4])
+    some.run(60.0)
+    assert (some.owner(0), some.owner(1)) == before and some.most_owners == 2
+    assert terms == [o and o.memory.voters[BUDGETS].term for o in some.all.values()]
+    some.stop(before[0][0])
+    at = some.now
+    some.until(lambda: some.owner(0) not in ([], before[0]), 60.0)
+    assert some.now - at <= 2 * 10.0 + 1.0 and some.owner(1) == before[1]
+    some.stop(some.owner(0)[0])
+    some.run(30.0)
+    assert some.owner(0) == [] and some.owner(1) == before[1], "one of three is no majority"
+    some.part([])
+    for n in (0, 2, 4):
+        some.start(n, "same")
+    some.until(lambda: bool(some.owner(0)), 60.0)
+    assert some.most_owners == 2 and some.owner(1) == before[1]
+
+
+def test_words_of_another_region_an_unknown_duty_and_another_version_are_refused_and_counted() -> None:
+    names, north = tuple(f"g{n}" for n in range(6)), (0, 2, 4)
+    memory = Memory(T, "g0", NORTH.gateways, (BUDGETS,), 10.0, None, 1, regions=digest_of(EVEN),
+                    scope="north")  # fmt: skip
+    memory.confirmed, memory.votes_from = True, T
+    one = Owners(T, 0, names, memory, random.Random(1), north, [2])
+    pulled(one, T)
+    before = memory.record()
+    good = Words("ask", 2, 9, 1, one.shorts[2], *memory.lists.digests())
+    other = Lists(NORTH.gateways, (), 10.0, 10.0, regions=digest_of(RAISED)).digests()
+    for sender, words in ((1, good._replace(who=one.shorts[1])), (2, good._replace(duty=1)),
+                          (2, good._replace(list=other[0])), (2, good._replace(term=1 << 63))):  # fmt: skip
+        one.heard(T, sender, read_words(written(words)))
+    assert sorted(one.counts.items()) == [
+        ("a duty that nobody knows", 1), ("a term out of reach", 1),
+        ("asked by one of another version of the site", 1),
+        ("of a gateway of another region", 1)]  # fmt: skip
+    assert memory.record() == before
+    one.heard(T, 2, good)
+    assert memory.voters[BUDGETS].member == "g2"
+
+
+def test_a_file_of_another_region_counts_as_lost_and_regions_are_versions_of_the_list() -> None:
+    first = Memory(T, "g0", NORTH.gateways, (BUDGETS,), 10.0, None, 1, regions=digest_of(EVEN), scope="north")
+    held = first.record()
+    assert Memory(T, "g0", NORTH.gateways, (BUDGETS,), 10.0, held, 2, regions=digest_of(EVEN),
+                  scope="north").intact  # fmt: skip
+    assert not Memory(T, "g0", NORTH.gateways, (BUDGETS,), 10.0, held, 2, regions=digest_of(EVEN),
+                      scope="south").intact  # fmt: skip
+    m = Memory(T, "g0", NORTH.gateways, (BUDGETS,), 10.0, held, 2, regions=digest_of(RAISED), scope="north")
+    assert m.lists.former == NORTH.gateways and first.lists.digests()[0] == m.lists.digests()[1]
+    third = Memory(T, "g0", NORTH.gateways, (BUDGETS,), 10.0, m.record(), 3, regions="third", scope="north")
+    assert third.lists == m.lists, "a third version waits"
+    m.runs(T, "g2", m.lists.digests()[0])
+    m.behind = True
+    assert not m.settle(T + 11)
+    m.behind = False
+    assert m.settle(T + 11) and not m.lists.former
+
+
+# ---- what operators are told -------------------------------------------------------------------------------
+
+
+def said(name: str, region: str, mine: tuple[str, ...] = (), stands: bool = True) -> Said:
+    def one(duty: str) -> dict[str, Any]:
+        return {"owner": name if duty in mine else "", "term": 3, "lease_left": 1.0, "mine": duty in mine,
+                "refused": 0, "standstill": "" if duty in mine else f"no {duty}"}  # fmt: skip
+
+    duties = {d: one(d) for d in DUTIES}
+    duties[BUDGETS]["region"] = region
+    share = {"in_force": 250, "stated": 500 if stands else 250, "whole": 1000}
+    return Said(name, {"duties": duties, "region": {"name": region, "why_not": ""}, "share": share})
+
+
+def test_owners_are_named_with_their_region_and_a_standstill_with_its_reason() -> None:
+    regions = {g: r.name for r in EVEN for g in r.gateways}
+    some = [said("g0", "north", (BUDGETS,)), said("g2", "north"), said("g1", "south"),
+            *(Said(name, None, "timed out") for name in ("g3", "g4", "g5"))]  # fmt: skip
+    found = {o.duty: o for o in owned(some, regions)}
+    assert sorted(found) == ["budgets (north)", "budgets (south)", "restarts", "verdicts"]
+    assert (found["budgets (north)"].kind, found["budgets (north)"].owner) == ("owned", "g0")
+    assert found["budgets (south)"].kind == "unknown" and "1 of 3 answered" in found["budgets (south)"].why
+    all_six = [said(n, regions[n]) for n in sorted(regions)]
+    found = {o.duty: o for o in owned(all_six, regions)}
+    assert found["budgets (south)"].kind == "nobody" and found["budgets (south)"].standstill == "no budgets"
+    assert found["restarts"].why == "it needs a majority of the gateways of all regions; no restarts"
+    # Nobody of a region answers: it is named all the same.
+    found = {o.duty: o for o in owned(some[:2], regions)}
+    assert found["budgets (south)"].kind == "unknown"
+    two = owned([said("g0", "north", (BUDGETS,)), said("g2", "north", (BUDGETS,))], regions)
+    assert two[0].kind == "contradicting"
+    assert "g0: its region uses 0.250 of the whole, 0.500 is stated" in cannot_vote(all_six)[0]
+    assert cannot_vote([said("g0", "north", stands=False)]) == []
+
+
+def test_budgets_are_summed_over_regions_and_what_does_not_add_up_is_told() -> None:
+    def told(region: str, loan: int, lends: bool = False, share: int = 500) -> Told:
+        book = [Lends("b", 450, {0: loan}, 0.0)] if lends else None
+        return Told(1000, {"b": Mine(50, loan, 400, 100, "rate")}, 1.0, "", 3, book, region, share)
+
+    (good,) = divided({"g0": told("north", 400, True), "g1": told("south", 300, True)})
+    assert good.wrong == "" and good.free == pytest.approx(0.2)
+    assert good.regions == {"north": (0.5, 0.05, 0.4, 0.1), "south": (0.5, 0.05, 0.3, 0.1)}
+    (over,) = divided({"g0": told("north", 470, True), "g1": told("south", 100, True)})
+    assert "gateways of north say 0.5200" in over.wrong
+    (twice,) = divided({"g0": told("north", 1, True), "g2": told("north", 1, True)})
+    assert "say that they lend" in twice.wrong
+    (more,) = divided({"g0": told("north", 1, share=700), "g1": told("south", 1)})
+    assert "more than the whole together" in more.wrong
+
+
+# ---- the checkers are seen to fail -------------------------------------------------------------------------
+
+
+def tape(*loans: tuple[str, str, float, int, float, int]) -> list[Line]:
+    """Lender, borrower, time, number, share, term: asked, answered a little later, and said to be taken."""
+    lines: list[tuple[float, str, dict[str, Any]]] = []
+    for lender, who, t, number, share, term in loans:
+        ask = {"who": who, "to": lender, "term": term, "life": 1}
+        lines += [(t, "want", {**ask, "sequence": number, "number": 0}),
+                  (t + 0.1, "lent", {**ask, "who": lender, "to": who, "sequence": number, "number": number,
+                                     "seconds": 5.0, "loans": [int(share * WHOLE)]}),
+                  (t + 1.0, "want", {**ask, "sequence": number + 50, "number": number})]  # fmt: skip
+    out = []
+    for place, (t, ev, more) in enumerate(sorted(lines, key=lambda x: x[0])):
+        out.append(Line({"t": t, "ev": ev, **more}))
+        out[-1].at = f"x:{place}"
+    return out
+
+
+WHOLES = Wholes({}, 0.0, 6, 3.0, {g: [WHOLE // 100] for r in EVEN for g in r.gateways},
+                regions={r.name: (r.gateways, r.share) for r in EVEN})  # fmt: skip
+OF = {g: r.name for r in EVEN for g in r.gateways}
+
+
+def test_each_check_by_region_is_seen_to_fail_on_a_planted_tape() -> None:
+    good = tape(("g0", "g2", 1.0, 1, 0.4, 1), ("g1", "g3", 1.0, 1, 0.45, 1), ("g4", "g2", 9.0, 1, 0.4, 2))
+    assert judged_budgets(good, WHOLES) == [] and judged_owned(good, regions=OF) == []
+    over = tape(("g0", "g2", 1.0, 1, 0.3, 1), ("g0", "g4", 1.0, 2, 0.3, 1))
+    (broken,) = judged_budgets(over, WHOLES)
+    assert broken.promise == "parts are within the region's share"
+    assert "north: g2, g4 had 1.24" in broken.what
+    both = tape(("g0", "g2", 1.0, 1, 0.4, 1), ("g4", "g2", 9.0, 1, 0.4, 1))
+    assert [b.promise for b in judged_owned(both, regions=OF)] == ["one owner a term"]
+    across = tape(("g0", "g2", 1.0, 1, 0.1, 1), ("g0", "g3", 1.0, 2, 0.1, 1))
+    assert [b.promise for b in judged_owned(across, regions=OF)] == ["each region lends for itself"]
