--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -125,7 +125,7 @@
     def _once(self) -> None:
         now, b, owners = self.owning.now(), self.borrower, self.owning.of(BUDGETS).owners
         owner, term = owners.owner_of(now, BUDGETS)
-        why = (NO_SHARE if not self.share else
+        why = (NO_SHARE if owner == NOBODY and not self.share else
                "nobody is known to lend" if owner == NOBODY else
                "it does not count among the others yet" if not owners.joined(now) else "")  # fmt: skip
         if why != self.trouble:
