--- a/ledgehitch/daemon/budgeting.py
+++ b/ledgehitch/daemon/budgeting.py
@@ -25,7 +25,7 @@
 from ledgehitch.budgets.words import BadWords, Words, read, written
 from ledgehitch.config import Site
 from ledgehitch.daemon.membership import Membership
-from ledgehitch.daemon.owning import Owning
+from ledgehitch.daemon.owning import NO_SHARE, Owning
 from ledgehitch.gateway.doorman import Doorman
 from ledgehitch.loop import Loop
 from ledgehitch.owners.facts import BUDGETS, Lists
@@ -46,11 +46,12 @@
         self.loan = loan_of(site.owners.lease)
         self.lender: Lender | None = None
         self.budgets: tuple[Budget, ...] = ()
-        self.lists: Lists = owning.owners.memory.lists  # by which it borrows and lends now
+        self.lists: Lists = owning.of(BUDGETS).owners.memory.lists  # by which it borrows and lends now
         self.bad: dict[str, int] = {}
         self.trouble = ""  # why it has its own part alone
-        self.share = WHOLE  # parts of the whole that the scope has in which it lends and borrows
-        self.own = OwnPart(owning.now(), self.lists, owning.owners.memory.me, (), self.share)
+        # Parts of the whole that the scope has in which it lends and borrows: all, or a region's share.
+        self.share, self.to_lend = owning.share(), owning.share_to_lend()
+        self.own = OwnPart(owning.now(), self.lists, owning.name, (), self.share)
         self._told: tuple[tuple[int, ...], float] = ((), -1.0)
         self.placed(site)
         owning.more = self._heard
@@ -79,8 +80,15 @@
         return tuple(digest_of(self.budgets, part, names) for part, names in versions if names)
 
     def _listed(self) -> None:
-        """A change of the list that has settled, or has begun to be one: loans go on by what is left."""
-        lists = self.owning.owners.memory.lists
+        """A change of the list that has settled, or has begun to be one, or a larger share: loans go on by
+        what is left."""
+        lists = self.owning.of(BUDGETS).owners.memory.lists
+        shares = self.owning.share(), self.owning.share_to_lend()
+        if shares != (self.share, self.to_lend):
+            self.share, self.to_lend = shares
+            log.info("share", now=self.share / WHOLE, to_lend=self.to_lend / WHOLE)
+            self.own.placed(self.budgets, self.share)
+            self._goes_on()
         if lists != self.lists:
             self.lists = lists
             self.own.listed(self.owning.now(), lists)
@@ -97,8 +105,8 @@
         """Before anybody is let in: a loan that ended while the process stood still is over."""
         self._listed()
         now, b = self.owning.now(), self.borrower
-        b.clock(self.owning.owners.clock_good)
-        owners = self.owning.owners
+        owners = self.owning.of(BUDGETS).owners
+        b.clock(owners.clock_good)
         b.own = self.own.at(now, owners.joined(now), owners.memory.intact or owners.memory.begun)
         left = b.until - now if b.holds(now) else 0.0
         if (b.own, b.until if left else 0.0) != self._told:
@@ -115,9 +123,10 @@
             self.loop.sleep(self.loan / ASKS / LOOKS * self.chance.uniform(0.9, 1.1))
 
     def _once(self) -> None:
-        now, b, owners = self.owning.now(), self.borrower, self.owning.owners
+        now, b, owners = self.owning.now(), self.borrower, self.owning.of(BUDGETS).owners
         owner, term = owners.owner_of(now, BUDGETS)
-        why = ("nobody is known to lend" if owner == NOBODY else
+        why = (NO_SHARE if owner == NOBODY and not self.share else
+               "nobody is known to lend" if owner == NOBODY else
                "it does not count among the others yet" if not owners.joined(now) else "")  # fmt: skip
         if why != self.trouble:
             self.trouble = why
@@ -177,7 +186,8 @@
 
     def _lent_by(self) -> tuple[dict[int, tuple[int, ...]], tuple[int, ...], set[int]]:
         numbers = {name: n for n, name in enumerate(self.names)}
-        return lent_by(self.budgets, self.lists, self.owning.owners.memory.gone, numbers, self.share)
+        return lent_by(self.budgets, self.lists, self.owning.of(BUDGETS).owners.memory.gone, numbers,
+                       self.to_lend)  # fmt: skip
 
     def doing(self) -> str:
         if self.lender is None:
@@ -206,5 +216,5 @@
             "refused": dict(b.counts), "bad_words": dict(self.bad),
             "lends": self.lender.told(now) if lends and self.lender is not None else None,
             "lender_refused": dict(self.lender.counts) if lends and self.lender is not None else {},
-            "names": list(self.names),
+            "names": list(self.names), "region": self.owning.of(BUDGETS).region, "share": self.share,
         }  # fmt: skip
--- a/ledgehitch/fleet/shared.py
+++ b/ledgehitch/fleet/shared.py
@@ -36,6 +36,8 @@
     alone: str
     term: int
     lends: list[Lends] | None = None
+    region: str = ""
+    share: int | None = None  # parts of the whole that its region has; None: all
 
 
 class Divided(msgspec.Struct):
@@ -52,6 +54,8 @@
     waits: float
     by: dict[str, tuple[float, float, float]]  # own, loan, wanted
     wrong: str = ""
+    # By region: the share that it uses, and of that own parts, what is lent, and what is used.
+    regions: dict[str, tuple[float, float, float, float]] = {}
 
 
 def read(body: bytes) -> Told | str:
@@ -80,13 +84,32 @@
     for name, book, whole in books:
         if sum(book.lent.values()) > book.pool or book.pool > whole:
             wrong.append(f"{name} has lent {sum(book.lent.values()) / whole:.4f} of {book.pool / whole:.4f}")
-    if len(books) > 1:
+    names = sorted({t.region for t in told.values() if t.region})
+    regions = {region: _of_region(budget, region, told) for region in names}
+    lenders = [(told[n].region, n) for n, _, _ in books]
+    if len({region for region, _ in lenders}) < len(lenders):
         wrong.append(f"{', '.join(n for n, _, _ in books)} say that they lend: see `fleet owners`")
+    for region, (share, mine, loans, _) in regions.items():
+        if mine + loans > share + ENOUGH:
+            wrong.append(f"gateways of {region} say {mine + loans:.4f} of the whole together, its share is "
+                         f"{share:.4f}; what moved meanwhile counts twice: ask again")  # fmt: skip
+    if sum(share for share, _, _, _ in regions.values()) > 1 + ENOUGH:
+        wrong.append("regions say that they use more than the whole together")
     units = sorted({m.unit for m, _ in some.values()})
-    free = (books[0][1].pool - sum(books[0][1].lent.values())) / books[0][2] if len(books) == 1 else None
+    left = [(book.pool - sum(book.lent.values())) / whole for _, book, whole in books]
+    free = sum(left) if len(left) == max(1, len(regions)) else None
     return Divided(budget, ", ".join(units), own, lent, sum(m.used / w for m, w in some.values()),
                    sum(w for _, _, w in by.values()), unmet, free,
-                   max((x.waits for _, x, _ in books), default=0.0), by, "; ".join(wrong))  # fmt: skip
+                   max((x.waits for _, x, _ in books), default=0.0), by, "; ".join(wrong),
+                   regions)  # fmt: skip
+
+
+def _of_region(budget: str, region: str, told: Mapping[str, Told]) -> tuple[float, float, float, float]:
+    some = [t for t in told.values() if t.region == region]
+    mine = [(t.budgets[budget], t.whole) for t in some if budget in t.budgets]
+    share = max((t.whole if t.share is None else t.share) / t.whole for t in some)
+    return (share, sum(m.own / w for m, w in mine), sum(m.loan / w for m, w in mine),
+            sum(m.used / w for m, w in mine))  # fmt: skip
 
 
 def remarks(told: Mapping[str, Told], silent: Sequence[tuple[str, str]]) -> list[str]:
--- a/ledgehitch/gateway/serve.py
+++ b/ledgehitch/gateway/serve.py
@@ -38,6 +38,7 @@
 from ledgehitch.keys.store import ring_in
 from ledgehitch.loop import Datagrams, Event, Loop, endpoint
 from ledgehitch.quality.keep import Keep
+from ledgehitch.regions.facts import regions_of
 from ledgehitch.signalling import Desk
 
 TOLD_EVERY = 5.0  # seconds between log lines with the loop's lag and the counters
@@ -54,11 +55,14 @@
     """Of the whole of the fleet's limits, what a gateway has though it hears nothing: of any, and of those of
     which that is another. Where nothing is lent, all of it is divided among all."""
     lent = lends(site)
-    names = stated(site) if lent else tuple(g.name for g in site.gateways)
+    names, share = stated(site) if lent else tuple(g.name for g in site.gateways), WHOLE
+    region = next((r for r in regions_of(site) if name in r.gateways), None) if lent else None
+    if region is not None:
+        names, share = region.gateways, region.share
     part, patience = site.budgets.own_part if lent else 1.0, max(p.patience for p in site.packages)
     budgets = budgets_of(site.door.package_rates, site.door.set_ups, patience)
-    own = {b.name: own_parts(b, part, names).get(name, 0) / WHOLE for b in budgets}
-    return part / len(names), own
+    own = {b.name: own_parts(b, part, names, share).get(name, 0) / WHOLE for b in budgets}
+    return part * share / WHOLE / len(names), own
 
 
 class Running:
--- a/ledgehitch/proof/budgeted.py
+++ b/ledgehitch/proof/budgeted.py
@@ -7,8 +7,8 @@
     lent      who, to, term, life, sequence, number, seconds, loans (parts of each budget): handed over
 """
 
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping, Sequence, Set
+from dataclasses import dataclass, field, replace
 from itertools import zip_longest
 from typing import NamedTuple
 
@@ -32,6 +32,7 @@
     own: Mapping[str, Sequence[int]] = field(default_factory=dict)
     whole: int = 1_000_000_000
     burst: float = 1.0
+    regions: Mapping[str, tuple[Sequence[str], int]] = field(default_factory=dict)  # gateways, parts of each
 
 
 def judged_budgets(lines: Sequence[Line], wholes: Wholes, since: float = 0.0) -> list[Broken]:
@@ -44,7 +45,10 @@
         out += rate_kept(firsts, package, rate, wholes.burst * rate + wholes.gateways + rate * slack)
     if wholes.set_ups:
         out += at_once_kept(sent, wholes.set_ups)
-    return out + parts_kept(lines, wholes)
+    out += parts_kept(lines, wholes)
+    for region, (names, share) in wholes.regions.items():
+        out += parts_kept(lines, replace(wholes, whole=share), frozenset(names), region)
+    return out
 
 
 def _longest_way(lines: Iterable[Line], patience: float) -> float:
@@ -99,9 +103,11 @@
     line: Line
 
 
-def parts_kept(tape: Sequence[Line], wholes: Wholes) -> list[Broken]:
-    """At no moment own parts and loans that were surely in force above the whole."""
-    held = loans_held(tape)
+def parts_kept(tape: Sequence[Line], wholes: Wholes, of: Set[str] | None = None, region: str = ""
+               ) -> list[Broken]:  # fmt: skip
+    """At no moment own parts and loans that were surely in force above the whole. `of`: the gateways that are
+    looked at, all where it is left out; those of a region stay within its share, which is their whole."""
+    held = [h for h in loans_held(tape) if of is None or h.who in of]
     for budget in range(max((len(h.loans) for h in held), default=0)):
         parts = dict[str, Held]()
         changes = [(t, n, h) for h in held for t, n in ((h.first, 1), (h.last, 0))]
@@ -115,9 +121,11 @@
                         for who, h in parts.items())  # fmt: skip
             if total > wholes.whole:
                 names = ", ".join(sorted(parts))
-                what = f"{names} had {total / wholes.whole:.3f} of budget {budget} together"
+                of_it = "its share of " if region else ""
+                what = f"{names} had {total / wholes.whole:.3f} of {of_it}budget {budget} together"
                 lines = tuple(h.line.at for h in parts.values())
-                return [Broken("parts are within the whole", what, (t,), lines)]
+                promise = "parts are within the region's share" if region else "parts are within the whole"
+                return [Broken(promise, f"{region}: {what}" if region else what, (t,), lines)]
     return []
 
 
