--- a/ledgehitch/scale/play.py
+++ b/ledgehitch/scale/play.py
@@ -22,6 +22,8 @@
 
 HEADS = 28  # bytes of IPv4 and UDP around each datagram
 LOOKS = 1.0  # seconds between two looks at everybody's views
+CALM_WITHIN = 60.0  # seconds for those that began, before the next begin
+LATE = 0.25  # seconds
 WAITS = 180.0  # seconds that all may take to be right after the start, beyond the plan's
 log = structlog.get_logger("scale")
 
@@ -91,12 +93,20 @@
         # By process: who begins together is greeted together, and others note it on disk together. One by one
         # each of so many would have all others write a file, on one machine.
         waves = [[s.name for s in self.rig.seats if s.process == k] for k in range(-1, self.plan.processes)]
-        begun, tasks = time.monotonic(), []
-        for i, some in enumerate(waves):
-            self.rig.loop.sleep(max(0.0, begun + i * over / len(waves) - time.monotonic()))
-            tasks.append(self.rig.loop.spawn(self.rig.start_members, some, name=f"start {i}"))
-        for task in tasks:
-            task.wait()
+        for some in waves:
+            begun = time.monotonic()
+            self.rig.start_members(some)
+            self.rig.loop.sleep(max(0.0, begun + over / len(waves) - time.monotonic()))
+            self._calm(begun + CALM_WITHIN)
+
+    def _calm(self, until: float) -> None:
+        """Waits while a process is late with what is due: on a machine with much else to do, the next to begin
+        would keep it so."""
+        calm = 0
+        while calm < 3 and time.monotonic() < until:
+            self.rig.loop.sleep(LOOKS)
+            late = [self.rig.tell(h, "/state")["lag_worst"] for h in self.rig.hollow_running()]
+            calm = calm + 1 if max(late) < LATE else 0
 
     def _all_right(self) -> None:
         """Guards against phases that begin while the start is not over."""
