--- a/ledgehitch/scale/play.py
+++ b/ledgehitch/scale/play.py
@@ -100,8 +100,8 @@
             self._calm(begun + CALM_WITHIN)
 
     def _calm(self, until: float) -> None:
-        """Waits while a process is late with what is due: on a machine with much else to do, the next to begin
-        would keep it so."""
+        """Waits while a process is late with what is due: on a machine with much else to do, the next to
+        begin would keep it so."""
         calm = 0
         while calm < 3 and time.monotonic() < until:
             self.rig.loop.sleep(LOOKS)
