--- a/ledgehitch/scale/play.py
+++ b/ledgehitch/scale/play.py
@@ -15,7 +15,16 @@
 from ledgehitch.loop import Task
 from ledgehitch.owners.facts import BUDGETS, DUTIES
 from ledgehitch.scale.facts import Kept, Point, kept_now, load_now
-from ledgehitch.scale.judge import Term, differences, over, rates, right_again, terms_of, without_owner
+from ledgehitch.scale.judge import (
+    ALLOWED,
+    Term,
+    differences,
+    over,
+    rates,
+    right_again,
+    terms_of,
+    without_owner,
+)
 from ledgehitch.scale.plan import START, Phase, Plan, Step, check
 from ledgehitch.scale.relay import MECHANISMS
 from ledgehitch.scale.rig import BARE, ScaleRig, this_machine
@@ -253,11 +262,17 @@
             self._point(p, "control", "all", kind, both[kind])
         if len(both) == 2:
             self._point(p, "control", "difference", "hollow", differences(both["hollow"], both["real"]))
-        if "real" in both and (found := over(both["real"])):
-            self.over[p.phase.name] = found
+        if "real" in both:
+            self._held_against(p.phase.name, both["real"])
         self.owners(p)
         self.whole(p)
 
+    def _held_against(self, where: str, figures: dict[str, float]) -> None:
+        """What the one that took most of some real members took, against what control may take."""
+        most = {name: figures.get(f"most_{name}", figures.get(name, 0.0)) for name in ALLOWED}
+        if found := over(most):
+            self.over[where] = found
+
     def traffic(self, p: Played, some: Sequence[str], mechanisms: Sequence[str]) -> dict[str, float]:
         """Of one of these on the average, a second."""
         total, most = [0.0] * 4, 0.0
@@ -312,6 +327,8 @@
             figures = self.traffic(p, [member], MECHANISMS) | duty
             figures |= self.cpu_and_memory(p, kind, [member]) if kind == "real" else {}
             self._point(p, "owner", "all", kind, figures)
+            if kind == "real":
+                self._held_against(f"{p.phase.name}, owner of {', '.join(duties)}", figures)
 
     def whole(self, p: Played) -> None:
         """The fleet as a whole, and whether the rig itself stands in the way."""
