--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -65,7 +65,7 @@
 
 
 def percent(value: float) -> str:
-    return f"{digits(100.0 * value)}%" if value >= 0.0005 else "0%"
+    return f"{digits(100.0 * value)}%"
 
 
 def sizes_of(sizes: Iterable[float]) -> str:
@@ -89,9 +89,12 @@
 
 def _headroom(row: Row, book: Book, numbers: dict[str, int]) -> tuple[str, ...]:
     need, unit = row.need, book.unit(row.need.select)
-    formula, residual = row.why or "-", "-"
+    formula, residual = "-", "-"
+    one = "s" if need.unit == "core" and need.often else need.unit  # seconds each time, or of each second
+    if row.line is None and row.sizes:
+        there = book.at(need.select, need.figure, row.sizes[0])
+        formula = f"{shown(there, one)} at {row.sizes[0]:,g}; {row.why}"
     if row.line is not None:
-        one = "s" if need.unit == "core" else need.unit
         sign = "-" if row.line.slope < 0.0 else "+"
         formula = f"{shown(row.line.intercept, one)} {sign} {shown(abs(row.line.slope), one)} x {unit}"
         residual = f"{percent(row.line.largest)}, {percent(row.line.rms)}"
@@ -186,6 +189,22 @@
     return table(heads, rows)
 
 
+def deaths_table(book: Book, target: Target) -> str:
+    rows = []
+    for name, result in book.kept.items():
+        for p in result.points:
+            f = p.figures
+            if p.mechanism == SPLIT.mechanism and "lost_gateway_s" in f:
+                rows.append((name, p.phase.replace("-", " "), shown(f["lost_gateway_s"], "s"),
+                             percent(f["share"]), shown(p.seconds, "s"), shown(f["lease_s"], "s"),
+                             f"{f.get('windows_over_the_whole', 0):g}", digits(p.load1)))  # fmt: skip
+    if not rows:
+        return "Not measured yet."
+    heads = ("kept as", "what", "lost, of one gateway's part", "let in meanwhile, of what was before", "over",
+             "lease", "breaches of a budget, whole run", "load")  # fmt: skip
+    return table(heads, rows)
+
+
 def beside_table(book: Book, target: Target) -> str:
     """Hollow members beside real ones in the same run, by phase and size."""
     rows = []
@@ -224,7 +243,7 @@
 
 TABLES: dict[str, Callable[[Book, Target], str]] = {
     "target": target_table, "failures": failures_table, "headroom": headroom_table, "before": before_table,
-    "split": split_table, "beside": beside_table, "kept": kept_table,
+    "split": split_table, "deaths": deaths_table, "beside": beside_table, "kept": kept_table,
 }  # fmt: skip
 
 
