--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -14,6 +14,7 @@
     Event,
     Term,
     differences,
+    in_the_way,
     over,
     rates,
     right_again,
@@ -51,7 +52,9 @@
     one = read_plan(file, members)
     check(one, str(file), MACHINE)
     all_of = seats(one)
-    assert len(all_of) == one.members == (members or 550) and len({s.name for s in all_of}) == one.members
+    stated = msgspec.json.decode(file.read_bytes())["members"]
+    assert len(all_of) == (members or stated) and len({s.name for s in all_of}) == len(all_of)
+    assert stated == (100 if file.stem == "scale-start" else 550)
     real = [s for s in all_of if s.process < 0]
     assert len(real) == one.real >= 5 and {s.region for s in real} == {"west", "east"}
     # The one that should lend to all is a process of its own, so that what that takes can be measured.
@@ -177,6 +180,13 @@
     assert over(fine | {"cpu_s_per_s": 0.028}) == {"cpu_s_per_s": 2.0}
 
 
+def test_figures_are_not_kept_where_the_rig_stands_in_the_way() -> None:
+    assert in_the_way(0.1, 3, 400, 100, 60_000) == ""
+    assert in_the_way(2.0, 3, 400, 100, 60_000) == "loops were 2 s late at p99"
+    assert in_the_way(0.1, 40, 400, 0, 60_000) == "40 of 400 members found themselves slow"
+    assert in_the_way(0.1, 3, 400, 4000, 60_000) == "4000 of 60000 datagrams were lost in sockets' buffers"
+
+
 # ---- a run -------------------------------------------------------------------------------------------------
 
 
