--- a/benchmarks/cut.py
+++ b/benchmarks/cut.py
@@ -15,6 +15,7 @@
 
 from benchmarks.data_path import KEPT
 from ledgehitch.owners.facts import DUTIES
+from ledgehitch.regions.facts import OF_A_REGION
 from ledgehitch.rehearsal.fleet import FleetRig
 from ledgehitch.scale.facts import Point, kept_now, load_now, write_kept
 
@@ -42,8 +43,11 @@
 def script(rig: FleetRig, seconds: float, seen: dict[str, Any]) -> None:
     sides = [[g.name for g in rig.site.gateways if g.zone == zone] for zone in ("z0", "z1")]
     assert [len(side) for side in sides] == [GATEWAYS // 2] * 2
+    regions = bool(rig.site.regions)
+    own = set(OF_A_REGION) if regions else set(DUTIES)  # the duties that a side can be asked to own
     rig.start_all()
-    rig.owner("budgets")
+    scopes = sides if regions else [rig.names]
+    rig.until(lambda: all("budgets" in owned(rig, some) for some in scopes), 60.0)
     rig.viewers()
     rig.until(lambda: len(let_in(rig)) > 3 * RATE, 60.0, 0.5)
     rig.loop.sleep(15.0 + BEFORE)  # parts are lent by use
@@ -54,9 +58,9 @@
         rig.loop.sleep(0.5)
         now = time.monotonic()
         for number, side in enumerate(sides):
-            if now > lost and f"owned {number}" not in seen and owned(rig, side) >= set(DUTIES):
+            if now > lost and f"owned {number}" not in seen and owned(rig, side) >= own:
                 seen[f"owned {number}"] = now - seen["cut"]
-    seen["sides_that_own"] = sum(owned(rig, side) >= set(DUTIES) for side in sides)
+    seen["sides_that_own"] = sum(owned(rig, side) >= own for side in sides)
     seen["heal"] = time.monotonic()
     rig.heal()
     rig.loop.sleep(AFTER)
