--- a/benchmarks/cut.py
+++ b/benchmarks/cut.py
@@ -99,7 +99,8 @@
     for b in broken:
         print(f"BROKEN: {b.promise}: {b.what}")
     print(json.dumps(figures))
-    point = Point(role="owner", mechanism="budgets", phase="equal-split", size=GATEWAYS,
+    phase = "equal-split-regions" if "regions" in more else "equal-split"
+    point = Point(role="owner", mechanism="budgets", phase=phase, size=GATEWAYS,
                   size_unit="gateways", figures=figures, load1=load_now(), seconds=seconds)  # fmt: skip
     words = " ".join([name, f"{seconds:g}", *([str(parts)] if parts is not None else [])])
     write_kept(KEPT / f"{name}.json", kept_now(f"python -m benchmarks.cut {words}", [point]))
--- a/ledgehitch/scale/needs.py
+++ b/ledgehitch/scale/needs.py
@@ -146,7 +146,8 @@
 
 class Loss(msgspec.Struct, frozen=True):
     """What stops at a failure. Either `share`, a figure that says which part of the whole is still let in as
-    long as it lasts, or `lost`, seconds of a gateway's part for each gateway that it meets."""
+    long as it lasts, or `lost`, seconds of a gateway's part for each gateway that it meets. `without`: points
+    that count as long as there are none with the mechanism; `carried` is said only of those with it."""
 
     failure: str
     stops: str
@@ -155,6 +156,7 @@
     missing: str = ""  # the mechanism that would carry it, where less than `ENOUGH` is let in
     share: str = ""
     lost: str = ""
+    without: Select | None = None
 
 
 class Cost(msgspec.Struct, frozen=True):
@@ -171,8 +173,10 @@
 
 
 def cost_of(loss: Loss, failure: Failure, book: Book, target: Target) -> Cost:
-    figure = loss.share or loss.lost
-    value, commands = book.figure(loss.select, figure), book.commands(loss.select, figure)
+    figure, select = loss.share or loss.lost, loss.select
+    if loss.without is not None and book.figure(select, figure) is None:
+        select = loss.without
+    value, commands = book.figure(select, figure), book.commands(select, figure)
     if value is None:
         return Cost(loss, failure, None, None, None, UNMEASURED, [])
     part = failure.gateways / target.gateways
--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -23,7 +23,7 @@
     verdict,
 )
 from ledgehitch.scale.slopes import two_sizes_only
-from ledgehitch.scale.tables import BEFORE, LOSSES, NEEDS, SPLIT
+from ledgehitch.scale.tables import BEFORE, LOSSES, NEEDS, SPLIT, SPLIT_REGIONS
 from ledgehitch.scale.target import Target, read_target
 
 PAGE, TARGET, KEPT = Path("CAPACITY.md"), Path("capacity/target.json"), Path("capacity/kept")
@@ -174,18 +174,19 @@
 
 
 def split_table(book: Book, target: Target) -> str:
+    shares = ("before_share", "first_15_s_share", "after_15_s_share", "worst_5_s_after_15_s_share",
+              "healed_first_10_s_share", "healed_next_10_s_share")  # fmt: skip
     rows = []
     for name, result in book.kept.items():
         for p in result.points:
-            if Select(p.kind, p.role, p.mechanism, p.phase) == SPLIT:
-                f = p.figures
-                rows.append((name, *(digits(f[key]) if key in f else "never" for key in (
-                    "before_share", "first_15_s_share", "after_15_s_share", "worst_5_s_after_15_s_share",
-                    "healed_first_10_s_share", "healed_next_10_s_share")),
-                    f"{f.get('sides_that_own_all', 0):g} of 2",
-                    f"{f.get('windows_over_the_whole', 0):g}", digits(p.load1)))  # fmt: skip
-    heads = ("kept as", "before", "first 15 s", "from 15 s to the end", "worst 5 s of that", "10 s after",
-             "next 10 s", "sides that own all duties", "windows over the whole", "load")  # fmt: skip
+            select, f = Select(p.kind, p.role, p.mechanism, p.phase), p.figures
+            if select in (SPLIT, SPLIT_REGIONS):
+                rows.append((name, "stated" if select == SPLIT_REGIONS else "none",
+                             *(digits(f[key]) for key in shares), f"{f['sides_that_own_all']:g} of 2",
+                             f"{f['windows_over_the_whole']:g}", digits(p.load1)))  # fmt: skip
+    heads = ("kept as", "regions", "before", "first 15 s", "from 15 s to the end", "worst 5 s of that",
+             "10 s after", "next 10 s", "sides that own their duties", "breaches of a budget",
+             "load")  # fmt: skip
     return table(heads, rows)
 
 
--- a/ledgehitch/scale/tables.py
+++ b/ledgehitch/scale/tables.py
@@ -162,9 +162,11 @@
 # ---- what a failure stops ----------------------------------------------------------------------------------
 
 SPLIT = Select("real", "owner", "budgets", "equal-split")
+SPLIT_REGIONS = Select("real", "owner", "budgets", "equal-split-regions")  # of a site that states them
 LOSSES = (
-    Loss("regions-apart", "no side has a majority: no duty has an owner, loans end, own parts alone let in",
-         SPLIT, "regions: each side owns its duties", "regions", share="after_15_s_share"),
+    Loss("regions-apart", "no side has a majority of all: duties of the whole stand still; without regions "
+         "loans end, and own parts alone let in", SPLIT_REGIONS, "regions: each side owns its duties",
+         "regions", share="after_15_s_share", without=SPLIT),
     Loss("machine", "its part of the limits, until it is lent to others",
          Select("real", "owner", "budgets", "one-killed"), "loans, clients that come again",
          lost="lost_gateway_s"),
