--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,9 @@
 	touch $@
 
 .PHONY: run test day setup bench
+# Guards against a start that compiles our sources each time, where the file system is read-only after the build.
 setup: $(VENV)/ready
+	$(PY) -m compileall -q ledgehitch
 
 run: $(VENV)/ready
 	@exec $(PY) -m ledgehitch --log text up $(ARGS)
