Terms of a duty that goes to regions and comes back go on where they were

No window over the whole; but term 1 of budgets of all was used a second time, as votes of a duty that is not of all were dropped from the file. They rest there now.

--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -45,6 +45,8 @@
         self.voters = {d: Voter(self.promise, *votes.get(d, (0, ""))) for d in duties}
         for voter in self.voters.values():
             voter.started(now)
+        # Guards against terms that begin anew where a duty goes to regions and comes back to the scope of all.
+        self.resting = {d: vote for d, vote in votes.items() if d not in duties}
         self.fence = Fence(fence)
         self.votes_from = now if self.intact else now + self.promise
         self.answers: dict[str, tuple[bool, tuple[int, ...]]] = {}  # to our greeting: intact, terms
@@ -65,7 +67,7 @@
             more["shares"] = self.shares.record()
         return more | {
             "version": VERSION, "life": self.life,
-            "votes": {d: [v.term, v.member] for d, v in self.voters.items()},
+            "votes": {d: [v.term, v.member] for d, v in self.voters.items()} | self.resting,
             "fence": dict(self.fence.highest), "lives": {n: list(pair) for n, pair in self.lives.items()},
             "current": list(self.lists.current), "former": list(self.lists.former),
             "lease": self.lists.lease, "former_lease": self.lists.former_lease,
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -302,6 +302,16 @@
     assert m.settle(T + 11) and not m.lists.former
 
 
+def test_a_duty_that_goes_to_regions_and_comes_back_goes_on_above_its_terms() -> None:
+    names = tuple(f"g{n}" for n in range(6))
+    whole = Memory(T, "g0", names, DUTIES, 10.0, None, 1)
+    assert whole.voters[BUDGETS].asked(T, 7, "g3")
+    apart = Memory(T, "g0", names, DUTIES[:2], 10.0, whole.record(), 2, regions=digest_of(EVEN))
+    assert sorted(apart.voters) == sorted(DUTIES[:2]) and len(apart.terms()) == 2
+    back = Memory(T, "g0", names, DUTIES, 10.0, msgspec.json.decode(msgspec.json.encode(apart.record())), 3)
+    assert back.voters[BUDGETS].term == 7 and back.record()["votes"].keys() == set(DUTIES)
+
+
 # ---- what operators are told -------------------------------------------------------------------------------
 
 
