--- a/ledgehitch/owners/memory.py
+++ b/ledgehitch/owners/memory.py
@@ -45,7 +45,7 @@
         self.voters = {d: Voter(self.promise, *votes.get(d, (0, ""))) for d in duties}
         for voter in self.voters.values():
             voter.started(now)
-        # Guards against terms that begin anew where a duty goes to regions and comes back to the scope of all.
+        # Guards against terms that begin anew where a duty goes to regions and comes back to all.
         self.resting = {d: vote for d, vote in votes.items() if d not in duties}
         self.fence = Fence(fence)
         self.votes_from = now if self.intact else now + self.promise
