--- a/ledgehitch/scale/hollow.py
+++ b/ledgehitch/scale/hollow.py
@@ -55,8 +55,10 @@
         return {name: min(share, self.part.get(name, 0.0)) for name, share in self.wanted.items()
                 if name == SET_UPS}  # fmt: skip
 
-    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float) -> None:
-        self.part = {name: own + lent.get(name, 0.0) for name in self.wanted}
+    def shared(self, now: float, own: float, lent: Mapping[str, float], until: float,
+               by_budget: Mapping[str, float] | None = None) -> None:  # fmt: skip
+        mine = by_budget or {}
+        self.part = {name: mine.get(name, own) + lent.get(name, 0.0) for name in self.wanted}
 
 
 class Noted:
