--- a/ledgehitch/scale/needs.py
+++ b/ledgehitch/scale/needs.py
@@ -196,6 +196,13 @@
     return sorted(found, key=lambda c: -c.a_year if c.a_year is not None else math.inf)
 
 
+def without(losses: Iterable[Loss]) -> list[Loss]:
+    """The same failures as they are where the mechanism that carries them is not used: of those that have
+    been measured so."""
+    return [msgspec.structs.replace(loss, select=loss.without, without=None)
+            for loss in losses if loss.without is not None]  # fmt: skip
+
+
 def first_missing(costs: Sequence[Cost]) -> Cost | None:
     """The costliest failure that no mechanism carries."""
     return next((c for c in costs if c.a_year and c.carried.startswith(NONE_YET)), None)
--- a/ledgehitch/scale/report.py
+++ b/ledgehitch/scale/report.py
@@ -21,6 +21,7 @@
     first_missing,
     rows_of,
     verdict,
+    without,
 )
 from ledgehitch.scale.slopes import two_sizes_only
 from ledgehitch.scale.tables import BEFORE, LOSSES, NEEDS, SPLIT, SPLIT_REGIONS
@@ -112,33 +113,41 @@
 
 
 def failures_table(book: Book, target: Target) -> str:
-    costs = costs_of(LOSSES, book, target)
+    costs, bare = costs_of(LOSSES, book, target), costs_of(without(LOSSES), book, target)
     heads = ("failure", "what stops", "times a year", "for how long", "share of service lost meanwhile",
              "lost in a year, of all service", "carried by", "by")  # fmt: skip
-    numbers = commands_of(book)
-    text = table(heads, [_cost(cost, numbers) for cost in costs])
-    first = first_missing(costs)
-    if first is None:
-        return text + "\n\nNo failure that was measured is without a mechanism."
-    lost = digits(first.a_year or 0.0)
-    text += f"\n\n**First missing mechanism: {first.loss.missing}**, at {lost} s of all service a year."
-    if others := [c.a_year for c in costs if c is not first and c.a_year is not None]:
+    numbers, first = commands_of(book), first_missing(costs)
+    rows = [(cost.a_year or -1.0, _cost(cost, numbers)) for cost in costs]
+    if first is None:  # what the mechanisms that are there carry, where a site does not use them
+        rows += [(c.a_year or -1.0, _cost(c, numbers, "where it is not used")) for c in bare]
+    rows.sort(key=lambda row: -row[0])
+    text = table(heads, [cells for _, cells in rows]) + "\n\n"
+    others = [c.a_year for c in costs if c.a_year is not None and not c.loss.without]
+    if first is not None:
+        text += f"**First missing mechanism: {first.loss.missing}**, at "
+    elif (first := first_missing(bare)) is not None:
+        text += f"The first missing mechanism was **{first.loss.missing}**; it is there now. Without it: "
+    else:
+        return text + "No failure that was measured is without a mechanism."
+    text += f"{digits(first.a_year or 0.0)} s of all service a year."
+    if others:
+        often = digits(max(others) / (first.a_year or 1.0) * first.failure.per_year)
         text += f" The next failure costs {digits(max(others))} s: "
-        text += f"{first.failure.name.replace('-', ' ')} comes first from "
-        text += f"{digits(max(others) / (first.a_year or 1.0) * first.failure.per_year)} times a year on."
+        text += f"{first.failure.name.replace('-', ' ')} comes first from {often} times a year on."
     return text
 
 
-def _cost(cost: Cost, numbers: dict[str, int]) -> tuple[str, ...]:
+def _cost(cost: Cost, numbers: dict[str, int], unused: str = "") -> tuple[str, ...]:
     failure = cost.failure
     name = f"{failure.name.replace('-', ' ')}: {failure.reading}"
+    carried = f"{cost.loss.missing}, {unused}" if unused else cost.carried
     by = ", ".join(str(numbers[c]) for c in cost.commands) or "-"
     times = digits(failure.per_year)
     if cost.a_year is None or cost.length is None or cost.share is None:
-        return name, cost.loss.stops, times, UNMEASURED, UNMEASURED, UNMEASURED, cost.carried, by
+        return name, cost.loss.stops, times, UNMEASURED, UNMEASURED, UNMEASURED, carried, by
     of_year = cost.a_year / (365.0 * 86_400.0)
     return (name, cost.loss.stops, times, shown(cost.length, "s"), f"{digits(100 * cost.share)}%",
-            f"{digits(cost.a_year)} s ({digits(1e6 * of_year)} millionths)", cost.carried, by)  # fmt: skip
+            f"{digits(cost.a_year)} s ({digits(1e6 * of_year)} millionths)", carried, by)  # fmt: skip
 
 
 def before_table(book: Book, target: Target) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -24,7 +24,7 @@
     verdict,
     worked_out,
 )
-from ledgehitch.scale.report import filled, shown, written
+from ledgehitch.scale.report import failures_table, filled, shown, written
 from ledgehitch.scale.slopes import ONE_POINT, NoSlope, fitted, headroom, two_sizes_only
 from ledgehitch.scale.tables import LOSSES
 from ledgehitch.scale.target import read_target
@@ -237,6 +237,21 @@
     assert [c.a_year for c in unmeasured][-2:] == [None, None] and first_missing(unmeasured) is None
 
 
+def test_the_table_of_failures_says_what_is_missing_first_and_when_it_is_there() -> None:
+    target = read_target(TARGET)
+    points = [failure_point("equal-split", after_15_s_share=0.0),
+              failure_point("restarted", lost_gateway_s=5.5)]  # fmt: skip
+    told = failures_table(Book({"one": kept(*points)}), target)
+    assert "| none yet: regions |" in told and "**First missing mechanism: regions**, at 14,400 s" in told
+    assert "comes first from 0.233 times a year on" in told  # 83,950 x 5.5 / 550 = 839.5 of 14,400, of 4
+    points.append(failure_point("equal-split-regions", after_15_s_share=1.0))
+    told = failures_table(Book({"one": kept(*points)}), target)
+    assert "The first missing mechanism was **regions**; it is there now. Without it: 14,400 s" in told
+    rows = [line for line in told.splitlines() if line.startswith("| re")]
+    assert [row.split("|")[7].strip() for row in rows] == [
+        "regions, where it is not used", "restarts in order, loans", "regions: each side owns its duties"]
+
+
 @pytest.mark.parametrize(("low", "high", "now", "told"), [
     (44.0, 78.0, 60.0, "confirmed"), (44.0, 78.0, 30.0, "confirmed"), (44.0, 78.0, 116.0, "confirmed"),
     (44.0, 78.0, 156.0, "corrected: 2 times it"), (44.0, 78.0, 22.0, "corrected: 0.5 times it"),
