--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -391,8 +391,8 @@
 
 def halves(gateways: int = 6, set_ups: int = 30, seconds: int = 30) -> dict[str, Any]:
     """Real daemons in two halls that are cut from each other: of the fleet's rate, what is let in before, by
-    each half while it lasts (after loans are over), and after it has healed. Counted once all have ended: what
-    media hosts write of few set-ups lies in their buffers for long."""
+    each half while it lasts (after loans are over), and after it has healed. Counted once all have ended:
+    what media hosts write of few set-ups lies in their buffers for long."""
     out: dict[str, Any] = {"gateways": gateways, "set_ups": set_ups, "seconds": seconds}
     door = {"on": True, "package_rates": {"recorded": 20.0}, "set_ups": float(set_ups)}
     windows: dict[str, tuple[float, float, Sequence[str]]] = {}
