--- a/ledgehitch/scale/plan.py
+++ b/ledgehitch/scale/plan.py
@@ -78,7 +78,7 @@
     rack: Annotated[int, msgspec.Meta(ge=1)] = 16  # members of a rack
     regions: dict[Name, list[Name]] = {}
     lease: Annotated[float, msgspec.Meta(ge=0.5, le=600)] = 10.0
-    start_over: Annotated[float, msgspec.Meta(ge=0, le=300)] = 0.0  # seconds in which processes begin
+    start_over: Annotated[float, msgspec.Meta(ge=0, le=300)] = 0.0  # seconds; 0: all at once
     settle: Annotated[float, msgspec.Meta(gt=0, le=300)] = 30.0  # seconds of the start, before the phases
     load: Load = Load()
     phases: Annotated[list[Phase], msgspec.Meta(min_length=1, max_length=40)]
