--- a/ledgehitch/proof/budgeted.py
+++ b/ledgehitch/proof/budgeted.py
@@ -7,8 +7,8 @@
     lent      who, to, term, life, sequence, number, seconds, loans (parts of each budget): handed over
 """
 
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping, Sequence, Set
+from dataclasses import dataclass, field, replace
 from itertools import zip_longest
 from typing import NamedTuple
 
@@ -21,16 +21,18 @@
 
 @dataclass(frozen=True)
 class Wholes:
-    """What the site gives the whole fleet. `own`: parts of `whole` that each gateway has without a loan;
-    `burst`: seconds' worth of a rate that may come at once, beside one offer for each gateway."""
+    """What the site gives the whole fleet. `own`: parts of `whole` that a gateway has without a loan, of each
+    budget in the order of loans; `burst`: seconds' worth of a rate that may come at once, beside one offer
+    for each gateway."""
 
     rates: Mapping[str, float] = field(default_factory=dict)  # offers a second, by package
     set_ups: float = 0.0
     gateways: int = 1
     patience: float = 3.0
-    own: int = 0
+    own: Mapping[str, Sequence[int]] = field(default_factory=dict)
     whole: int = 1_000_000_000
     burst: float = 1.0
+    regions: Mapping[str, tuple[Sequence[str], int]] = field(default_factory=dict)  # gateways, parts of each
 
 
 def judged_budgets(lines: Sequence[Line], wholes: Wholes, since: float = 0.0) -> list[Broken]:
@@ -43,7 +45,10 @@
         out += rate_kept(firsts, package, rate, wholes.burst * rate + wholes.gateways + rate * slack)
     if wholes.set_ups:
         out += at_once_kept(sent, wholes.set_ups)
-    return out + parts_kept(lines, wholes)
+    out += parts_kept(lines, wholes)
+    for region, (names, share) in wholes.regions.items():
+        out += parts_kept(lines, replace(wholes, whole=share), frozenset(names), region)
+    return out
 
 
 def _longest_way(lines: Iterable[Line], patience: float) -> float:
@@ -98,9 +103,11 @@
     line: Line
 
 
-def parts_kept(tape: Sequence[Line], wholes: Wholes) -> list[Broken]:
-    """At no moment own parts and loans that were surely in force above the whole."""
-    held = loans_held(tape)
+def parts_kept(tape: Sequence[Line], wholes: Wholes, of: Set[str] | None = None, region: str = ""
+               ) -> list[Broken]:  # fmt: skip
+    """At no moment own parts and loans that were surely in force above the whole. `of`: the gateways that are
+    looked at, all where it is left out; those of a region stay within its share, which is their whole."""
+    held = [h for h in loans_held(tape) if of is None or h.who in of]
     for budget in range(max((len(h.loans) for h in held), default=0)):
         parts = dict[str, Held]()
         changes = [(t, n, h) for h in held for t, n in ((h.first, 1), (h.last, 0))]
@@ -110,12 +117,15 @@
                     del parts[one.who]
                 continue
             parts[one.who] = one
-            total = sum(wholes.own + h.loans[budget] for h in parts.values())
+            total = sum((wholes.own[who][budget] if who in wholes.own else 0) + h.loans[budget]
+                        for who, h in parts.items())  # fmt: skip
             if total > wholes.whole:
                 names = ", ".join(sorted(parts))
-                what = f"{names} had {total / wholes.whole:.3f} of budget {budget} together"
+                of_it = "its share of " if region else ""
+                what = f"{names} had {total / wholes.whole:.3f} of {of_it}budget {budget} together"
                 lines = tuple(h.line.at for h in parts.values())
-                return [Broken("parts are within the whole", what, (t,), lines)]
+                promise = "parts are within the region's share" if region else "parts are within the whole"
+                return [Broken(promise, f"{region}: {what}" if region else what, (t,), lines)]
     return []
 
 
--- a/ledgehitch/rehearsal/fleet.py
+++ b/ledgehitch/rehearsal/fleet.py
@@ -10,7 +10,8 @@
     rig.run(script)
     assert not rig.broken(whole=True)
 
-Whom a call means may be a name or a role: "owner of restarts", "hall z1", "others".
+Whom a call means may be a name or a role: "owner of restarts", "owner of budgets in north", "hall z1",
+"region north", "others".
 """
 
 import json
@@ -29,7 +30,8 @@
 
 import msgspec
 
-from ledgehitch.budgets.facts import WHOLE, own_parts
+from ledgehitch.budgets.facts import WHOLE, budgets_of
+from ledgehitch.budgets.units import own_parts
 from ledgehitch.config import BadInput, Day, Fault, Site
 from ledgehitch.http import ConnectFailed, Interrupted
 from ledgehitch.loop import Child, Loop, TimedOut, endpoint
@@ -37,6 +39,7 @@
 from ledgehitch.proof.check import Breach, figures_of, judged_tape
 from ledgehitch.proof.owned import Broken, judged_owned
 from ledgehitch.proof.tape import lines_of
+from ledgehitch.regions.facts import regions_of
 from ledgehitch.rehearsal.play import READY_WITHIN, Stage, free_ports
 from ledgehitch.standins.cuts import Bad
 from ledgehitch.standins.receiver import Receiver
@@ -50,7 +53,7 @@
 runpy.run_module("ledgehitch", run_name="__main__")
 """
 # Files of a state directory, by how they end.
-KEPT = ("members", "owners", "plan", "carried", "quality", "door")
+KEPT = ("members", "owners", "owners-region", "plan", "carried", "quality", "door")
 
 
 class FleetRig(Stage):
@@ -223,16 +226,22 @@
         kind, _, which = who.partition(" ")
         if kind == "hall":
             return [g.name for g in self.site.gateways if g.zone == which]
+        if kind == "region":
+            zones = next((r.zones for r in self.site.regions if r.name == which), [])
+            return [g.name for g in self.site.gateways if g.zone in zones]
         if kind == "owner":
-            return [self.owner(which.removeprefix("of "))]
-        raise BadInput(f"{who!r} is no gateway, hall NAME or owner of DUTY")
+            duty, _, region = which.removeprefix("of ").partition(" in ")
+            return [self.owner(duty, region=region)]
+        raise BadInput(f"{who!r} is no gateway, hall NAME, region NAME or owner of DUTY (in REGION)")
 
-    def owner(self, duty: str, but: Iterable[str] = (), within: float = 30.0) -> str:
-        """Waits until one, not of `but`, says that it owns the duty, and gives its name."""
+    def owner(self, duty: str, but: Iterable[str] = (), within: float = 30.0, region: str = "") -> str:
+        """Waits until one, not of `but`, says that it owns the duty, and gives its name. `region`: of the one
+        whose gateways are asked alone."""
         found: list[str] = []
+        some = self.whom(f"region {region}") if region else self.names
 
         def seen() -> bool:
-            found[:] = [n for n in self._alive() if n not in but and self._owns(n, duty)]
+            found[:] = [n for n in self._alive() if n in some and n not in but and self._owns(n, duty)]
             return len(found) == 1
 
         self.until(seen, within)
@@ -333,15 +342,26 @@
         return list(lines_of(self.tapes))
 
     def broken(self, whole: bool = False, most: int = 1) -> list[Broken]:
-        return judged_owned(self.lines(), self.names, most, whole)
+        regions = {name: r.name for r in regions_of(self.site) for name in r.gateways}
+        return judged_owned(self.lines(), self.names, most, whole, regions)
 
     def over_budget(self, site: Site | None = None) -> list[Broken]:
         """`site`: whose limits hold, where they were changed by a reload: the largest that was in force."""
+        return judged_budgets(self.lines(), self.wholes(site))
+
+    def wholes(self, site: Site | None = None) -> Wholes:
+        """What a site gives the whole fleet, and each gateway and region of it."""
         site = site or self.site
-        n = len(site.gateways)
-        wholes = Wholes(site.door.package_rates, site.door.set_ups, n, max(p.patience for p in site.packages),
-                        own_parts(site.budgets.own_part, n), WHOLE)  # fmt: skip
-        return judged_budgets(self.lines(), wholes)
+        names, patience = [g.name for g in site.gateways], max(p.patience for p in site.packages)
+        budgets = budgets_of(site.door.package_rates, site.door.set_ups, patience)
+        regions = regions_of(site)
+        scopes = [(r.gateways, r.share) for r in regions] or [(tuple(names), WHOLE)]
+        each = [{name: own for some, share in scopes
+                 for name, own in own_parts(b, site.budgets.own_part, some, share).items()}
+                for b in budgets]  # fmt: skip
+        return Wholes(site.door.package_rates, site.door.set_ups, len(names), patience,
+                      {name: [own.get(name, 0) for own in each] for name in names}, WHOLE,
+                      regions={r.name: (r.gateways, r.share) for r in regions})  # fmt: skip
 
     def let_in(self, since: float, until: float = float("inf"), by: Iterable[str] = ()) -> int:
         """First tune-ins that media hosts saw in a time of the tape's clock, of these gateways or of all."""
