--- a/ledgehitch/door/part.py
+++ b/ledgehitch/door/part.py
@@ -8,6 +8,7 @@
 
 WHOLE = 1_000_000_000  # parts of every budget, whatever its unit: a share goes on when the whole is changed
 MOST_COUNTED = 31_622  # up to here WHOLE // (WHOLE // n) is n, so that no sum of whole things is above n
+MOST_HELD = 16  # answers that are held: another whole after each of many reloads
 
 
 def grain_of(whole: int) -> int:
@@ -29,10 +30,12 @@
         self.by_budget: dict[str, float] = {}  # own parts of budgets of which a gateway has its own figure
         self.lent: dict[str, float] = {}
         self.until = -1e18  # end of what is lent
+        self._things: dict[tuple[str, int, bool], int] = {}  # as they were asked for, until it is told anew
 
     def told(self, own: float, lent: Mapping[str, float], until: float,
              by_budget: Mapping[str, float] | None = None) -> None:  # fmt: skip
         self.own, self.lent, self.until, self.by_budget = own, dict(lent), until, dict(by_budget or {})
+        self._things = {}
 
     def share(self, now: float, budget: str) -> float:
         """Of the whole of a budget, now."""
@@ -41,7 +44,13 @@
 
     def things(self, now: float, budget: str, whole: int) -> int:
         """Of so many things of a budget, how many are this gateway's now."""
-        return things(round(self.share(now, budget) * WHOLE), whole)
+        asked = budget, whole, now < self.until
+        found = self._things.get(asked)
+        if found is None:
+            if len(self._things) >= MOST_HELD:
+                self._things = {}
+            self._things[asked] = found = things(round(self.share(now, budget) * WHOLE), whole)
+        return found
 
     def gathered(self, first: float, last: float, budget: str) -> float:
         """The share times the seconds in which it was in force."""
