--- a/ledgehitch/scale/tables.py
+++ b/ledgehitch/scale/tables.py
@@ -133,9 +133,11 @@
          lambda t: float(t.gateways), "`daemon/verdicts.py`", lambda t: t.control.cpu_s_per_s),
 )  # fmt: skip
 OTHERS = (
-    Need("the 4 control machines", "what could run there, CPU",
-         Select("real", "control-machine", "all", "quiet"), "cpu_s_per_s", "core",
-         lambda t: float(t.control.machines), f"{NONE_YET}: owners are gateways"),
+    Need("the 4 control machines", "an owner's control, were it there, CPU", Select("real", "owner", "all",
+         "quiet"), "cpu_s_per_s", "core", lambda t: float(t.gateways), f"{NONE_YET}: owners are gateways"),
+    Need("the 4 control machines", "an owner's control, were it there, bytes out and in, with heads",
+         Select("real", "owner", "all", "quiet"), "bytes_per_s", "bytes/s", lambda t: float(t.gateways),
+         f"{NONE_YET}: owners are gateways"),
     Need("discovery", "whole lists, start of all, bytes sent",
          Select("call", "discovery", "list", "whole-list"), "list_bytes", "bytes/s",
          lambda t: float(t.readings.servers), "list service (a stand-in)", None,
