Judge of parts: what a lender had under a former term ends as it lends itself

Lines at fault: loans_held, which knew no end but the next loan taken on a wire. Only loans that were surely in force may count: from its first word as a lender of a later term a gateway's former loan is not surely so. Test on planted tapes, which the former judge fails; all planted breaches are found as before, and three more that must be found beside the new rule.

--- a/ledgehitch/proof/budgeted.py
+++ b/ledgehitch/proof/budgeted.py
@@ -131,11 +131,13 @@
 
 def loans_held(lines: Sequence[Line]) -> list[Held]:
     """Only loans that a later question says were taken count: up to the next that was, to their end or to the
-    end of the process."""
+    end of the process; and of one that then lends itself, until it does: what it lends to itself crosses no
+    wire, and takes the place of what it had under a former term."""
     asked: dict[tuple[str, int, int, int], float] = {}
     taken: dict[tuple[str, int, int], list[int]] = {}
     came: dict[tuple[str, int, int, int], Line] = {}
     ended: dict[str, list[float]] = {}
+    lends: dict[str, list[tuple[int, float]]] = {}  # by lender: term and when it first lent under it
     for line in lines:
         if line["ev"] == "want":
             asked[line["who"], line["life"], line["term"], line["sequence"]] = line["t"]
@@ -144,6 +146,9 @@
                 numbers.append(line["number"])
         elif line["ev"] == "lent":
             came.setdefault((line["to"], line["life"], line["term"], line["number"]), line)
+            terms = lends.setdefault(line["who"], [])
+            if line["term"] not in [term for term, _ in terms]:
+                terms.append((line["term"], line["t"]))
         elif line["ev"] == "gateway" and line["how"] == "killed":
             ended.setdefault(line["gateway"], []).append(line["t"])
     out = []
@@ -155,6 +160,7 @@
                 continue
             last = since + line["seconds"] - GRACE
             last = min([last, *(t for t in ended.get(who, []) if t >= line["t"])])
+            last = min([last, *(t for later, t in lends.get(who, []) if later > term)])
             if following is not None:
                 last = min(last, following["t"])
             if last > line["t"]:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -216,11 +216,11 @@
     return [(t, "setup", begun), (over, "setup_out", {"id": number, "status": 201})]
 
 
-def lent(who: str, t: float, number: int, share: float, life: int = 1) -> Told:
+def lent(who: str, t: float, number: int, share: float, life: int = 1, by: str = "g9", term: int = 1) -> Told:
     """Asked, answered a little later, and said to be taken."""
-    ask = {"who": who, "to": "g9", "term": 1, "life": life}
+    ask = {"who": who, "to": by, "term": term, "life": life}
     return [(t, "want", {**ask, "sequence": number, "number": 0}),
-            (t + 0.1, "lent", {"who": "g9", "to": who, "term": 1, "life": life, "sequence": number,
+            (t + 0.1, "lent", {"who": by, "to": who, "term": term, "life": life, "sequence": number,
                                "number": number, "seconds": 5.0, "loans": [int(share * WHOLE)]}),
             (t + 1.0, "want", {**ask, "sequence": number + 50, "number": number})]  # fmt: skip
 
@@ -241,3 +241,15 @@
     good += [(13.5, "gateway", {"gateway": "g2", "how": "killed"}), *lent("g2", 13.6, 1, 0.9, life=2)]
     good += [(20.0, "want", {"who": "g1", "to": "g9", "term": 2, "life": 1, "sequence": 9, "number": 7})]
     assert judged_budgets(tape(good), WHOLES) == []
+
+
+def test_what_a_lender_had_under_a_former_term_counts_until_it_lends_itself() -> None:
+    """What it lends to itself crosses no wire, and takes the place of what it had."""
+    had = lent("g0", 1.0, 1, 0.6)
+    with_it = [*had, *lent("g1", 2.0, 2, 0.4, by="g0", term=2)]
+    assert judged_budgets(tape(with_it), WHOLES) == []
+    for other in (lent("g1", 2.0, 2, 0.4, by="g2", term=2), lent("g1", 2.0, 2, 0.4, by="g0", term=1)):
+        assert [b.promise for b in judged_budgets(tape([*had, *other]), WHOLES)] == [
+            "parts are within the whole"], "another lends, or it does under no later term"  # fmt: skip
+    before = [*had, *lent("g1", 1.5, 2, 0.4), *lent("g2", 3.0, 3, 0.1, by="g0", term=2)]
+    assert [b.promise for b in judged_budgets(tape(before), WHOLES)] == ["parts are within the whole"]
