--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -5,11 +5,13 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from ledgehitch.config.site import RegionRecord
 from ledgehitch.proof.budgeted import Wholes, judged_budgets
 from ledgehitch.regions.facts import WHOLE
 from ledgehitch.rehearsal.fleet import FleetRig
+from ledgehitch.rehearsal.play import DidNotStart
 
 RATE, SET_UPS = 20.0, 30.0
 DOOR = {"on": True, "package_rates": {"recorded": RATE}, "set_ups": SET_UPS}
@@ -126,6 +128,9 @@
         rig.until(lambda: all(in_force(rig, n) == 1.0 for n in north), 60.0)
         rig.owner("budgets", region="north")
         rig.owner("restarts")  # three of three that are stated
+        with pytest.raises(DidNotStart):
+            rig.start_gateway("g1")
+        assert "g1: region 'south' has no gateway that is not declared gone" in rig.log_of("g1")
         rig.until(lambda: used(rig) >= 0.9, 60.0, 0.5)
 
     rig = rig_of(tmp_path)
