Scale run: a call over a connection that was just closed is made again

A start of 550 at load 30 had 506 up, none slow, when a call met a connection that the other side closed as idle; the run ended there (failed trial).

--- a/ledgehitch/scale/rig.py
+++ b/ledgehitch/scale/rig.py
@@ -292,11 +292,15 @@
     # ---- what is seen --------------------------------------------------------------------------------------
 
     def tell(self, process: str, path: str, body: Any = None) -> Any:
-        """Calls a relay or a hollow process."""
+        """Calls a relay or a hollow process. Each call may be made twice: a connection that was idle may be
+        closed by the other side as it is used."""
+        at, data = f"unix:{self.state / process}.control", msgspec.json.encode(body or {})
         try:
             with self.loop.deadline(CALL_WITHIN):
-                response = self.client.request(f"unix:{self.state / process}.control", "POST", path,
-                                               body=msgspec.json.encode(body or {}))  # fmt: skip
+                try:
+                    response = self.client.request(at, "POST", path, body=data)
+                except Interrupted:
+                    response = self.client.request(at, "POST", path, body=data)
         except (TimedOut, ConnectFailed, Interrupted) as problem:
             raise BadInput(f"{process} does not answer {path}: {problem!r}") from None
         if response.status != 200:
