What was taken is answered though its connection is closed or read late

Seen: bytes that are no message behind requests on the same connection closed it at once, and what had been taken there was dropped as if its viewers had hung up: no final answer. Lines at fault: front.py, `_run`, the `return` after `Malformed`, then `hung_up` in `finally`. Now the connection is read on, without a look at what comes, until none waits on it or its client is gone.

Seen: a connection that is not read for up to a second after faults. Now the wait for its bytes begins with the pause and notes when they came.

Tests: tests/test_final_answers.py, each state forced; those of both faults fail on the former code.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY = $(VENV)/bin/python
 # Lanes beside the rest of the tests: of many processes, of the platform's sockets. They wait more than they compute.
 SEVERAL = tests/test_owning.py tests/test_lending.py
-SOCKETS = tests/test_crossings.py tests/test_platform_sockets.py tests/test_ramp.py
+SOCKETS = tests/test_crossings.py tests/test_final_answers.py tests/test_platform_sockets.py tests/test_ramp.py
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -4,19 +4,20 @@
 leaves the viewings that stand unharmed.
 """
 
+import math
 import re
 from collections.abc import Mapping
 from typing import Protocol
 
 from ledgehitch import rtsp
 from ledgehitch.interface import Fleet, Ladder, Package
-from ledgehitch.loop.kernel import Loop, Task
+from ledgehitch.loop.kernel import Loop, Task, TimedOut
 from ledgehitch.loop.sockets import Listener, Stream
 from ledgehitch.platform.bounds import Bounds
 from ledgehitch.platform.desk import Answer, Desk, Release
 from ledgehitch.platform.life import Life
 from ledgehitch.platform.log import log
-from ledgehitch.platform.pace import IDLE, MOST_FAULTS, Pace, first_to_go
+from ledgehitch.platform.pace import HEARD, IDLE, MOST_FAULTS, Pace, first_to_go
 from ledgehitch.platform.pipe import Pipe
 
 MOST_READ = 16384
@@ -110,12 +111,14 @@
 
     def _run(self, conn: Conn) -> None:
         stream = conn.stream
+        # What came along with the connection may have waited as long as that did.
+        came = math.inf if stream.quiet() else stream.since
         try:
             while True:
                 data = stream.receive(MOST_READ, likely_empty=True)
                 if not data:
                     return
-                now = min(self.loop.now, stream.since)
+                now, came = min(self.loop.now, stream.since, came), math.inf
                 conn.heard = self.loop.now
                 whole = False
                 try:
@@ -126,11 +129,17 @@
                     self.refused += 1
                     log("unreadable", peer=stream.peer, why=str(why)[:80])
                     conn.pipe.write(rtsp.answer(why.status, "", ""))
+                    self._see_out(conn)
                     return
                 conn.pace.read(self.loop.now, whole, conn.reader.within)
                 pause = conn.pace.pause(self.loop.now, self.carrier.desk.waits_on(conn.number))
                 if pause:
-                    self.loop.sleep(pause)
+                    # Guards against counting a request's time from when it is read, long after it has come.
+                    until = self.loop.now + pause
+                    self.loop.wait_readable(stream.fd)
+                    came = self.loop.seen_from
+                    if until > self.loop.now:
+                        self.loop.sleep(until - self.loop.now)
         except OSError:
             return
         finally:
@@ -138,6 +147,20 @@
             stream.close()
             self.carrier.hung_up(conn.number)
 
+    def _see_out(self, conn: Conn) -> None:
+        """Reads on without a look at it until what was taken on this connection is answered, or the client is
+        gone.
+
+        Guards against requests being lost with a connection that is closed for what came after them."""
+        while self.carrier.desk.waits_on(conn.number):
+            try:
+                with self.loop.deadline(HEARD):
+                    if not conn.stream.receive(MOST_READ, likely_empty=True):
+                        return
+            except TimedOut:
+                continue
+            self.loop.sleep(HEARD)
+
     # ---- messages ------------------------------------------------------------------------------------------
 
     def _message(self, now: float, conn: Conn, method: str, target: str, fields: dict[str, str],
