A request's time counts from when it came, also in a long turn or without descriptors

Seen by forced tests: what came while a turn of the loop lasted 0.6 s had its time counted from the end of that turn, and a connection that waited 1 s for a free descriptor had its request counted from when it was accepted: final answers came 0.6 s and 1 s late. `Loop.seen_from` promised that what is read arrived no earlier, and was the end of the poll; what a poll finds at once may have come since the poll before. Lines at fault: kernel.py, `turn` (`seen_from`); sockets.py, `Listener.accept` (the stream's `since`).

Now a poll that takes under 1 ms counts from the end of the one before, and what is accepted counts from when the listener was last found empty. Both are early rather than late, by a turn at most where nothing is short.

The rig's stand-in for a listener in tests/test_crossings.py gets the new field; no check is changed.

--- a/ledgehitch/loop/kernel.py
+++ b/ledgehitch/loop/kernel.py
@@ -21,6 +21,7 @@
 from ledgehitch.loop.timers import Timer, Timers
 
 LONGEST_POLL = 0.25  # seconds: the loop looks at the clock at least so often, to notice that it stood still
+AT_ONCE = 0.001  # seconds: a poll that takes less found what had come before it
 STOOD_STILL = 0.05  # seconds that a poll may take longer than asked before the process counts as stopped
 IN = select.POLLIN | select.POLLHUP | select.POLLERR | select.POLLNVAL
 OUT = select.POLLOUT | select.POLLHUP | select.POLLERR | select.POLLNVAL
@@ -98,7 +99,7 @@
         self.failed = 0
         self.stood_still = 0  # how often the process was found to have been stopped
         self.now = time.monotonic()
-        self.seen_from = self.now  # what is read now arrived no earlier than this
+        self.seen_from = self.polled = self.now  # what is read now arrived no earlier than the first
         self.first: Task | None = None
 
     # ---- tasks ---------------------------------------------------------------------------------------------
@@ -289,11 +290,13 @@
             timeout = min(timeout, max(0.0, at_next - time.monotonic()))
         entered = time.monotonic()
         events = self.poll.poll(timeout * 1000)
-        self.now = time.monotonic()
-        # Guards against a process that was stopped: what it finds now may have waited since it went to poll.
+        before, self.now = self.polled, time.monotonic()
+        self.polled = self.now
+        # Guards against a process that was stopped: what it finds now may have waited since it went to poll;
+        # and against a long turn: what is there at once may have waited since the poll before.
         still = self.now - entered > timeout + STOOD_STILL
         self.stood_still += still
-        self.seen_from = entered if still else self.now
+        self.seen_from = entered if still else before if self.now - entered < AT_ONCE else self.now
         for fd, mask in events:
             self._dispatch(fd, mask)
 
--- a/ledgehitch/loop/sockets.py
+++ b/ledgehitch/loop/sockets.py
@@ -168,6 +168,7 @@
         self.fd = self.sock.fileno()
         self.at = Endpoint(at.family, self.sock.getsockname())
         self.refused_for_descriptors = 0
+        self.since = loop.seen_from  # what is accepted next came no earlier than this
 
     def accept(self) -> Stream:
         while self.fd >= 0:
@@ -175,6 +176,7 @@
                 sock, peer = self.sock.accept()
             except BlockingIOError:
                 self.loop.wait_readable(self.fd)
+                self.since = self.loop.seen_from
                 continue
             except ConnectionError:
                 continue
@@ -194,7 +196,10 @@
                     sock.close()
                     continue
             self.loop.breathe()
-            return Stream(self.loop, sock, str(peer[0]) if peer else "unix")
+            stream = Stream(self.loop, sock, str(peer[0]) if peer else "unix")
+            # Guards against a time without free descriptors, or a flood, in which it waited unseen.
+            stream.since = self.since
+            return stream
         raise ConnectionAbortedError("the listener was closed")
 
     def close(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -416,7 +416,7 @@
         self.sock.setblocking(False)
         taken = Listener.__new__(Listener)
         taken.loop, taken.sock, taken.fd = world.loop, self.sock, self.sock.fileno()
-        taken.refused_for_descriptors = 0
+        taken.refused_for_descriptors, taken.since = 0, world.loop.seen_from
         host.listener = taken
         world.loop.spawn(host._serve, name=host.name)
 
