Nothing goes out on a connection to a media host that is being closed here

Seen by a forced test: a connection that was closed as idle, doubted or to make room took a set-up in the same turn, before its task ran; the set-up left and was told as reset, which counts as one that may have run. Lines at fault: hosts.py, `close` (only cancels the task), `_fit` and `_say` (choose among all). Now `close` marks it, and it takes nothing any more.

--- a/ledgehitch/platform/hosts.py
+++ b/ledgehitch/platform/hosts.py
@@ -190,7 +190,8 @@
     def _say(self, host: str, line: Line | None, data: bytes) -> None:
         """On the connection of the set-up; where that is gone, on any; else on the next one opened."""
         if line is None or line.closed:
-            lines = [x for x in self.lines.get(host, ()) if x.address == self.at.get(host, x.address)]
+            at = self.at.get(host)
+            lines = [x for x in self.lines.get(host, ()) if not x.closed and x.address == (at or x.address)]
             line = next((x for x in lines if x.pipe is not None), None) or next(iter(lines), None)
             line = line or self._open(host)
         if line is not None:
@@ -198,7 +199,7 @@
 
     def _fit(self, host: str, tag: str = "") -> Line | None:
         now, address = self.loop.now, self.at.get(host)
-        lines = [x for x in self.lines.get(host, ()) if x.address == address]
+        lines = [x for x in self.lines.get(host, ()) if not x.closed and x.address == address]
         while (line := fittest(lines, self.reach.streams, now, self.reach.idle, tag)) is not None:
             # Guards against a set-up into a connection that the other side has closed, which is not read yet.
             if line.open or line.pipe is None or not line.pipe.stream.ended():
@@ -213,7 +214,7 @@
         if address is None:
             return None
         if self.count >= self.most_lines:
-            spare = first_to_go(x for lines in self.lines.values() for x in lines)
+            spare = first_to_go(x for lines in self.lines.values() for x in lines if not x.closed)
             if spare is not None:
                 self.close(spare)
             log("no-room-for-line", host=host, lines=self.count)
@@ -294,6 +295,8 @@
                 carrier.probed(now, line.host, cause == 1, now - sent, loads)
 
     def close(self, line: Line) -> None:
+        """Guards against a set-up or a release that goes out on a connection which ends as its task runs."""
+        line.closed = True
         if line.task is not None:
             line.task.cancel()
 
@@ -320,5 +323,5 @@
         for host, lines in self.lines.items():
             h = self.watch.hosts.get(host)
             needed = 1 if h is not None and h.standing else 0
-            for line in over(now, lines, needed, self.reach.idle):
+            for line in over(now, [x for x in lines if not x.closed], needed, self.reach.idle):
                 self.close(line)
