--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 # Lanes beside the rest of the tests: of many processes, of the platform's sockets. They wait more than they compute.
-SEVERAL = tests/test_owning.py tests/test_lending.py
+SEVERAL = tests/test_owning.py tests/test_lending.py tests/test_regions.py tests/test_scale.py
 SOCKETS = tests/test_crossings.py tests/test_final_answers.py tests/test_platform_sockets.py tests/test_ramp.py
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
@@ -11,7 +11,9 @@
 	touch $@
 
 .PHONY: run test day setup bench
+# Guards against a start that compiles our sources each time, where the file system is read-only after the build.
 setup: $(VENV)/ready
+	$(PY) -m compileall -q ledgehitch
 
 run: $(VENV)/ready
 	@exec $(PY) -m ledgehitch --log text up $(ARGS)
