In a flood newcomers do not make room for each other, and who makes room is closed at once

Lines at fault: pace.py, first_to_go: who never spoke went first, however new; front.py, close: the connection was closed as its task ran, later in the turn, and what came between was taken and never read.

Change: a connection under half a second old that has not spoken goes after those that asked and have no session; who makes room is closed in the same call. Tests: the order, a flood of newcomers among idle ones, the close; the last two fail on the former code.

--- a/ledgehitch/platform/front.py
+++ b/ledgehitch/platform/front.py
@@ -95,7 +95,7 @@
             if c.task is None or not c.task.cancelled
         ]
         for _ in range(MOST_LOOKS):
-            number = first_to_go(may)
+            number = first_to_go(self.loop.now, may)
             if number is None:
                 break
             if self.conns[number].stream.quiet():
@@ -106,8 +106,10 @@
         return False
 
     def close(self, conn: Conn) -> None:
+        """At once, not as its task runs: a request that comes later in this turn would be taken unread."""
         if conn.task is not None:
             conn.task.cancel()
+        conn.stream.close()
 
     def _run(self, conn: Conn) -> None:
         stream = conn.stream
--- a/ledgehitch/platform/pace.py
+++ b/ledgehitch/platform/pace.py
@@ -14,18 +14,25 @@
 HEARD = 0.02  # the longest where a set-up waits: its viewer may go, and none may be sent on 0.1 s later
 FORGIVEN = 0.5  # faults a second that time takes back: a connection shared by many is not slow for good
 MOST_FAULTS = 40  # then it is closed
+FRESH = 0.5  # seconds in which the first request of a new connection is on its way, also in pieces
 IDLE = 6.0  # seconds after which a connection without a viewing goes: viewers close theirs after 4
 
 
-def first_to_go(conns: Iterable[tuple[int, bool, int, bool, float]]) -> int | None:
-    """Which connection makes room for a new one, of (number, whether it ever brought a message, viewings on
-    it, whether one of them waits, when it was last heard): one that never spoke, else one without a viewing,
-    else one whose viewings all play (they are tied to no connection); of these the one silent longest.
+def first_to_go(now: float, conns: Iterable[tuple[int, bool, int, bool, float]]) -> int | None:
+    """Which connection makes room for a new one, of (number, whether it ever brought a message, sessions on
+    it, whether one of them waits, when it was last heard): one that has not spoken for a while, else one
+    without a session, else one that is new, else one whose sessions all play (they are tied to no
+    connection); of these the one silent longest.
 
-    Guards against connections that asked once and stay for good keeping new viewers out.
+    Guards against connections that asked once and stay for good keeping new viewers out, and in a flood
+    against each newcomer being closed for the next before its request can have come.
     """
-    may = [(spoke, held > 0, heard, number) for number, spoke, held, waits, heard in conns if not waits]
-    return min(may)[3] if may else None
+    may = []
+    for number, spoke, sessions, waits, heard in conns:
+        if not waits:
+            rank = 3 if sessions else 1 if spoke else 0 if now - heard > FRESH else 2
+            may.append((rank, heard, number))
+    return min(may)[2] if may else None
 
 
 class Pace:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -674,6 +674,67 @@
     over_loop(play)
 
 
+def test_newcomers_of_a_flood_do_not_make_room_for_each_other_before_their_requests_come() -> None:
+    """All places are held by clients that asked once and stay: these go, and not who came a moment ago."""
+
+    def play(loop: Loop) -> None:
+        ladder, packages, fleet, _ = facts_from(SETTINGS)
+        taken, life = Taken(), Life(3.0)
+        life.serves()
+        bounds = bounds_of(32.0, 64)
+        front = Front(loop, taken, life, {p.name: p for p in packages}, fleet, ladder, bounds)
+        listener = Listener(loop, endpoint("127.0.0.1:0"))
+        serving = loop.spawn(front.serve, listener)
+        at, most = listener.sock.getsockname(), bounds.viewer_conns
+        stay = [socket.create_connection(at) for _ in range(most)]
+        for one in stay:
+            one.send(rtsp.request("OPTIONS", "rtsp://media/ping", "3", sid(0)))
+        while sum(conn.pace.spoke for conn in front.conns.values()) < most:
+            loop.sleep(0.001)
+        newcomers = [socket.create_connection(at) for _ in range(most // 2)]
+        while front.made_room < len(newcomers):
+            loop.sleep(0.001)
+        fields = [("X-Tier", "clip"), ("X-Deadline", "3000"), ("X-Attrs", "home:0;copies:6;top:2")]
+        for n, one in enumerate(newcomers):
+            one.send(rtsp.request("SETUP", "rtsp://media/7f3a", "1", sid(1 + n), fields, BLOB.encode()))
+        with loop.deadline(10.0):
+            while len(taken.got) < len(newcomers):
+                loop.sleep(0.001)
+        assert sorted(taken.got) == sorted(sid(1 + n) for n in range(len(newcomers)))
+        assert front.turned_off == 0
+        for one in [*stay, *newcomers]:
+            one.close()
+        serving.cancel()
+        listener.close()
+
+    over_loop(play)
+
+
+def test_a_connection_that_makes_room_is_closed_at_once_and_takes_nothing_after_it() -> None:
+    """Its task ran later in the turn: what came meanwhile was taken by the kernel, and closed away unread."""
+
+    def play(loop: Loop) -> None:
+        ladder, packages, fleet, _ = facts_from(SETTINGS)
+        taken, life = Taken(), Life(3.0)
+        life.serves()
+        front = Front(loop, taken, life, {p.name: p for p in packages}, fleet, ladder, bounds_of(32.0, 24))
+        listener = Listener(loop, endpoint("127.0.0.1:0"))
+        serving = loop.spawn(front.serve, listener)
+        client = socket.create_connection(listener.sock.getsockname())
+        client.send(rtsp.request("OPTIONS", "rtsp://media/ping", "3", sid(0)))
+        while not any(conn.pace.spoke for conn in front.conns.values()):
+            loop.sleep(0.001)
+        client.setblocking(False)
+        assert client.recv(4096).startswith(b"RTSP/1.0 200")
+        assert front._make_room()
+        assert client.recv(4096) == b"", "it hears of it in the same turn"
+        client.close()
+        serving.cancel()
+        listener.close()
+
+    over_loop(play)
+
+
 @on_loop
 def test_a_set_up_goes_by_no_connection_that_its_host_closes_as_idle(loop: Loop) -> None:
     with running(loop, hosts=1, connIdle=1200) as (world, v):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,7 +21,7 @@
 from ledgehitch.platform.desk import Answer, Desk, Release
 from ledgehitch.platform.life import Life
 from ledgehitch.platform.lost import Lost, Open, Watch
-from ledgehitch.platform.pace import FREE, IDLE, MOST_FAULTS, SILENT, Pace, first_to_go
+from ledgehitch.platform.pace import FREE, FRESH, IDLE, MOST_FAULTS, SILENT, Pace, first_to_go
 from ledgehitch.platform.told import read, rows_of
 from ledgehitch.simhost.wire import main as simhost
 
@@ -397,12 +397,15 @@
 
 
 def test_room_is_made_by_who_needs_a_connection_least() -> None:
+    now = 9.0 + FRESH + 0.1
     mute, idle = (1, False, 0, False, 9.0), (2, True, 0, False, 8.0)
     plays, waits = (3, True, 2, False, 1.0), (4, True, 1, True, 0.0)
-    assert first_to_go([waits, plays, idle, mute]) == 1
-    assert first_to_go([waits, plays, idle]) == 2
-    assert first_to_go([waits, plays]) == 3
-    assert first_to_go([waits]) is None and IDLE > 4.0
+    new, newer = (5, False, 0, False, now - FRESH), (6, False, 0, False, now)
+    assert first_to_go(now, [waits, plays, newer, new, idle, mute]) == 1
+    assert first_to_go(now, [waits, plays, newer, new, idle]) == 2, "one may be on its way to the new"
+    assert first_to_go(now, [waits, plays, newer, new]) == 5
+    assert first_to_go(now, [waits, plays]) == 3
+    assert first_to_go(now, [waits]) is None and IDLE > 4.0 and FRESH < SILENT
 
 
 def test_a_gateway_that_ends_answers_what_may_still_come_and_goes_before_it_is_killed() -> None:
