Without a majority there nobody asks all: words on duties no longer go by the square of the members

Seen: scale run of 200 members, two regions apart: 305 messages and 32 kB a second at each real member (24 allowed), for each duty without an owner; worked out for 550: over 200,000 datagrams a second. In virtual time, lease 10 s, three duties, halves cut: 3,623 bytes a member and second at 40 members, 8,654 at 100. Lines at fault: owners/decide.py, _await_poll and _polled: after each poll of a few everybody asked all, and again a tenth of a lease later.

Change: all are asked only where those whom membership holds for there are a majority of each list, and after polls in vain the next come rarer, up to once a lease; the next owner that is heard of ends that. Two tests, of which the first fails on the former code.

--- a/ledgehitch/owners/decide.py
+++ b/ledgehitch/owners/decide.py
@@ -18,6 +18,7 @@
 RENEW = 0.55  # of a lease between two rounds of asking
 AGAIN = 0.05  # of a lease until those who did not answer are asked again
 POLLED = 3  # members that a candidate asks first whether there is an owner
+RARER = 4  # times that the wait after a poll of all in vain doubles
 PATIENT = 0.04  # of a lease for their answers
 WON_WITHIN = 0.1  # of a lease, after which a candidate gives its votes back and waits
 STAND = 0.03  # of a lease by which each further place in the rank waits longer
@@ -85,6 +86,7 @@
     polling: set[str] = field(default_factory=set)  # who said that it is free
     polled_at: float = -1e18  # not polling where it lies far back
     widened: bool = False  # the poll went to all
+    in_vain: int = 0  # polls of all in a row that no majority answered
     stood_at: float = 0.0
     stand_at: float = 1e18
     round_at: float = 0.0
@@ -167,6 +169,7 @@
             case "told":
                 if words.term >= max(duty.known[1], self.memory.voters[duty.name].term):
                     duty.known = sender, words.term, now + min(words.left, KNOWN * self.lease)
+                    duty.in_vain = 0
 
     def may(self, there: set[int], fit: bool, why_not: str = "") -> None:
         """Whom membership holds for there, and whether this one should own anything now."""
@@ -253,7 +256,7 @@
         if one.lease is not None and one.lease.term < words.term:
             self._lost(now, one, f"{name} stands with term {words.term}")
         one.known, one.stand_at = (sender, words.term, now + self.memory.promise), 1e18
-        one.polled_at = -1e18
+        one.polled_at, one.in_vain = -1e18, 0
         self._say(sender, "grant", one, words.sequence, words.term)
 
     def _deny(self, now: float, one: One, sender: int, words: Words) -> None:
@@ -305,12 +308,12 @@
         if words.kind == "deny" and words.member != NOBODY:
             # There is an owner, or somebody that stands: how long its promise lasts at that voter.
             one.known = words.member, words.term, now + words.left
-            one.polled_at, one.stand_at = -1e18, 1e18
+            one.polled_at, one.stand_at, one.in_vain = -1e18, 1e18, 0
             return
         one.polling.add(self.names[sender])
         one.seen_term = max(one.seen_term, min(words.term, one.seen_term + STEP))
         if self.memory.lists.reached([*one.polling, self.names[self.me]]):
-            one.polled_at = -1e18
+            one.polled_at, one.in_vain = -1e18, 0
             self._stand(now, one)
         elif not one.widened and len(one.polling) >= min(POLLED, len(self.members) - 1):
             self._widen(now, one)
@@ -328,6 +331,13 @@
             self._stand(now, one)
 
     def _widen(self, now: float, one: One) -> None:
+        """Asks all, where a majority of them may answer.
+
+        Guards against everybody asking everybody for as long as a cut lasts that leaves no side a majority:
+        datagrams a second that go by the square of the members."""
+        if not self.memory.lists.reached(self.names[n] for n in (self.me, *self.there)):
+            self._again_later(now, one)
+            return
         one.widened, one.polled_at = True, now
         for to in self._others():
             if self.names[to] not in one.polling:
@@ -485,8 +495,14 @@
         if not one.widened:
             self._widen(now, one)
         else:
-            one.polled_at = -1e18
-            one.stand_at = now + self._place(one) + self.won_within * (1 + self.chance.random())
+            self._again_later(now, one)
+
+    def _again_later(self, now: float, one: One) -> None:
+        """A poll was in vain: the next ones come rarer, up to once a lease."""
+        wait = self.won_within * (1 + self.chance.random()) * 2 ** min(one.in_vain, RARER)
+        one.in_vain += 1
+        one.polled_at = -1e18
+        one.stand_at = now + self._place(one) + min(wait, max(self.lease, self.won_within))
 
     def _may_stand(self, now: float, one: One) -> bool:
         if one.name in self.withheld:
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -132,6 +132,50 @@
     assert crowd.most_owners == 1
 
 
+def test_halves_that_are_cut_from_each_other_say_little_for_as_long_as_it_lasts() -> None:
+    """Without a majority everybody asked everybody, again and again: bytes by the square of the members."""
+    crowd, halves = Crowd(40, lease=10.0, seed=2), (set(range(20)), set(range(20, 40)))
+    crowd.run(25.0)
+    crowd.part(halves[0])
+    sent = crowd.bytes
+    crowd.run(15.0, 0.05)  # membership does not know it yet: polls of all come rarer
+    assert crowd.bytes - sent < 15.0 * 40 * 40 * 40
+    for n, one in crowd.all.items():
+        assert one is not None
+        one.may(halves[n >= 20] - {n}, True)
+    crowd.run(15.0, 0.05)
+    sent = crowd.bytes
+    crowd.run(30.0, 0.05)
+    assert crowd.bytes - sent < 30.0 * 40 * 150 and not any(crowd.owners(d) for d in DUTIES)
+    crowd.part(())
+    for n, one in crowd.all.items():
+        assert one is not None
+        one.may(set(range(40)) - {n}, True)
+    at = crowd.now
+    crowd.until(lambda: all(crowd.owners(d) for d in DUTIES), 60.0)
+    assert crowd.now - at <= 2 * 10.0 + 1.0 and crowd.most_owners == 1
+
+
+def test_a_majority_that_hears_of_no_owner_elects_one_though_half_of_the_polls_were_in_vain() -> None:
+    """How often polls were in vain is forgotten with the next owner: the one after it is elected as soon."""
+    crowd = Crowd(9, lease=10.0, seed=5)
+    crowd.run(25.0)
+    crowd.part(range(4))
+    crowd.run(60.0, 0.05)
+    assert all(set(crowd.owners(d)) <= set(range(4, 9)) and crowd.owners(d) for d in DUTIES)
+    crowd.part(())
+    crowd.run(30.0, 0.05)
+    for _ in range(2):
+        (victim,) = crowd.owners("restarts")
+        crowd.stop(victim)
+        at = crowd.now
+        crowd.until(lambda: bool(crowd.owners("restarts")), 60.0)
+        assert crowd.now - at <= 2 * 10.0 + 1.0
+        crowd.start(victim, "same")
+        crowd.run(30.0, 0.05)
+    assert crowd.most_owners == 1
+
+
 def test_an_owner_on_its_way_out_hands_over_within_half_a_second() -> None:
     crowd = Crowd(5, lease=10.0, seed=4)
     crowd.run(25.0)
