--- a/ledgehitch/scale/hollow.py
+++ b/ledgehitch/scale/hollow.py
@@ -6,10 +6,8 @@
 """
 
 import gc
-import json
 import os
 import random
-import signal
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -29,7 +27,7 @@
 from ledgehitch.loop import Event, Loop, Task, endpoint
 from ledgehitch.owners.facts import BUDGETS, DUTIES
 from ledgehitch.proof.tape import Tape
-from ledgehitch.scale.relay import answer
+from ledgehitch.scale.relay import answer, served
 
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
@@ -214,17 +212,8 @@
     gc.set_threshold(2_000, 4, 1_000)  # as a daemon has it
     loop, lines = Loop(), Tape(tape)
 
-    def main() -> int:
-        over = Event(loop)
-        restore = loop.on_signals([signal.SIGTERM, signal.SIGINT], over.set)
+    def begin() -> Server:
         hollow = Hollow(loop, site, names, state, lines, seed, share)
-        Server(loop, endpoint(f"unix:{control}"), hollow.handle)
-        print(json.dumps({"control": str(control)}), flush=True)
-        over.wait()
-        restore()
-        return 0
-
-    try:
-        return int(loop.run(main))
-    finally:
-        lines.close()
+        return Server(loop, endpoint(f"unix:{control}"), hollow.handle)
+
+    return served(loop, lines, control, begin)
--- a/ledgehitch/scale/relay.py
+++ b/ledgehitch/scale/relay.py
@@ -7,6 +7,7 @@
 import json
 import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -81,20 +82,26 @@
         raise Refused(400, str(wrong)) from None
 
 
-def run_relay(site: Site, names: list[str], control: Path, tape: Path, seed: int) -> int:
-    """Runs until SIGTERM."""
-    loop, lines = Loop(), Tape(tape)
+def served(loop: Loop, lines: Tape, control: Path, begin: Callable[[], object]) -> int:
+    """Runs what `begin` begins until SIGTERM, and says at which address it is told what to do."""
 
     def main() -> int:
         over = Event(loop)
         restore = loop.on_signals([signal.SIGTERM, signal.SIGINT], over.set)
-        Relay(loop, site, names, control, lines, seed)
+        begun = begin()
         print(json.dumps({"control": str(control)}), flush=True)
         over.wait()
         restore()
+        del begun  # it was kept up to here
         return 0
 
     try:
         return int(loop.run(main))
     finally:
         lines.close()
+
+
+def run_relay(site: Site, names: list[str], control: Path, tape: Path, seed: int) -> int:
+    """Runs until SIGTERM."""
+    loop, lines = Loop(), Tape(tape)
+    return served(loop, lines, control, lambda: Relay(loop, site, names, control, lines, seed))
