What a region's lender may go by is decided in regions/shares.py, with a test

It stood in daemon/owning.py, a file that carries out, without a test. Behaviour unchanged; the test fails where own parts by a former, larger share are not left out.

--- a/ledgehitch/daemon/owning.py
+++ b/ledgehitch/daemon/owning.py
@@ -2,7 +2,6 @@
 machine sleeps, and a duty's work begun when it is won and ended when it is lost.
 """
 
-import math
 import os
 import random
 import secrets
@@ -202,16 +201,9 @@
         return WHOLE if shares is None else shares.in_force()
 
     def share_to_lend(self) -> int:
-        """Of which a lender of this region may go by. Guards against the own parts of gateways that still go
-        by a former, larger share: they are no part of what is lent."""
+        """Of which a lender of this region may go by."""
         shares, lists = self.owners.memory.shares, self.of(BUDGETS).owners.memory.lists
-        if shares is None:
-            return WHOLE
-        mine, own = shares.in_force(), lists.most_own_part()
-        beyond = max(0, shares.before() - mine) if lists.former else 0
-        if not beyond:
-            return mine
-        return max(0, mine - math.ceil(beyond * own / (1.0 - own))) if own < 1.0 else 0
+        return WHOLE if shares is None else shares.to_lend(lists.most_own_part(), bool(lists.former))
 
     @staticmethod
     def _boottime() -> float:
--- a/ledgehitch/regions/shares.py
+++ b/ledgehitch/regions/shares.py
@@ -8,6 +8,7 @@
 remembers no former version has no share until then.
 """
 
+import math
 from collections.abc import Mapping, Sequence, Set
 from typing import Any
 
@@ -46,6 +47,18 @@
         share = self._share(self.current)
         return share if self.known else min(share, self.before())
 
+    def to_lend(self, own_part: float, changing: bool) -> int:
+        """Parts of WHOLE that a lender of this region may go by. `own_part`: of each budget, the larger of
+        both versions; `changing`: whether a change of the region's list is not settled.
+
+        Guards against the own parts of gateways that still go by a former, larger share: they are no part of
+        what is lent."""
+        mine = self.in_force()
+        beyond = max(0, self.before() - mine) if changing else 0
+        if not beyond:
+            return mine
+        return max(0, mine - math.ceil(beyond * own_part / (1.0 - own_part))) if own_part < 1.0 else 0
+
     def stated(self) -> int:
         return self._share(self.current)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -87,6 +87,21 @@
     assert lower.in_force() == WHOLE // 4, "a lower one counts at once"
 
 
+@given(st.integers(0, WHOLE), st.integers(0, WHOLE), st.floats(0.0, 1.0))
+def test_own_parts_by_a_former_larger_share_and_what_is_lent_stay_within_the_share(
+    before: int, now: int, own_part: float
+) -> None:
+    changed = Shares("north", (Region("north", now, ("a", "b")),), (Region("north", before, ("a", "b")),))
+    mine = changed.in_force()
+    assert changed.to_lend(own_part, False) == mine == min(before, now)
+    to_lend = changed.to_lend(own_part, True)
+    assert 0 <= to_lend <= mine
+    own = own_part * max(before, mine)  # at most, of gateways that go by either version
+    assert to_lend == 0 or own + (1.0 - own_part) * to_lend <= mine + 1e-3
+    if own_part == 0.0 or before <= now:
+        assert to_lend == mine, "nothing is held back without need"
+
+
 def test_who_remembers_no_version_and_who_changes_to_a_third_has_the_least() -> None:
     lost = begun("north", EVEN, None)
     assert lost.in_force() == 0 and lost.stated() == WHOLE // 2
