platform: more media hosts than connections: nothing is closed only to be opened again

Cause: three decisions undid one another. The module spread viewings over all hosts; the failure detector wanted a connection to each host with viewings at once; at the limit one was closed, whatever played there, and none opened. The test of eviction_candidate is now one of eviction_order, same order, two checks more.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -45,6 +45,8 @@
 MIN_DELIVERED_SHARE = 0.05  # a lower delivered share counts as this
 CROSS_ZONE_PENALTY = 3.0  # use added to a holder in another zone, for each unit of the crossing price
 TRIED_HOST_PENALTY = 0.5  # use added to a holder that failed the same viewing
+# Use added to a holder beyond those that this gateway can stay connected to. It is tried when these are full.
+UNCONNECTED_HOST_PENALTY = 1.0
 SECONDARY_USE_WEIGHT = 0.25  # weight of the less used of link and uplink when holders are compared
 # Use of link and uplink up to which viewings are admitted at their lowest rung. More blocks fewer viewings
 # and overloads more often.
@@ -750,16 +752,22 @@
                 viewing.package.join_target, HOLDER_WAIT_SHARE * viewing.package.patience
             )
             probe_more = viewing.asks is None or not holders and viewing.asks_until <= now < probe_until
-            if self.may_ask and unread and probe_more and len(holders) < ENOUGH_READINGS:
-                viewing.asks, viewing.asks_until = self.chance.choice(unread), now + PROBE_TIMEOUT_S
+            connected = self._connected_hosts()
+            probed = unread if connected is None else [h for h in unread if h.number in connected]
+            if self.may_ask and probed and probe_more and len(holders) < ENOUGH_READINGS:
+                viewing.asks, viewing.asks_until = self.chance.choice(probed), now + PROBE_TIMEOUT_S
                 yield interface.Probe(viewing.asks.row.host)
             if viewing.asks in unread and now < viewing.asks_until:
                 return
             if viewing.asks is None or not holders:
                 unread = [h for h in unread if not self._cold_budget_spent(now, h)]
                 holders += self.chance.sample(unread, min(UNREAD_SAMPLE_SIZE, len(unread)))
+                if connected is not None:
+                    holders += [h for h in unread if h.number in connected]
             if holders:
-                host = min(holders, key=lambda h: (self._placement_cost(now, viewing, h), h.row.host))
+                host = min(
+                    holders, key=lambda h: (self._placement_cost(now, viewing, h, connected), h.row.host)
+                )
                 rung = self._highest_fitting_rung(now, viewing, host)
                 if rung is not None:
                     yield from self._tune_in(now, viewing, host, rung)
@@ -780,8 +788,23 @@
                 viewing.vw, min(1.0, self.terms.longest_advice) if self.terms.may_advise else 0.0
             )
 
-    def _placement_cost(self, now: float, viewing: Viewing, host: MediaHost) -> float:
-        """Returns the use of a holder, with penalties for crossing zones and for a previous try."""
+    def _connected_hosts(self) -> set[int] | None:
+        """Returns the numbers of the media hosts to which this gateway stays connected, None for any host.
+
+        These are the ones with most of its viewings, so that the others come to have none.
+        """
+        limit = self.terms.max_hosts
+        if not limit or len(self.busy) < limit:
+            return None
+        if len(self.busy) == limit:
+            return set(self.busy)
+        kept = sorted(self.busy, key=lambda number: (-len(self.busy[number].viewings), number))
+        return set(kept[:limit])
+
+    def _placement_cost(
+        self, now: float, viewing: Viewing, host: MediaHost, connected: set[int] | None
+    ) -> float:
+        """Returns the use of a holder, with penalties for crossing zones, a previous try and a connection."""
         link, uplink = self._current_use(now, host)
         crossing = CROSS_ZONE_PENALTY * self.terms.cross_price * (host.row.zone != self.terms.zone)
         return (
@@ -789,6 +812,7 @@
             + SECONDARY_USE_WEIGHT * min(link, uplink)
             + crossing
             + TRIED_HOST_PENALTY * (host.row.host in viewing.tried)
+            + UNCONNECTED_HOST_PENALTY * (connected is not None and host.number not in connected)
         )
 
     def _highest_fitting_rung(self, now: float, viewing: Viewing, host: MediaHost) -> int | None:
--- a/ledgehitch/interface.py
+++ b/ledgehitch/interface.py
@@ -95,6 +95,9 @@
     may_advise: bool = False  # whether a block may say when to come back
     longest_advice: float = 0.0
     cross_price: float = 0.0  # price of a viewing that plays from another zone
+    # Media hosts with viewings of this gateway from which on it avoids others, since each needs a connection;
+    # 0: it has as many connections as it needs.
+    max_hosts: int = 0
 
 
 UNPLACED = -1  # cell of a media host whose row names none
--- a/ledgehitch/platform/__main__.py
+++ b/ledgehitch/platform/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 
 from ledgehitch.brain import Gateway
 from ledgehitch.facts import InvalidSetting, read_connection_settings, read_settings
@@ -55,7 +56,8 @@
             read_connection_settings(configuration.settings),
             limits_for(configuration.memory_mb, sockets),
         )
-        gateway = Gateway(configuration.seed, now, *settings)
+        terms = replace(terms, max_hosts=limits.max_hosts)
+        gateway = Gateway(configuration.seed, now, ladder, packages, fleet, terms)
         self.lifecycle = Lifecycle(max((package.patience for package in packages), default=0.0))
         detector, sessions = FailureDetector(fleet.told_every), SessionTable()
         hosts = HostConnections(
--- a/ledgehitch/platform/connection_choice.py
+++ b/ledgehitch/platform/connection_choice.py
@@ -1,11 +1,11 @@
 """Decides which connection to a media host takes a set-up, and which connections are closed. Free of I/O.
 
-A connection is described by whether it is established, how many set-ups on it have no outcome, which ids
-recently had their outcome there, whether a set-up timed out on it and nothing came since (suspect), and when
-it was last used.
+A connection is described by its media host, whether it is established, how many set-ups on it have no
+outcome, which ids recently had their outcome there, whether a set-up timed out on it and nothing came since
+(suspect), and when it was last used.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from typing import Protocol, TypeVar
 
 MIN_UNUSED_S = 1.0  # without use before a connection may be closed
@@ -16,6 +16,7 @@
 class Connection(Protocol):
     """The part of a connection that these decisions use."""
 
+    host: str
     pending: dict[str, None]
     recent: dict[str, None]
     suspect: bool
@@ -53,13 +54,22 @@
     )
 
 
-def eviction_candidate(connections: Iterable[C]) -> C | None:
-    """Returns the one to close for another: established, without a pending set-up, unused for the longest."""
-    return min(
-        (connection for connection in connections if connection.established and not connection.pending),
-        key=lambda connection: connection.last_used_at,
-        default=None,
-    )
+def eviction_order(connections: Iterable[C], now: float, needed: Container[str], displace: bool) -> list[C]:
+    """Returns those that may be closed for another one, the first choice first.
+
+    These are established and have no pending set-up. First come those to media hosts that are not `needed`,
+    unused for the longest first, then with `displace` the others. A connection to a host with viewings stays
+    for a while, so that it brings the releases that are due: closed and opened in turn without this, none
+    would be open for long.
+    """
+    order = []
+    for connection in connections:
+        is_needed = connection.host in needed
+        if connection.pending or not connection.established:
+            continue
+        if not is_needed or displace and now - connection.last_used_at >= MIN_UNUSED_S:
+            order.append((is_needed, connection.last_used_at, connection))
+    return [connection for *_, connection in sorted(order, key=lambda entry: entry[:2])]
 
 
 def expired(now: float, connections: Sequence[C], needed: int, idle: float) -> list[C]:
--- a/ledgehitch/platform/failure_detector.py
+++ b/ledgehitch/platform/failure_detector.py
@@ -9,11 +9,15 @@
 """
 
 import math
+from collections.abc import Container
 from dataclasses import dataclass
 
 SILENCE_TIMEOUT_S = 3.0  # without a byte until a new connection is tried, where hosts send no reports
 REPORT_MARGIN_S = 0.5  # by which a report may be late
 MAX_FAILED_CONNECTS = 2  # in a row until a silent host is lost
+EVICTED_RETRY_S = (
+    4.0  # until a connection closed for another one is opened again: releases are due within 8 s
+)
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 0.5  # until a connection is tried again, doubled each time
 
 
@@ -70,6 +74,9 @@
         hosts send none."""
         self.silence_timeout = report_interval + REPORT_MARGIN_S if report_interval else SILENCE_TIMEOUT_S
         self.hosts: dict[str, _HostState] = {}
+        # Those with viewings: each turn of the loop asks for decisions, and its cost must not grow with the
+        # number of hosts that are listed.
+        self._in_use: dict[str, _HostState] = {}
         self._due: list[Decision] = []
 
     def on_host_listed(self, now: float, host: str, gone: bool, started_at: float) -> None:
@@ -95,13 +102,16 @@
         if not state.viewings:
             state.last_heard_at = max(state.last_heard_at, now)
         state.viewings += 1
+        self._in_use[host] = state
 
     def on_viewing_ended(self, host: str) -> None:
         state = self.hosts.get(host)
         if state is not None:
             state.viewings = max(0, state.viewings - 1)
-            if not state.viewings and not state.listed:
-                self._forget(host)
+            if not state.viewings:
+                self._in_use.pop(host, None)
+                if not state.listed:
+                    self._forget(host)
 
     def on_connecting(self, host: str) -> None:
         if (state := self.hosts.get(host)) is not None:
@@ -140,6 +150,16 @@
         if (state := self.hosts.get(host)) is not None:
             state.connections = max(0, state.connections - 1)
 
+    def on_evicted(self, now: float, host: str) -> None:
+        """An established connection was closed here for one to another host."""
+        if (state := self.hosts.get(host)) is not None:
+            state.retry_at = max(state.retry_at, now + EVICTED_RETRY_S)
+
+    @property
+    def hosts_with_viewings(self) -> Container[str]:
+        """The media hosts at which viewings play: their releases are expected."""
+        return self._in_use.keys()
+
     def _forget(self, host: str) -> None:
         """Drops the state of a host, so that memory does not grow with each host that was ever listed."""
         del self.hosts[host]
@@ -148,25 +168,19 @@
         """Returns the next decision, None where there is none."""
         if self._due:
             return self._due.pop(0)
-        for host, state in self.hosts.items():
-            if state.viewings and not state.connecting and now >= self._connect_at(state):
+        for host, state in self._in_use.items():
+            if now >= state.retry_at and now >= self._connect_at(state):
                 state.retry_at = now + state.retry_delay  # in case the connection is not even tried
                 return OpenConnection(host)
         return None
 
     def _connect_at(self, state: _HostState) -> float:
         """Returns when a connection is due: without one at the next retry, else after too long a silence."""
-        return (
-            state.retry_at
-            if not state.connections
-            else max(state.retry_at, state.last_heard_at + self.silence_timeout)
-        )
+        if state.connecting:
+            return math.inf
+        silent_at = state.last_heard_at + self.silence_timeout if state.connections else 0.0
+        return silent_at if silent_at > state.retry_at else state.retry_at
 
     def wake_at(self) -> float:
         """Returns when to call `decide` again, infinity for never."""
-        due = [
-            self._connect_at(state)
-            for state in self.hosts.values()
-            if state.viewings and not state.connecting
-        ]
-        return min(due, default=math.inf)
+        return min(map(self._connect_at, self._in_use.values()), default=math.inf)
--- a/ledgehitch/platform/host_connections.py
+++ b/ledgehitch/platform/host_connections.py
@@ -15,7 +15,7 @@
 from ledgehitch.loop.sockets import Stream, connect, endpoint
 from ledgehitch.platform.buffered_writer import BufferedWriter
 from ledgehitch.platform.byte_budget import ByteBudget
-from ledgehitch.platform.connection_choice import choose, eviction_candidate, expired
+from ledgehitch.platform.connection_choice import choose, eviction_order, expired
 from ledgehitch.platform.failure_detector import FailureDetector
 from ledgehitch.platform.log import log
 
@@ -136,6 +136,15 @@
         """Number of connections that are established or being opened."""
         return sum(map(len, self.connections.values()))
 
+    @property
+    def descriptors(self) -> int:
+        """Number of descriptors that the connections use."""
+        return sum(
+            each.writer is None or each.writer.stream.fd >= 0
+            for connections in self.connections.values()
+            for each in connections
+        )
+
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes that are buffered until media hosts read."""
@@ -202,7 +211,7 @@
 
     def probe(self, host: str) -> bool:
         """Sends a probe; returns False where no connection is available."""
-        connection = self._choose(host)
+        connection = self._choose(host, displace=False)
         if connection is None or len(connection.probes) >= self.settings.max_streams:
             return False
         self._probes += 1
@@ -251,7 +260,7 @@
         if connection is not None:
             connection.write(data)
 
-    def _choose(self, host: str, tag: str = "") -> HostConnection | None:
+    def _choose(self, host: str, tag: str = "", displace: bool = True) -> HostConnection | None:
         now, address = self.loop.now, self.addresses.get(host)
         usable = [
             each for each in self.connections.get(host, ()) if not each.closed and each.address == address
@@ -263,20 +272,16 @@
             if connection.pending or connection.writer is None or not connection.writer.stream.peer_closed():
                 return connection
             usable.remove(connection)
-        return self._open(host)
+        return self._open(host, displace)
 
     # ---- one connection ------------------------------------------------------------------------------------
 
-    def _open(self, host: str) -> HostConnection | None:
+    def _open(self, host: str, displace: bool = True) -> HostConnection | None:
+        """Opens a connection; `displace`: even in place of one to another host with viewings."""
         address = self.addresses.get(host)
         if address is None:
             return None
-        if self.count >= self.max_connections:
-            candidate = eviction_candidate(
-                each for connections in self.connections.values() for each in connections if not each.closed
-            )
-            if candidate is not None:
-                self.close(candidate)
+        if self.descriptors >= self.max_connections and not self._evict(displace):
             log("connection-limit", host=host, lines=self.count)
             return None
         connection = HostConnection(host, address, self.loop.now)
@@ -288,6 +293,22 @@
         )
         return connection
 
+    def _evict(self, displace: bool) -> bool:
+        """Closes a connection at once, for another one to be opened; returns whether there was one."""
+        for candidate in eviction_order(
+            (each for connections in self.connections.values() for each in connections if not each.closed),
+            self.loop.now,
+            self.detector.hosts_with_viewings,
+            displace,
+        ):
+            # A release may have come on it that is not read yet.
+            if candidate.writer is not None and candidate.writer.stream.is_idle():
+                self.close(candidate)
+                candidate.writer.stream.close()
+                self.detector.on_evicted(self.loop.now, candidate.host)
+                return True
+        return False
+
     def _run(self, connection: HostConnection, address: str) -> None:
         try:
             with self.loop.deadline(self.settings.connect_timeout_s):
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -62,8 +62,8 @@
 def read(root: Path) -> list[KnownFailure]:
     """Returns the listed tests; none without the file.
 
-    Raises `BadList` for a line that has neither of the two forms, and for a test that does not exist or occurs
-    twice.
+    Raises `BadList` for a line that has neither of the two forms, and for a test that does not exist or
+    occurs twice.
     """
     path = root / NAME
     if not path.exists():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import math
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +17,12 @@
 from ledgehitch.platform import connection_choice
 from ledgehitch.platform.__main__ import main as platform
 from ledgehitch.platform.configuration import parse_configuration, parse_host_list
-from ledgehitch.platform.failure_detector import FailureDetector, HostLost, OpenConnection
+from ledgehitch.platform.failure_detector import (
+    EVICTED_RETRY_S,
+    FailureDetector,
+    HostLost,
+    OpenConnection,
+)
 from ledgehitch.platform.lifecycle import Lifecycle
 from ledgehitch.platform.resource_limits import limits_for
 from ledgehitch.platform.sessions import Release, Response, SessionTable
@@ -346,7 +352,9 @@
         established: bool = True,
         suspect: bool = False,
         recent: str = "",
+        host: str = "h",
     ) -> None:
+        self.host = host
         self.pending: dict[str, None] = {str(n): None for n in range(pending)}
         self.recent: dict[str, None] = {recent: None} if recent else {}
         self.last_used_at, self.established, self.suspect = last_used_at, established, suspect
@@ -379,6 +387,32 @@
     assert connection_choice.choose([had, other], 32, 0.0, 30.0, "b") is had
 
 
+def test_connections_to_hosts_with_viewings_are_closed_last_and_not_while_fresh() -> None:
+    idle, first, second = FakeConnection(5.0), FakeConnection(1.0, host="a"), FakeConnection(2.0, host="b")
+    fresh = FakeConnection(9.5, host="c")
+    connections, needed = [fresh, second, first, idle], {"a", "b", "c"}
+    assert connection_choice.eviction_order(connections, 10.0, needed, True) == [idle, first, second]
+    assert connection_choice.eviction_order(connections, 10.0, needed, False) == [idle]
+    assert connection_choice.eviction_order([fresh], 9.5 + connection_choice.MIN_UNUSED_S, needed, True)
+
+
+def test_a_connection_closed_for_another_one_is_not_opened_again_at_once() -> None:
+    # Guards against review case 3: closed for another one and wanted again at once, none stayed open.
+    detector = FailureDetector(3.0)
+    detector.on_host_listed(0.0, "h", False, 0.0)
+    detector.on_viewing_started(0.0, "h")
+    detector.on_connecting("h")
+    detector.on_connected(1.0, "h")
+    detector.on_connection_closed("h")
+    detector.on_evicted(1.0, "h")
+    assert detector.decide(1.0 + EVICTED_RETRY_S - 0.01) is None
+    assert detector.wake_at() == 1.0 + EVICTED_RETRY_S
+    assert detector.decide(1.0 + EVICTED_RETRY_S) == OpenConnection("h")
+    assert "h" in detector.hosts_with_viewings
+    detector.on_viewing_ended("h")
+    assert "h" not in detector.hosts_with_viewings and detector.wake_at() == math.inf
+
+
 def test_suspect_or_idle_connections_are_closed_but_never_the_last_one_needed() -> None:
     old, older, busy, opening = (
         FakeConnection(5.0),
@@ -386,8 +420,8 @@
         FakeConnection(0.0, 1),
         FakeConnection(0.0, established=False),
     )
-    assert connection_choice.eviction_candidate([old, older, busy, opening]) is older
-    assert connection_choice.eviction_candidate([busy, opening]) is None
+    assert connection_choice.eviction_order([old, older, busy, opening], 0.0, (), True) == [older, old]
+    assert connection_choice.eviction_order([busy, opening], 0.0, (), True) == []
     assert connection_choice.expired(100.0, [old, older, busy, opening], 0, 30.0) == [old, older]
     assert (
         connection_choice.expired(100.0, [old, older], 1, 30.0) == [old]
