platform: numbers and events that no reader expects are malformed, not errors of a task

Cause: OverflowError and AttributeError of float(), int() and .get() were not among the errors that the readers expect. Change: they are, in host_connections.py, journal_client.py and configuration.py.

--- a/ledgehitch/platform/configuration.py
+++ b/ledgehitch/platform/configuration.py
@@ -59,7 +59,7 @@
         try:
             events.append((int(entry["pos"]), entry))
             parse_host_list(entry, 0.0)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
             raise InvalidSetting(f"known.entries: {error}") from None
     memory_mb = _field(limits, "limits.memory_mb", (int, float), 64)
     sockets = _field(limits, "limits.sockets", int, 256)
--- a/ledgehitch/platform/host_connections.py
+++ b/ledgehitch/platform/host_connections.py
@@ -391,7 +391,7 @@
             value = fields.get("value", "")
             try:
                 controller.on_notice(now, tag, connection.host, str(fields.get("note", "")), float(value))
-            except ValueError:
+            except (ValueError, OverflowError):
                 raise hostline.Malformed(f"the value of a notice is {value!r:.40}, not a number") from None
         elif verb == "ECHOED":
             sent_at = connection.probes.pop(tag, None)
--- a/ledgehitch/platform/journal_client.py
+++ b/ledgehitch/platform/journal_client.py
@@ -90,7 +90,7 @@
                 self.duplicates += 1
                 return
             host_list = parse_host_list(entry, time.time() - time.monotonic())
-        except (ValueError, TypeError, KeyError, RecursionError) as error:
+        except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as error:
             # An event that came malformed is requested again, so that its change is not lost for good. One
             # that can never be read is skipped after some attempts, since it would hold up all that follow.
             self.unreadable += 1
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,18 +2,29 @@
 
 import contextlib
 import itertools
+import json
+import math
 import time
 from collections.abc import Callable, Iterable
+from typing import cast
 
 import pytest
 
 from ledgehitch import hostline, rtsp
-from ledgehitch.facts import InvalidSetting
+from ledgehitch.facts import ConnectionSettings, InvalidSetting
 from ledgehitch.http.events import EventParser
 from ledgehitch.http.message import Refused
 from ledgehitch.http.parse import RequestReader, ResponseReader
+from ledgehitch.loop import Loop
+from ledgehitch.platform.byte_budget import ByteBudget
 from ledgehitch.platform.configuration import parse_configuration
+from ledgehitch.platform.controller import Controller
+from ledgehitch.platform.failure_detector import FailureDetector
+from ledgehitch.platform.host_connections import HostConnection, HostConnections
+from ledgehitch.platform.journal_client import JournalClient
 from ledgehitch.signalling.sdp import BadSdp, parse_fragment, parse_sdp
+from tests.test_crossings import StubHostEvents
+from tests.test_platform import CONFIG
 
 MESSAGE_BYTES = 16384  # the longest message of the platform
 # The platform's time limits have a slack of 50 ms. One message must not use it up for everybody else's.
@@ -89,6 +100,38 @@
     assert not slow
 
 
+@pytest.mark.parametrize("value", ["9" * 400, "-" + "9" * 400])
+def test_a_notice_with_a_number_beyond_any_float_is_malformed(value: str) -> None:
+    # The error of `float` ended the connection's task, as if the media host had reset it.
+    hosts = HostConnections(
+        Loop(), ConnectionSettings(1.0, 30.0, 1), FailureDetector(0.0), 8, ByteBudget(1, 1), ()
+    )
+    hosts.controller = StubHostEvents(None)
+    line = f'{{"verb":"NOTICE","tag":"0000000000000001","opts":{{"note":"wire","value":{value}}}}}\n'
+    (message,) = hostline.Reader().feed(line.encode())
+    with pytest.raises(hostline.Malformed):
+        hosts._on_message(0.0, HostConnection("h", "127.0.0.1:1", 0.0), *message)
+
+
+INVALID_EVENTS = ("[]", "7", '{"pos":Infinity}', '{"pos":1e999}', '{"pos":5,"hosts":7}', '["pos"]')
+
+
+@pytest.mark.parametrize("event", INVALID_EVENTS)
+def test_an_invalid_event_of_the_journal_is_asked_for_again(event: str) -> None:
+    # Other errors than those expected ended the journal's task, and no list was heard any more.
+    client = JournalClient(Loop(), cast(Controller, None), "127.0.0.1:1", 3, 1)
+    with pytest.raises(ValueError, match="an event cannot be read"):
+        client._on_event("4", event)
+    assert (client.pos, client.unreadable) == (3, 1)
+
+
+@pytest.mark.parametrize("entry", [7, "x", [], {"pos": math.inf}, {"pos": 1, "hosts": 7}])
+def test_an_invalid_known_event_is_an_invalid_setting(entry: object) -> None:
+    configuration = {**CONFIG, "known": {"pos": 1, "entries": [entry]}}
+    with pytest.raises(InvalidSetting):
+        parse_configuration(json.dumps(configuration).encode())
+
+
 @pytest.mark.parametrize(
     "line, value",
     [
