platform: a set-up whose line would be over 16 KiB is refused with 413

Cause: the limit was checked on the message as it came, not on the line that is sent. Change: the line is encoded once as the set-up is checked, and refused where it is too long.

--- a/ledgehitch/platform/viewer_server.py
+++ b/ledgehitch/platform/viewer_server.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from ledgehitch import rtsp
+from ledgehitch import hostline, rtsp
 from ledgehitch.interface import Fleet, Ladder, Package
 from ledgehitch.loop.kernel import Loop, Task, TimedOut
 from ledgehitch.loop.sockets import Listener, Stream
@@ -329,9 +329,14 @@
             raise InvalidRequest(451, "X-Deadline is out of range")
         try:
             # Kept as bytes: as text, one character beyond U+FFFF makes each of the others take four bytes.
-            body.decode("utf-8")
+            text = body.decode("utf-8")
         except UnicodeDecodeError:
             raise InvalidRequest(400, "the description is not UTF-8") from None
+        fields_sent = {"class": package.name, "key": title[1], "left": time_left, "rung": top}
+        line = hostline.encode("START", session_id, fields_sent, None, text)
+        if len(line) > hostline.MAX_LINE_BYTES:
+            # Escapes make it longer than it came. A media host may close on it, whatever else is open there.
+            raise InvalidRequest(413, "the description is too long for a media host")
         sessions = self.controller.sessions
         if (
             self.limits.reached(sessions.pending, len(sessions.by_viewing_id))
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -8,6 +8,7 @@
 import tempfile
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -448,6 +449,24 @@
     run_on_loop(play)
 
 
+# ---- set-ups that no media host can read -------------------------------------------------------------------
+
+
+@on_loop
+def test_a_set_up_whose_line_would_be_too_long_is_refused_and_harms_no_other(loop: Loop) -> None:
+    # Escaped, its line is longer than a message may be: the media host closed the connection of all others.
+    with running_gateway(loop, hosts=1) as (harness, viewer):
+        harness.hosts[0].answer = no_answer
+        client = TimedClient(harness)
+        client.set_up(1)
+        harness.until(partial(setups_sent, harness, 1))
+        fields = [("X-Tier", "clip"), ("X-Deadline", "3000"), ("X-Attrs", "home:0;copies:6;top:2")]
+        viewer.send("SETUP", 2, fields=fields, body="a=x\r\n" * 3100)
+        assert viewer.answer()[0] == "413"
+        harness.hosts[0].streams[-1].send(hostline.encode("STARTED", session_id(1), {}, None, BLOB))
+        assert client.expect_one_each()[1][0] == "200"
+
+
 # ---- connections to media hosts that are being closed ------------------------------------------------------
 
 
