--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 # many processes, and one that uses the platform's sockets.
 SEVERAL = tests/test_owning.py tests/test_scale.py
 LENDING = tests/test_lending.py tests/test_regions.py
-SOCKETS = tests/test_crossings.py tests/test_final_answers.py tests/test_platform_sockets.py tests/test_ramp.py
+SOCKETS = tests/test_crossings.py tests/test_final_answers.py tests/test_many_hosts.py \
+	tests/test_memory_limits.py tests/test_platform_sockets.py tests/test_ramp.py
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
