module: a short delivery in a rack without a listed host no longer sets its uplink to zero

Cause: without a stated size and without reports of their use, the size of an uplink became the sum over the rack's listed hosts, which is 0 where none is listed, and the next placement there divides by it. Change: a size of 0 says that nothing is known, and the former size stays. With a stated size nothing changes.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -580,10 +580,10 @@
         if (self.x1 and (uplink.value or 0.0) > max(TARGET_USE, host.told_link)) or (
             host in rack and (short_hosts > 1 or len(rack) == 1 and share > LONE_HOST_BLAME_SHARE)
         ):
-            if not self.x1:
-                uplink.cap_kb = max(
-                    MIN_UPLINK_SHARE * self.fleet.uplink_kb, self._rack_rate_kb(now, host) * share
-                )
+            size_kb = max(MIN_UPLINK_SHARE * self.fleet.uplink_kb, self._rack_rate_kb(now, host) * share)
+            # Where no host of the rack is listed and no size is stated, nothing is known of it.
+            if not self.x1 and size_kb > 0:
+                uplink.cap_kb = size_kb
             uplink.record_reading(now, at, 1 / share)
         else:
             host.link.record_reading(now, at, 1 / share)
