module: the last host may be gone when a viewing that met an error there is given up

Cause: the median of the failure shares of no media host. Change: without a media host the median counts as 0. Evidence: a_viewing_that_met_an_error_is_answered_though_the_last_host_is_gone: StatisticsError before, passes after.

--- a/ledgehitch/brain.py
+++ b/ledgehitch/brain.py
@@ -620,7 +620,8 @@
         suspend = was_playing and code == Outcome.RESET
         if not was_playing and code in FAILURES:
             self._count_outcome(host, False)
-            median_share = median(x.failure_share() for x in self.hosts.values())
+            # The last media host may be gone when a viewing that met an error there is given up.
+            median_share = median([x.failure_share() for x in self.hosts.values()] or [0.0])
             suspend = host.in_a_row >= MAX_CONSECUTIVE_FAILURES or (
                 host.good + host.bad >= MIN_OUTCOMES_JUDGED
                 and host.failure_share() > median_share + FAILURE_SHARE_MARGIN
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -191,6 +191,20 @@
     assert gateway.hosts["h0"].uplink.value != 0.0 and gateway.uplink_use(NOW, gateway.hosts["h0"]) >= before
 
 
+def test_a_viewing_that_met_an_error_is_answered_though_the_last_host_is_gone() -> None:
+    # The median of no failure shares was an error, and the request stayed without an answer.
+    gateway = make_gateway(hosts=1)
+    request(gateway, 110.0, 1)
+    (host,) = [d.host for d in decisions(gateway, 110.0) if isinstance(d, interface.TuneIn)]
+    gateway.on_host_list(110.1, "incr", rows(1, state="terminated"))
+    gateway.on_tune_in_end(110.2, 1, False, interface.Outcome.ERROR, host, 0.1, 0)
+    gateway.on_host_list(110.3, "incr", rows(1, state="terminated"))
+    assert not gateway.hosts
+    assert [d for d in decisions(gateway, 114.0) if isinstance(d, interface.Block)] == [
+        interface.Block(1, 0.0)
+    ]
+
+
 def test_short_delivery_in_an_unlisted_rack_does_not_break_placement_without_a_stated_uplink() -> None:
     """With no uplink size and no host of the rack in service, the rack's rate is zero.
 
