platform: viewings that are handed over count against the limit of viewings

Cause: the limit was asked for set-ups that need an answer alone. Change: beyond the limit of viewings a hand-over is answered with 503. Evidence: tests/test_memory_limits.py, viewings_that_are_handed_over: no answer before (failed), 503 after (passed).

--- a/ledgehitch/platform/viewer_server.py
+++ b/ledgehitch/platform/viewer_server.py
@@ -320,8 +320,11 @@
             raise InvalidRequest(451, "X-Tier is not a known package")
         first, spread, top, host = self._parse_attributes(fields.get("x-attrs", ""))
         wanted = package, title[1], first, spread, top
+        sessions = self.controller.sessions
         if host:
-            if not self.controller.on_handover(now, conn.number, session_id, *wanted, host):
+            if len(sessions.by_viewing_id) >= self.limits.viewings:
+                conn.writer.write(rtsp.response(503, cseq, session_id))
+            elif not self.controller.on_handover(now, conn.number, session_id, *wanted, host):
                 raise InvalidRequest(454, "at in X-Attrs is not a listed media host")
             return
         time_left = fields.get("x-deadline", "")
@@ -337,7 +340,6 @@
         if len(line) > hostline.MAX_LINE_BYTES:
             # Escapes make it longer than it came. A media host may close on it, whatever else is open there.
             raise InvalidRequest(413, "the description is too long for a media host")
-        sessions = self.controller.sessions
         if (
             self.limits.reached(sessions.pending, len(sessions.by_viewing_id))
             or not self.lifecycle.accepts_setups
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -14,7 +14,7 @@
 from ledgehitch.platform.buffered_writer import BufferedWriter
 from ledgehitch.platform.byte_budget import ByteBudget
 from ledgehitch.platform.resource_limits import VIEWING_BYTES, limits_for
-from tests.test_crossings import run_on_loop
+from tests.test_crossings import run_on_loop, running_gateway
 from tests.test_platform_sockets import Harness, on_loop, session_id
 
 MEMORY_MB = 32  # the least that the platform gives a gateway
@@ -104,6 +104,18 @@
     run_on_loop(play)
 
 
+@on_loop
+def test_viewings_that_are_handed_over_are_counted_against_the_limit(loop: Loop) -> None:
+    # A client that knows the name of a media host could hand over any number of them.
+    limit = limits_for(MEMORY_MB, 256).viewings
+    with running_gateway(loop, hosts=1) as (_, viewer):
+        attributes = "home:0;copies:6;top:2;at:s-0"
+        fields = [("X-Tier", "clip"), ("X-Attrs", attributes)]
+        for number in range(1, limit + 2):
+            viewer.send("SETUP", number, fields=fields)
+        assert viewer.answer() == ("503", session_id(limit + 1), "")
+
+
 @pytest.mark.parametrize("memory_mb", [32.0, 64.0, 192.0])
 @pytest.mark.parametrize("sockets", [256, 1024])
 def test_all_shares_of_the_memory_together_are_at_most_half_of_it(memory_mb: float, sockets: int) -> None:
