http: an event of a stream has an end

Change: an event of over 4 Mi characters is invalid, as a line of over 1 MiB is; 3,200 media hosts take some 0.7 MB.

--- a/ledgehitch/http/events.py
+++ b/ledgehitch/http/events.py
@@ -6,6 +6,7 @@
 from ledgehitch.loop import Channel, Loop
 
 MAX_LINE_BYTES = 1 << 20  # a stream with a longer line is invalid
+MAX_EVENT_CHARACTERS = 1 << 22  # a stream with a longer event is invalid
 
 
 def encode_event(data: str, name: str = "", number: str = "") -> bytes:
@@ -23,6 +24,7 @@
         self._rest = b""
         self._name = self._number = ""
         self._data: list[str] = []
+        self._size = 0  # characters of the event so far, line ends included
 
     def feed(self, data: bytes) -> Iterator[tuple[str, str, str]]:
         *lines, self._rest = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n")
@@ -33,11 +35,14 @@
             if not line:
                 if self._data:
                     yield self._name, self._number, "\n".join(self._data)
-                self._name, self._data = "", []
+                self._name, self._data, self._size = "", [], 0
                 continue
             field, _, value = line.partition(":")
             value = value.removeprefix(" ")
             if field == "data":
+                self._size += len(value) + 1
+                if self._size > MAX_EVENT_CHARACTERS:
+                    raise ValueError("an event of the stream is too long")
                 self._data.append(value)
             elif field == "event":
                 self._name = value
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -12,7 +12,7 @@
 
 from ledgehitch import hostline, rtsp
 from ledgehitch.facts import ConnectionSettings, InvalidSetting
-from ledgehitch.http.events import EventParser
+from ledgehitch.http.events import MAX_EVENT_CHARACTERS, EventParser
 from ledgehitch.http.message import Refused
 from ledgehitch.http.parse import RequestReader, ResponseReader
 from ledgehitch.loop import Loop
@@ -113,6 +113,15 @@
         hosts._on_message(0.0, HostConnection("h", "127.0.0.1:1", 0.0), *message)
 
 
+def test_an_endless_event_is_invalid() -> None:
+    # Only its lines were limited: an event without an end was kept as long as the memory sufficed.
+    parser = EventParser()
+    lines = b"data: " + b"x" * 1000 + b"\n"
+    with pytest.raises(ValueError, match="too long"):
+        for _ in range(2 * MAX_EVENT_CHARACTERS // 1000):
+            assert not list(parser.feed(lines))
+
+
 INVALID_EVENTS = ("[]", "7", '{"pos":Infinity}', '{"pos":1e999}', '{"pos":5,"hosts":7}', '["pos"]')
 
 
