test_crossings: the set-up before SIGTERM is read before the signal is sent

Cause: set-up 4 and the signal were sent at once. Where the signal is handled first, the set-up counts as one that came after it and is refused with 503, as the test itself asks of those that follow; its comment says that it waits for a media host by then. Change: the test waits until the gateway has read the set-up (the answer to a health check behind it on the same connection). All checks stay as they are; the health check's own answer is checked too.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1166,7 +1166,14 @@
         no_host_left = harness.host_event(3, (slow, "draining"))
         feed.send(no_host_left)
         loop.sleep(0.05)
+        got: dict[str, str] = {}
         viewer.set_up(4)  # waits for a media host
+        # Read by now: otherwise the signal may be handled first, and it is refused with 503 like those below.
+        viewer.send("OPTIONS", 0, "3", "ping")
+        while session_id(0) not in got:
+            _, status, fields, _ = viewer.next()
+            got[fields["session"]] = status
+        assert got == {session_id(0): "200"}
         began = time.monotonic()
         harness.process.send_signal(signal.SIGTERM)
         late = []
@@ -1176,12 +1183,11 @@
             late.append((n, client))
             loop.sleep(0.045)
         # Each gets one answer. A set-up that may not be repeated and was sent is not reported as never run.
-        got: dict[str, str] = {}
         for n, client in late:
             if client is not viewer:
                 status, answered, _ = client.answer()
                 assert (status, answered) == ("503", session_id(n))
-        while len(got) < 3 + 6:
+        while len(got) < 1 + 3 + 6:
             method, status, fields, _ = viewer.next()
             if not method:
                 got[fields["session"]] = status
