--- a/review/rig2/stand_ins.py
+++ b/review/rig2/stand_ins.py
@@ -212,7 +212,8 @@
             self.record(self.name, f"connection {link.number}: {error}")
         finally:
             link.open = False
-            self.links.remove(link)
+            if link in self.links:
+                self.links.remove(link)
             for tag, task in link.setups.items():
                 task.cancel()
                 self.gave_up(tag)
