Review cases: one that is ended by SIGTERM ends its gateway too

Cause: a script that was ended from outside left its gateway behind. Change: the shared part of the cases stops the gateway on SIGTERM and exits with 2.

--- a/review/rig2/stand_ins.py
+++ b/review/rig2/stand_ins.py
@@ -605,11 +605,15 @@
 
     async def whole() -> int:
         stage = Stage(record, hosts)
+        # Ended from outside, the case still ends the gateway.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             broken = await asyncio.wait_for(play(stage), LIMIT_S)
-        except (Impossible, TimeoutError, OSError) as error:
-            record("case", f"could not run: {error or type(error).__name__}")
-            print(f"could not run: {error or type(error).__name__}", file=sys.stderr)
+        except (Impossible, TimeoutError, OSError, asyncio.CancelledError) as error:
+            record("case", f"could not run: {str(error) or type(error).__name__}")
+            print(f"could not run: {str(error) or type(error).__name__}", file=sys.stderr)
             return 2
         finally:
             await stage.stop()
