Review cases: each run.sh names its record; the report has one line for each entry

Cause: the record was written by the shared part alone, which nothing in a case's folder said; entries shared lines. Change: run.sh hands the path of record.txt over; the record tells when the gateway process ended; entries are split.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -39,4 +39,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(play)
--- a/review/rig2/stand_ins.py
+++ b/review/rig2/stand_ins.py
@@ -94,10 +94,10 @@
 
 
 class Record:
-    """The file `record.txt` of a case."""
+    """The file `record.txt` of a case: what was sent, answered and run."""
 
-    def __init__(self, folder: Path) -> None:
-        self.file = open(folder / "record.txt", "w")  # noqa: SIM115 - open for the whole case
+    def __init__(self, path: Path) -> None:
+        self.file = open(path, "w")  # noqa: SIM115 - open for the whole case
         self.began = time.monotonic()
 
     def __call__(self, who: str, what: str) -> None:
@@ -594,14 +594,19 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGKILL)
             await self.process.wait()
+        if self.process is not None:
+            self.record("gateway", f"process {self.process.pid} ended: {self.process.returncode}")
         for text in self.log.read_text().splitlines()[:400] if self.log.exists() else []:
             self.record("log", text)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(file: str, play: Callable[[Stage], Awaitable[str]], hosts: int = 4) -> None:
-    """Plays a case and exits: 1 where `play` returns how the rule was broken, 0 for "", 2 if it can't run."""
-    record = Record(Path(file).resolve().parent)
+def run_case(play: Callable[[Stage], Awaitable[str]], hosts: int = 4) -> None:
+    """Plays a case and exits: 1 where `play` returns how the rule was broken, 0 for "", 2 if it can't run.
+
+    The first argument of the script is the path of `record.txt`.
+    """
+    record = Record(Path(sys.argv[1]))
 
     async def whole() -> int:
         stage = Stage(record, hosts)
