--- a/ledgehitch/http/__init__.py
+++ b/ledgehitch/http/__init__.py
@@ -6,7 +6,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from ledgehitch.http.client import Client, ConnectFailed, Interrupted
+from ledgehitch.http.client import Client, ConnectFailed, ConnectTimedOut, Interrupted
 from ledgehitch.http.events import Feed, encode_event, parse_events
 from ledgehitch.http.message import NoAnswer, Refused, Request, Response, problem
 
@@ -16,6 +16,7 @@
 __all__ = [
     "Client",
     "ConnectFailed",
+    "ConnectTimedOut",
     "Feed",
     "Interrupted",
     "Limits",
--- a/ledgehitch/http/client.py
+++ b/ledgehitch/http/client.py
@@ -7,7 +7,7 @@
 
 from ledgehitch.http.message import Response
 from ledgehitch.http.parse import ResponseReader
-from ledgehitch.loop import Endpoint, Loop, Stream, connect, endpoint
+from ledgehitch.loop import Endpoint, Loop, Stream, TimedOut, connect, endpoint
 
 if TYPE_CHECKING:
     import ssl
@@ -24,6 +24,10 @@
     """The connection could not be established, so the request was certainly not sent."""
 
 
+class ConnectTimedOut(TimedOut):
+    """The connection was not established in time, so the request was certainly not sent."""
+
+
 class Interrupted(Exception):
     """The connection broke after the request may have been sent, so it may have been executed."""
 
@@ -99,11 +103,14 @@
     ) -> Iterator[tuple[Response, Iterator[bytes]]]:
         """Requests a streamed response and yields it with an iterator over the parts of its body.
 
-        The head of the response must arrive `within` seconds, and the connection be established `within` or
-        `connect_within` seconds.
+        The head of the response must arrive `within` seconds, or `TimedOut` is raised, and the connection be
+        established `within` or `connect_within` seconds, or `ConnectTimedOut` is raised.
         """
-        with self.loop.deadline(within if connect_within is None else connect_within):
-            stream = self._connect(address)
+        try:
+            with self.loop.deadline(within if connect_within is None else connect_within):
+                stream = self._connect(address)
+        except TimedOut:
+            raise ConnectTimedOut from None
         try:
             reader = ResponseReader(stream=True)
             response = None
--- a/ledgehitch/platform/journal_client.py
+++ b/ledgehitch/platform/journal_client.py
@@ -1,5 +1,5 @@
 """Client of the journal service: follows its server-sent events, resumes after breaks and silence, and moves
-to another address.
+to another address. When it calls is decided in `journal_calls.py`.
 """
 
 import json
@@ -8,16 +8,14 @@
 from collections.abc import Iterator
 from typing import Any
 
-from ledgehitch.http import Client, ConnectFailed, Interrupted, parse_events
+from ledgehitch.http import Client, ConnectFailed, ConnectTimedOut, Interrupted, parse_events
 from ledgehitch.loop.kernel import Loop, Task, TimedOut
+from ledgehitch.loop.pump import Pump
 from ledgehitch.platform.configuration import parse_host_list
 from ledgehitch.platform.controller import Controller
+from ledgehitch.platform.journal_calls import MAX_SILENCE_S, EndCall, JournalCalls, StartCall
 from ledgehitch.platform.log import log
 
-SILENCE_TIMEOUT_S = 1.7  # without a byte until a new call is made: a comment is due each second
-CONNECT_TIMEOUT_S = 0.5
-# Until the next call: doubled with each call that brought no event, plus up to as much again at random.
-MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.03, 0.4
 MAX_READ_ATTEMPTS = 3  # calls in a row from one position until an event that cannot be read is skipped
 
 
@@ -28,58 +26,71 @@
         self.loop, self.controller, self.address, self.pos = loop, controller, address, pos
         self.random = random.Random(seed)
         self.calls = self.duplicates = self.unreadable = 0
-        self._failed_reads = (pos, 0)  # position after which an event could not be read, and how often
-        self._task: Task | None = None
         self.owner: Task | None = None
+        self._failed_reads = (pos, 0)  # position after which an event could not be read, and how often
+        self._open_calls: JournalCalls | None = None
+        self._tasks: dict[int, Task] = {}  # by number of the call
+        self._schedule = Pump(loop, self._execute_decisions).schedule
 
     def start(self) -> None:
-        self._task = self.loop.spawn(self._run, self.address, name="journal", owner=self.owner)
+        self._open_calls = JournalCalls(self.loop.now, self.random.random)
+        self._schedule()
 
     def move(self, address: str) -> None:
         """Calls another address at once, from the same position."""
         if address != self.address:
             self.address = address
-            if self._task is not None:
-                self._task.cancel()
+            for task in self._tasks.values():
+                task.cancel()
+            self._tasks.clear()
             self.start()
 
-    def _run(self, address: str) -> None:
-        delay = MIN_RETRY_DELAY_S
-        while True:
-            before = self.pos
-            try:
-                self._call(address)
-            except (ConnectFailed, Interrupted, TimedOut, ValueError) as error:
-                log("journal-broke", at=address, pos=self.pos, why=str(error) or type(error).__name__)
-            delay = MIN_RETRY_DELAY_S if self.pos != before else min(MAX_RETRY_DELAY_S, 2 * delay)
-            self.loop.sleep(delay * (1 + self.random.random()))
+    def _execute_decisions(self) -> float | None:
+        open_calls = self._open_calls
+        if open_calls is None:
+            return None
+        while (decision := open_calls.decide(time.monotonic())) is not None:
+            match decision:
+                case StartCall(number, connect_timeout):
+                    self._tasks[number] = self.loop.spawn(
+                        self._call, open_calls, number, connect_timeout, name="journal", owner=self.owner
+                    )
+                case EndCall(number):
+                    log("journal-call-replaced", at=self.address, pos=self.pos, call=number)
+                    self._tasks.pop(number).cancel()
+        return open_calls.wake_at()
 
-    def _call(self, address: str) -> None:
+    def _call(self, open_calls: JournalCalls, number: int, connect_timeout: float) -> None:
+        """Runs one call as a task until it ends or is cancelled."""
+        address, before, connected = self.address, self.pos, True
         self.calls += 1
+        try:
+            self._follow(open_calls, number, connect_timeout, address)
+        except (ConnectFailed, Interrupted, TimedOut, ValueError) as error:
+            connected = not isinstance(error, (ConnectFailed, ConnectTimedOut))
+            log("journal-broke", at=address, pos=self.pos, why=str(error) or type(error).__name__)
+        if self._tasks.get(number) is self.loop.current:
+            del self._tasks[number]
+            open_calls.on_ended(self.loop.now, number, self.pos != before, connected)
+            self._schedule()
+
+    def _follow(self, open_calls: JournalCalls, number: int, connect_timeout: float, address: str) -> None:
         headers = [("Accept", "text/event-stream"), ("Last-Event-ID", str(self.pos))]
-        with Client(self.loop).stream(address, "/journal", headers, SILENCE_TIMEOUT_S, CONNECT_TIMEOUT_S) as (
+        with Client(self.loop).stream(address, "/journal", headers, MAX_SILENCE_S, connect_timeout) as (
             response,
             parts,
         ):
             if response.status != 200:
                 raise ValueError(f"the journal service answered {response.status}, expected 200")
-            for _, number, data in parse_events(self._lines_in_time(parts)):
-                self._on_event(number, data)
+            for _, event_number, data in parse_events(self._report_data(open_calls, number, parts)):
+                self._on_event(event_number, data)
         raise Interrupted("the stream ended")
 
-    def _lines_in_time(self, parts: Iterator[bytes]) -> Iterator[bytes]:
-        """Yields each part; raises `TimedOut` when no line ends within the silence time-out.
-
-        Otherwise a service that stops within an event and keeps sending bytes would be followed for good.
-        """
-        deadline = self.loop.now + SILENCE_TIMEOUT_S
-        while True:
-            with self.loop.deadline(max(0.0, deadline - self.loop.now)):
-                part = next(parts, b"")
-            if not part:
-                return
-            if b"\n" in part:
-                deadline = self.loop.now + SILENCE_TIMEOUT_S
+    def _report_data(self, open_calls: JournalCalls, number: int, parts: Iterator[bytes]) -> Iterator[bytes]:
+        """Yields each part of a stream and reports it."""
+        for part in parts:
+            open_calls.on_data(self.loop.now, number, b"\n" in part)
+            self._schedule()
             yield part
 
     def _on_event(self, number: str, data: str) -> None:
--- a/ledgehitch/platform/resource_limits.py
+++ b/ledgehitch/platform/resource_limits.py
@@ -21,9 +21,9 @@
         return pending >= self.pending or viewings >= self.viewings
 
 
-# Descriptors for the program itself: three standard ones, two for signals, the listener, peers, two for the
+# Descriptors for the program itself: three standard ones, two for signals, the listener, peers, four for the
 # journal while its address changes, one being accepted, one for reading the memory use, one to spare.
-RESERVED_DESCRIPTORS = 12
+RESERVED_DESCRIPTORS = 14
 MAX_HOSTS = 64  # more connections than that to a large fleet of small media hosts are not worth their cost
 SETUP_BYTES = 16384  # of a pending set-up: the longest message
 VIEWING_BYTES = 3072  # of a viewing that plays
