platform: a further connection brings what a lost or silent one to a media host held

Cause: a further connection was opened only for a host without any. A host sends a lost release again on the next one alone.

Change: one is opened after each end that may have cost data, and every 3 s while one is silent; a connection is silent when it owes a message for 2 s, also where its viewer left first; idle ones are closed for sending first. Ends of viewings sent within 10 s of the loss of their connection are sent once more. HostConnection has its file.

--- a/ledgehitch/loop/sockets.py
+++ b/ledgehitch/loop/sockets.py
@@ -109,6 +109,14 @@
         """Returns whether it is open with nothing to read, so that it may be reused for a new request."""
         return self.peek(1) is None
 
+    def close_sending(self) -> bool:
+        """Closes the sending half; the peer reads the end of the stream. Returns False if it was closed."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return False
+        return True
+
     def close(self) -> None:
         if self.fd >= 0:
             fd, self.fd = self.fd, -1
--- a/ledgehitch/platform/controller.py
+++ b/ledgehitch/platform/controller.py
@@ -16,7 +16,8 @@
 from ledgehitch.loop.pump import Pump
 from ledgehitch.loop.timers import Timer
 from ledgehitch.platform.failure_detector import FailureDetector, OpenConnection
-from ledgehitch.platform.host_connections import HostConnection, HostConnections
+from ledgehitch.platform.host_connection import HostConnection
+from ledgehitch.platform.host_connections import HostConnections
 from ledgehitch.platform.log import log
 from ledgehitch.platform.sessions import Release, Response, SessionTable
 from ledgehitch.platform.viewer_server import ViewerServer
@@ -351,7 +352,7 @@
         self, now: float, session_id: str, host: str, connection: HostConnection, description: str
     ) -> None:
         found = self._find(session_id)
-        if found is None or found[1].host != host or not (found[1].in_flight or found[1].plays):
+        if found is None or not self.is_at(session_id, host):
             # A late or unsolicited answer: the viewing that may play at the host is ended.
             self.count("late_answers")
             self.hosts.release(host, session_id, connection)
@@ -379,7 +380,7 @@
         loads: list[float],
     ) -> None:
         found = self._find(session_id)
-        if found is None or found[1].host != host or not (found[1].in_flight or found[1].plays):
+        if found is None or not self.is_at(session_id, host):
             return
         viewing_id, viewing = found
         outcome = OUTCOMES.get(cause, Outcome.RESET)
@@ -412,6 +413,11 @@
                 now, viewing_id, False, outcome, host, now - viewing.sent_at, viewing.tune_ins - 1
             )
 
+    def is_at(self, session_id: str, host: str) -> bool:
+        """Whether a viewing of this id plays at a media host or is being set up there."""
+        found = self._find(session_id)
+        return found is not None and found[1].host == host and (found[1].in_flight or found[1].plays)
+
     def on_notice(self, now: float, session_id: str, host: str, note: str, value: float) -> None:
         found = self._find(session_id)
         kind = REPORT_KINDS.get(note)
--- a/ledgehitch/platform/failure_detector.py
+++ b/ledgehitch/platform/failure_detector.py
@@ -4,8 +4,12 @@
 there came to its end after a new connection was refused, or after the list said that the host was gone. So
 either counts as a failure at once. A reset or a closed connection proves nothing, since the host may have
 closed that connection only. Viewings are lost at a host that refuses connections, that the list calls gone or
-restarted since, or that were silent for long while new connections were never established. Releases come on
-the next connection that is opened, so one is opened to each host that has viewings and no connection.
+restarted since, or that were silent for long while new connections were never established.
+
+A host sends a release on the connection of its set-up, else on any open one, and again on the next connection
+that is opened. So a connection that ended or is silent may hold releases which only a further one brings,
+whatever others are open: one is opened to each host with viewings after each such end, and as long as a
+connection is silent from time to time.
 """
 
 import math
@@ -18,6 +22,9 @@
 EVICTED_RETRY_S = (
     4.0  # until a connection closed for another one is opened again: releases are due within 8 s
 )
+CLOSE_DELAY_S = 0.2  # for a host to notice that a connection was closed here, and to send nothing more on it
+SILENT_RETRY_S = 3.0  # between further connections while one is silent: releases are due within 8 s
+MAX_USELESS_DELAY_S = 2.0  # until a further connection after ones that brought nothing, doubled each time
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 0.5  # until a connection is tried again, doubled each time
 
 
@@ -48,6 +55,10 @@
         "connecting",
         "retry_at",
         "retry_delay",
+        "collect_at",
+        "collecting",
+        "collect_delay",
+        "connected_at",
         "last_heard_at",
         "failed_connects",
         "started_at",
@@ -60,6 +71,10 @@
         self.connecting = 0
         self.retry_at = 0.0
         self.retry_delay = MIN_RETRY_DELAY_S
+        self.collect_at = math.inf  # when a further connection is due, for releases that others may hold
+        self.collecting = False  # whether it was asked for
+        self.collect_delay = 0.0
+        self.connected_at = -math.inf  # when a connection was last established
         self.last_heard_at = 0.0  # when a byte last came, or a connection was established
         self.failed_connects = 0
         self.started_at = 0.0  # by the latest list
@@ -101,6 +116,7 @@
         state = self.hosts.setdefault(host, _HostState())
         if not state.viewings:
             state.last_heard_at = max(state.last_heard_at, now)
+            state.collect_at = math.inf  # what ended before held no release
         state.viewings += 1
         self._in_use[host] = state
 
@@ -121,6 +137,9 @@
         if (state := self.hosts.get(host)) is not None:
             state.connecting = max(0, state.connecting - 1)
             state.connections += 1
+            state.connected_at = now
+            if state.collecting:
+                state.collecting, state.collect_at = False, math.inf
             state.last_heard_at, state.failed_connects, state.retry_delay = now, 0, MIN_RETRY_DELAY_S
 
     def on_connect_failed(self, now: float, host: str, refused: bool) -> None:
@@ -145,10 +164,36 @@
         if (state := self.hosts.get(host)) is not None:
             state.last_heard_at = now
 
-    def on_connection_closed(self, host: str) -> None:
-        """An established connection has ended."""
-        if (state := self.hosts.get(host)) is not None:
-            state.connections = max(0, state.connections - 1)
+    def on_connection_closed(
+        self,
+        now: float,
+        host: str,
+        may_hold_releases: bool = True,
+        closed_here: bool = False,
+        was_heard: bool = True,
+    ) -> None:
+        """An established connection has ended.
+
+        `may_hold_releases`: not all that the host sent on it is sure to have been read; `was_heard`: a
+        message had come on it.
+        """
+        state = self.hosts.get(host)
+        if state is None:
+            return
+        state.connections = max(0, state.connections - 1)
+        if not may_hold_releases:
+            return
+        # A host that closes each new connection is not called without a pause.
+        doubled = min(MAX_USELESS_DELAY_S, max(MIN_RETRY_DELAY_S, 2 * state.collect_delay))
+        state.collect_delay = 0.0 if was_heard else doubled
+        delay = max(state.collect_delay, CLOSE_DELAY_S if closed_here else 0.0)
+        state.collect_at, state.collecting = now + delay, False
+
+    def on_connection_silent(self, now: float, host: str) -> None:
+        """An established connection owes a message for too long; to be called again while it does."""
+        state = self.hosts.get(host)
+        if state is not None and state.collect_at == math.inf:
+            state.collect_at = max(now, state.connected_at + SILENT_RETRY_S)
 
     def on_evicted(self, now: float, host: str) -> None:
         """An established connection was closed here for one to another host."""
@@ -171,15 +216,19 @@
         for host, state in self._in_use.items():
             if now >= state.retry_at and now >= self._connect_at(state):
                 state.retry_at = now + state.retry_delay  # in case the connection is not even tried
+                state.collecting = now >= state.collect_at
                 return OpenConnection(host)
         return None
 
     def _connect_at(self, state: _HostState) -> float:
-        """Returns when a connection is due: without one at the next retry, else after too long a silence."""
+        """Returns when a connection is due: without one at the next retry, else after too long a silence or
+        for what others may hold."""
         if state.connecting:
             return math.inf
-        silent_at = state.last_heard_at + self.silence_timeout if state.connections else 0.0
-        return silent_at if silent_at > state.retry_at else state.retry_at
+        if not state.connections:
+            return state.retry_at
+        due_at = min(state.last_heard_at + self.silence_timeout, state.collect_at)
+        return max(due_at, state.retry_at)
 
     def wake_at(self) -> float:
         """Returns when to call `decide` again, infinity for never."""
--- a/ledgehitch/platform/host_connections.py
+++ b/ledgehitch/platform/host_connections.py
@@ -17,10 +17,11 @@
 from ledgehitch.platform.byte_budget import ByteBudget
 from ledgehitch.platform.connection_choice import choose, eviction_order, expired
 from ledgehitch.platform.failure_detector import FailureDetector
+from ledgehitch.platform.host_connection import Fields, HostConnection
 from ledgehitch.platform.log import log
 
 READ_BYTES = 16384  # of one read
-MAX_RECENT = 64  # ids with an outcome that a connection remembers
+CLOSE_TIMEOUT_S = 1.0  # for a media host to close a connection whose sending half was closed here
 REFUSED = (errno.ECONNREFUSED, errno.ECONNRESET)
 
 
@@ -45,70 +46,10 @@
         self, now: float, host: str, passed: bool, took: float, loads: list[float]
     ) -> None: ...
     def on_connection_lost(self, now: float, tag: str, host: str, outcome: Outcome) -> None: ...
+    def is_at(self, tag: str, host: str) -> bool: ...
     def schedule(self) -> None: ...
 
 
-Fields = dict[str, str | int | float]
-
-
-class HostConnection:
-    """One connection to a media host.
-
-    `pending` holds the set-ups on it without an outcome, `recent` the latest with one, and `probes` when each
-    probe was sent. `queue` holds what has not been sent: set-ups as id, fields and description, other lines
-    as bytes.
-    """
-
-    __slots__ = (
-        "host",
-        "address",
-        "writer",
-        "queue",
-        "pending",
-        "recent",
-        "probes",
-        "suspect",
-        "closed",
-        "last_used_at",
-        "task",
-    )
-
-    def __init__(self, host: str, address: str, now: float) -> None:
-        self.host, self.address = host, address
-        self.writer: BufferedWriter | None = None  # None until it is established
-        self.queue: list[tuple[str, Fields, bytes] | bytes] = []
-        self.pending: dict[str, None] = {}
-        self.recent: dict[str, None] = {}
-        self.probes: dict[str, float] = {}
-        self.suspect = self.closed = False
-        self.last_used_at = now
-        self.task: Task | None = None
-
-    @property
-    def established(self) -> bool:
-        return self.writer is not None
-
-    def write(self, data: bytes) -> None:
-        if self.writer is None:
-            self.queue.append(data)
-        else:
-            self.writer.write(data)
-
-    @property
-    def unsent_setups(self) -> list[str]:
-        """The set-ups that have not been sent."""
-        return [item[0] for item in self.queue if not isinstance(item, bytes)]
-
-    def on_outcome(self, tag: str) -> bool:
-        """Notes that a set-up has its outcome; returns whether it had none before."""
-        was_pending = self.pending.pop(tag, "none") is None
-        self.recent.pop(tag, None)
-        self.recent[tag] = None
-        if len(self.recent) > MAX_RECENT:
-            del self.recent[next(iter(self.recent))]
-        return was_pending
-
-
 class HostConnections:
     """All connections to media hosts."""
 
@@ -165,6 +106,7 @@
         if connection.writer is None or connection.writer.unsent_bytes or connection.queue:
             connection.queue.append((tag, fields, description))
         else:
+            connection.on_asked(time.monotonic())
             connection.writer.write(hostline.encode("START", tag, fields, None, description.decode()))
         return connection
 
@@ -186,6 +128,7 @@
                 connection.pending.pop(tag, None)
                 continue
             connection.last_used_at = self.loop.now
+            connection.on_asked(time.monotonic())
             fields["left"] = str(max(1, int(time_left * 1000)))
             connection.writer.write(hostline.encode("START", tag, fields, None, description.decode()))
 
@@ -199,12 +142,16 @@
             connection.pending.pop(tag, None)
         elif connection.on_outcome(tag) and not connection.closed:
             connection.suspect |= timed_out
+            connection.on_asked(time.monotonic())
+            connection.on_end_sent(time.monotonic(), tag)
             connection.write(hostline.encode("FINISH", tag, {}, 16))
         return not unsent
 
     def release(self, host: str, tag: str, connection: HostConnection | None) -> None:
         """Ends a viewing that plays."""
-        self._send(host, connection, hostline.encode("FINISH", tag, {}, 31))
+        sent_on = self._send(host, connection, hostline.encode("FINISH", tag, {}, 31))
+        if sent_on is not None:
+            sent_on.on_end_sent(time.monotonic(), tag)
 
     def set_rung(self, host: str, tag: str, connection: HostConnection | None, rung: int) -> None:
         self._send(host, connection, hostline.encode("RATE", tag, {"rung": rung}))
@@ -217,6 +164,7 @@
         self._probes += 1
         tag = f"{self._probes:016x}"
         connection.probes[tag] = time.monotonic()
+        connection.on_asked(time.monotonic())
         connection.last_used_at = self.loop.now
         connection.write(hostline.encode("ECHO", tag, {}, 1))
         return True
@@ -244,21 +192,26 @@
             if not connection.pending and (gone or connection.address != address):
                 self.close(connection)
 
-    def _send(self, host: str, connection: HostConnection | None, data: bytes) -> None:
-        """Sends on the connection of the set-up; where that is gone on any other, or on a new one."""
-        if connection is None or connection.closed:
-            address = self.addresses.get(host)
-            usable = [
-                each
-                for each in self.connections.get(host, ())
-                if not each.closed and each.address == (address or each.address)
-            ]
-            connection = next((each for each in usable if each.writer is not None), None) or next(
-                iter(usable), None
-            )
-            connection = connection or self._open(host)
+    def _send(self, host: str, connection: HostConnection | None, data: bytes) -> HostConnection | None:
+        """Sends on the connection of the set-up; where that is gone or silent on any other, or on a new one.
+
+        Returns the connection, None where none is available.
+        """
+        if connection is None or connection.closed or connection.is_silent(time.monotonic()):
+            connection = self._any_connection(host) or self._open(host)
         if connection is not None:
             connection.write(data)
+        return connection
+
+    def _any_connection(self, host: str) -> HostConnection | None:
+        """Returns an open connection for a message that is tied to none, the one most likely to work."""
+        now, address = time.monotonic(), self.addresses.get(host)
+        usable = [
+            each
+            for each in self.connections.get(host, ())
+            if not each.closed and not each.is_silent(now) and each.address == (address or each.address)
+        ]
+        return min(usable, key=lambda each: not each.established, default=None)
 
     def _choose(self, host: str, tag: str = "", displace: bool = True) -> HostConnection | None:
         now, address = self.loop.now, self.addresses.get(host)
@@ -338,9 +291,11 @@
         )
         self.detector.on_connected(self.loop.now, connection.host)
         self._flush(connection)
-        outcome = Outcome.RESET
+        outcome, all_was_read = Outcome.RESET, False
         try:
             self._read(connection, stream)
+            # What the media host sent before it closed was read, unless something between cut it short.
+            all_was_read = connection.retired_at is not None
             log("connection-ended", host=connection.host, open=len(connection.pending))
         except hostline.Malformed as error:
             # Not a reset: the host did answer, so its process has not died.
@@ -352,7 +307,13 @@
         finally:
             stream.close()
             connection.writer.close()
-            self.detector.on_connection_closed(connection.host)
+            self.detector.on_connection_closed(
+                self.loop.now,
+                connection.host,
+                may_hold_releases=not all_was_read,
+                closed_here=connection.closed or outcome is Outcome.ERROR,
+                was_heard=connection.was_heard,
+            )
             self._on_closed(connection, outcome)
 
     def _read(self, connection: HostConnection, stream: Stream) -> None:
@@ -364,8 +325,9 @@
             now = self.loop.now
             self.detector.on_data(now, connection.host)
             for verb, tag, fields, cause, description in reader.feed(data):
-                connection.suspect = False
+                is_late = tag in connection.recent
                 self._on_message(now, connection, verb, tag, fields, cause, description)
+                connection.on_message(now, is_late)
 
     def _on_message(
         self,
@@ -381,8 +343,11 @@
         if verb == "STARTED":
             connection.on_outcome(tag)
             controller.on_started(now, tag, connection.host, connection, description or "")
+        elif verb == "FINISHED":
+            self._on_end_confirmed(connection.host, tag)
         elif verb == "FINISH":
             connection.on_outcome(tag)
+            self._on_end_confirmed(connection.host, tag)
             loads = hostline.parse_loads(fields, self.load_fields)
             controller.on_finished(
                 now, tag, connection.host, connection, 0 if cause is None else cause, loads
@@ -399,12 +364,28 @@
                 loads = hostline.parse_loads(fields, self.load_fields)
                 controller.on_probe_result(now, connection.host, cause == 1, now - sent_at, loads)
 
+    def _on_end_confirmed(self, host: str, tag: str) -> None:
+        for connection in self.connections.get(host, ()):
+            connection.ends_sent.pop(tag, None)
+
     def close(self, connection: HostConnection) -> None:
         """Closes a connection; it takes no set-up or release from now on, though its task ends later."""
         connection.closed = True
         if connection.task is not None:
             connection.task.cancel()
 
+    def _retire(self, connection: HostConnection) -> None:
+        """Closes the sending half of an idle connection, and the rest when the media host has closed it.
+
+        A release that is under way still arrives.
+        """
+        writer = connection.writer
+        if writer is None or writer.unsent_bytes or not writer.stream.close_sending():
+            self.close(connection)
+            return
+        connection.closed = True
+        connection.retired_at = self.loop.now
+
     def _on_closed(self, connection: HostConnection, outcome: Outcome) -> None:
         """Reports the pending set-ups and probes of a connection that ended."""
         connection.closed = True
@@ -423,14 +404,44 @@
         for sent_at in connection.probes.values():
             self.controller.on_probe_result(now, connection.host, False, now - sent_at, [])
         connection.probes.clear()
+        self._send_ends_again(connection)
         self.controller.schedule()
 
+    def _send_ends_again(self, connection: HostConnection) -> None:
+        """Sends ends of viewings, which may be lost with the connection that has ended, on another.
+
+        That is done once for each. An id that came again since, and is now at the same media host, is left
+        alone.
+        """
+        host = connection.host
+        for tag in connection.take_unconfirmed_ends(time.monotonic()):
+            if not self.controller.is_at(tag, host):
+                log("end-sent-again", host=host, session=tag)
+                self._send(host, None, hostline.encode("FINISH", tag, {}, 31))
+
     def sweep(self, now: float) -> None:
-        """Closes connections that were unused for too long, and suspect ones without a set-up."""
-        for host, connections in self.connections.items():
+        """Closes connections that were unused for too long, and silent ones without a set-up."""
+        for host, connections in list(self.connections.items()):
+            self._check_silence(now, host, connections)
+            for connection in connections:
+                if connection.retired_at is not None and now - connection.retired_at > CLOSE_TIMEOUT_S:
+                    connection.retired_at = None
+                    self.close(connection)
             state = self.detector.hosts.get(host)
             needed = 1 if state is not None and state.viewings else 0
             for connection in expired(
                 now, [each for each in connections if not each.closed], needed, self.settings.idle_timeout_s
             ):
-                self.close(connection)
+                if connection.suspect:
+                    self.close(connection)
+                else:
+                    self._retire(connection)
+
+    def _check_silence(self, now: float, host: str, connections: list[HostConnection]) -> None:
+        """Takes a connection that owes an answer for too long out of use; what it holds comes on the next."""
+        silent = [each for each in connections if not each.closed and each.is_silent(now)]
+        for connection in silent:
+            if not connection.pending:
+                connection.suspect = True
+        if silent:
+            self.detector.on_connection_silent(now, host)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,7 +23,8 @@
 from ledgehitch.platform.__main__ import RunningGateway, load_configuration
 from ledgehitch.platform.byte_budget import ByteBudget
 from ledgehitch.platform.failure_detector import FailureDetector
-from ledgehitch.platform.host_connections import HostConnection, HostConnections
+from ledgehitch.platform.host_connection import HostConnection
+from ledgehitch.platform.host_connections import HostConnections
 from ledgehitch.platform.lifecycle import Lifecycle
 from ledgehitch.platform.resource_limits import limits_for
 from ledgehitch.platform.sessions import SessionTable
@@ -546,6 +547,8 @@
     def on_started(self, *_: Any) -> None: ...
     def on_finished(self, *_: Any) -> None: ...
     def on_notice(self, *_: Any) -> None: ...
+    def is_at(self, *_: Any) -> bool:
+        return False
 
 
 @pytest.mark.parametrize("left", [None, 0.5])
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -20,7 +20,8 @@
 from ledgehitch.platform.configuration import parse_configuration
 from ledgehitch.platform.controller import Controller
 from ledgehitch.platform.failure_detector import FailureDetector
-from ledgehitch.platform.host_connections import HostConnection, HostConnections
+from ledgehitch.platform.host_connection import HostConnection
+from ledgehitch.platform.host_connections import HostConnections
 from ledgehitch.platform.journal_client import JournalClient
 from ledgehitch.signalling.sdp import BadSdp, parse_fragment, parse_sdp
 from tests.test_crossings import StubHostEvents
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -264,7 +264,7 @@
 
 def test_a_refused_connection_is_a_failure_and_a_reset_is_not() -> None:
     detector = detector_with_viewing()
-    detector.on_connection_closed("h")
+    detector.on_connection_closed(0.0, "h")
     assert detector.decide(1.0) == OpenConnection("h")
     detector.on_connecting("h")
     assert detector.decide(1.0) is None
@@ -304,7 +304,7 @@
     detector.on_host_listed(3.0, "h", True, 1.5)
     assert detector.decide(3.0) == HostLost("h", 3.0)
     detector.on_viewing_ended("h")
-    detector.on_connection_closed("h")
+    detector.on_connection_closed(3.0, "h")
     assert not detector.hosts
     detector.on_viewing_started(3.1, "h")
     detector.on_viewing_ended("h")
@@ -323,7 +323,7 @@
             detector.on_connect_failed(1.2, "h", False)
         else:
             detector.on_connected(1.2, "h")
-            detector.on_connection_closed("h")
+            detector.on_connection_closed(1.2, "h")
         detector.on_viewing_started(2.0, "h")
         assert detector.decide(3.0) == OpenConnection("h"), late_end
 
@@ -403,7 +403,7 @@
     detector.on_viewing_started(0.0, "h")
     detector.on_connecting("h")
     detector.on_connected(1.0, "h")
-    detector.on_connection_closed("h")
+    detector.on_connection_closed(1.0, "h")
     detector.on_evicted(1.0, "h")
     assert detector.decide(1.0 + EVICTED_RETRY_S - 0.01) is None
     assert detector.wake_at() == 1.0 + EVICTED_RETRY_S
