--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,12 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 # Groups of tests that run in parallel with the rest, since they wait more than they compute: two groups that start
-# many processes, and one that uses the platform's sockets.
+# many processes, one that uses the platform's sockets, and one of faults that last for seconds.
 SEVERAL = tests/test_owning.py tests/test_scale.py
 LENDING = tests/test_lending.py tests/test_regions.py
 SOCKETS = tests/test_crossings.py tests/test_final_answers.py tests/test_many_hosts.py \
 	tests/test_memory_limits.py tests/test_platform_sockets.py tests/test_ramp.py
+FAULTS = tests/test_field_reports.py tests/test_lost_releases.py tests/test_slow_journal.py
 
 $(VENV)/ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -31,10 +32,13 @@
 	$(PY) -m pytest -q $(SEVERAL) > $(VENV)/several.txt 2>&1 & several=$$!; \
 	$(PY) -m pytest -q $(LENDING) > $(VENV)/lending.txt 2>&1 & lending=$$!; \
 	$(PY) -m pytest -q $(SOCKETS) > $(VENV)/sockets.txt 2>&1 & sockets=$$!; \
-	$(PY) -m pytest -q $(SEVERAL:%=--ignore=%) $(LENDING:%=--ignore=%) $(SOCKETS:%=--ignore=%); rest=$$?; \
+	$(PY) -m pytest -q $(FAULTS) > $(VENV)/faults.txt 2>&1 & faults=$$!; \
+	$(PY) -m pytest -q $(SEVERAL:%=--ignore=%) $(LENDING:%=--ignore=%) $(SOCKETS:%=--ignore=%) \
+		$(FAULTS:%=--ignore=%); rest=$$?; \
 	wait $$several; several=$$?; wait $$lending; lending=$$?; wait $$sockets; sockets=$$?; \
-	cat $(VENV)/several.txt $(VENV)/lending.txt $(VENV)/sockets.txt; \
-	test $$rest = 0 && test $$several = 0 && test $$lending = 0 && test $$sockets = 0
+	wait $$faults; faults=$$?; \
+	cat $(VENV)/several.txt $(VENV)/lending.txt $(VENV)/sockets.txt $(VENV)/faults.txt; \
+	test $$rest = 0 && test $$several = 0 && test $$lending = 0 && test $$sockets = 0 && test $$faults = 0
 
 day: $(VENV)/ready
 	$(PY) -m ledgehitch --log text rehearse days/bad-day.lh $(ARGS)
--- a/tests/test_lost_releases.py
+++ b/tests/test_lost_releases.py
@@ -34,7 +34,7 @@
         self.ends_received: list[str] = []
         self.held: list[bytes] = []  # releases for the next connection
         self.mute: set[Stream] = set()  # connections on which nothing arrives any more
-        self.answers = True
+        self.answers, self.setup_time = True, SETUP_TIME_S
 
     def _talk(self, stream: Stream) -> None:
         held, self.held = self.held, []
@@ -57,7 +57,7 @@
         stream.close()
 
     def _set_up(self, stream: Stream, tag: str) -> None:
-        self.harness.loop.sleep(SETUP_TIME_S)
+        self.harness.loop.sleep(self.setup_time)
         if stream in self.streams and self.answers:
             self.sessions[tag] = stream
             self.deliver(stream, hostline.encode("STARTED", tag, {}, None, BLOB))
@@ -141,6 +141,17 @@
         assert len(self.host.ended_at) == VIEWINGS and not late, late
 
 
+def replace_media_host(harness: Harness) -> MediaHost:
+    """Puts a media host of this module in place of the first one and returns it."""
+    harness.hosts[0].listener.close()
+    host = MediaHost(harness, harness.hosts[0].name)
+    harness.hosts[0] = host
+    feed = harness.until(lambda: harness.feeds)[0]
+    feed.send(harness.host_event(2, (host, "ready")))
+    harness.loop.sleep(0.2)
+    return host
+
+
 Fault = Callable[[Scene], None]
 
 
@@ -226,12 +237,7 @@
     # Guards against review case 6: with another connection open none was opened for what a lost one held.
     def play(loop: Loop) -> None:
         with running_gateway(loop, hosts=1, streamsPerConn=4) as (harness, viewer):
-            harness.hosts[0].listener.close()
-            host = MediaHost(harness, "s-0")
-            harness.hosts = [host]
-            feed = harness.until(lambda: harness.feeds)[0]
-            feed.send(harness.host_event(2, (host, "ready")))
-            loop.sleep(0.2)
+            host = replace_media_host(harness)
             scene = Scene(harness, viewer, host, seed)
             scene.begin()
             background = [loop.spawn(scene.read_releases), loop.spawn(scene.send_notices)]
