platform: clients that write slowly give way to new connections

Cause: each piece of a first message made its connection count as new, and unread pieces kept it.

Change: such a connection counts from when its first message began, and unread pieces do not keep it.

--- a/ledgehitch/platform/viewer_server.py
+++ b/ledgehitch/platform/viewer_server.py
@@ -91,6 +91,11 @@
         self.task: Task | None = None
         self.last_heard_at = now
 
+    @property
+    def first_message_began_at(self) -> float | None:
+        """When the first message began, None where none began or the first one is complete."""
+        return None if self.throttle.has_sent else self.throttle.message_began_at
+
 
 class ViewerServer:
     """Accepts viewers' connections and exchanges messages on them."""
@@ -146,7 +151,8 @@
                 conn.throttle.has_sent,
                 sessions.sessions_on(conn.number),
                 sessions.has_pending(conn.number),
-                conn.last_heard_at,
+                # Pieces of a first message that does not end are no reason to stay.
+                conn.first_message_began_at or conn.last_heard_at,
             )
             for conn in self.connections.values()
             if conn.task is None or not conn.task.cancelled
@@ -155,9 +161,10 @@
             number = eviction_candidate(self.loop.now, candidates)
             if number is None:
                 break
-            if self.connections[number].stream.is_idle():
+            conn = self.connections[number]
+            if conn.first_message_began_at is not None or conn.stream.is_idle():
                 self.evicted += 1
-                self.close(self.connections[number])
+                self.close(conn)
                 return True
             # A set-up may have arrived on it that is not read yet.
             candidates = [candidate for candidate in candidates if candidate[0] != number]
